--- /dev/null
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -0,0 +1,20 @@
+//! The operators' catalogue: entries, their versions and the state in force.
+
+mod bucket;
+mod entry;
+mod entry_kind;
+mod key_digest;
+mod load_multiple;
+mod snapshot;
+
+pub use {
+    bucket::{BUCKET_COUNT, BUCKET_PREFIX, BucketRecord, EntryRecord, bucket_key},
+    entry::{
+        CatalogueEntry, ClassEntry, DataCentreEntry, FencingCheck, LimitSet, PoolEntry, PoolKind,
+        PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
+    },
+    entry_kind::{EntryKind, EntryRef},
+    key_digest::{DigestError, KeyDigest},
+    load_multiple::{LoadMultiple, MultipleError},
+    snapshot::CatalogueSnapshot,
+};
--- /dev/null
+++ b/crates/poplargap-core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of the poplargap router fleet as pure state machines.
+//!
+//! Nothing here opens a socket, starts a task or reads a clock: time and randomness are arguments.
+
+pub mod catalogue;
+pub mod collections;
+pub mod finding;
+pub mod instant;
+pub mod name;
+pub mod rendezvous;
--- /dev/null
+++ b/crates/poplargap-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/poplargap-platform/src/store.rs
@@ -0,0 +1,162 @@
+//! The platform's key-value store as the fleet sees it.
+
+use {
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Revision of the whole store; every change raises it.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+/// Number of a lease.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct LeaseId(pub u64);
+
+/// A value with the revision of its last change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct StoredValue {
+    /// The value's key.
+    pub key: String,
+    /// Revision of the value's last change.
+    pub revision: StoreRevision,
+    /// The value: text, up to one megabyte.
+    pub value: String,
+}
+
+/// A write that takes effect only when the key's revision is the expected one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct SwapWrite {
+    /// Revision that the key must have; `None` when the key must be absent.
+    pub expected: Option<StoreRevision>,
+    /// The key.
+    pub key: String,
+    /// Lease after whose end the key vanishes; `None` for a lasting value.
+    pub lease: Option<LeaseId>,
+    /// The new value; `None` removes the key.
+    pub value: Option<String>,
+}
+
+/// What became of a compare-and-swap.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SwapOutcome {
+    /// The write took effect at this revision.
+    Applied(StoreRevision),
+    /// The write had no effect: the key is at this value, or absent.
+    Conflict(Option<StoredValue>),
+    /// The answer was lost; the write may or may not have taken effect, now or later.
+    Unknown(StoreError),
+    /// The write had no effect: it never reached the store, or the store refused it.
+    Failed(StoreError),
+}
+
+/// One page of a listing by prefix.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ValuePage {
+    /// Key to continue after, or `None` on the last page.
+    pub next: Option<String>,
+    /// The store's revision when the page was read.
+    pub revision: StoreRevision,
+    /// Values in the order of their keys.
+    pub values: Vec<StoredValue>,
+}
+
+/// One change seen by a watch.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct WatchChange {
+    /// The key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: StoreRevision,
+    /// The new value, or `None` when the key was removed.
+    pub value: Option<String>,
+}
+
+/// Changes after a revision, in order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct WatchBatch {
+    /// The changes; empty when the wait ended without one.
+    pub changes: Vec<WatchChange>,
+    /// Revision up to which the batch is complete.
+    pub revision: StoreRevision,
+}
+
+/// A lease that the store granted.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct LeaseGrant {
+    /// Fencing number: higher than that of every lease granted before.
+    pub fence: u64,
+    /// The lease's number.
+    pub id: LeaseId,
+    /// Time to live from the request's sending, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// A call to the platform that failed.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum StoreError {
+    /// revision {0} is compacted; list again
+    Compacted(u64),
+    /// the answer can't be read: {0}
+    Malformed(String),
+    /// nothing was sent: {0}
+    NotSent(String),
+    /// the lease is unknown or has ended
+    NoLease,
+    /// the store refused the call with status {0}
+    Refused(u16),
+    /// no answer came: {0}
+    NoAnswer(String),
+}
+
+impl std::error::Error for StoreError {}
+
+/// The platform's key-value store.
+pub trait KeyValueStore: Clone + Send + Sync + 'static {
+    /// Reads one value; `None` when the key is absent.
+    fn get(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send;
+
+    /// Lists values by prefix, from the key after `after`.
+    fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<ValuePage, StoreError>> + Send;
+
+    /// Writes or removes a value if its revision is the expected one.
+    fn swap(&self, write: &SwapWrite) -> impl Future<Output = SwapOutcome> + Send;
+
+    /// Waits up to `wait` for changes by prefix after a revision.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<WatchBatch, StoreError>> + Send;
+
+    /// Asks for a lease.
+    fn grant_lease(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseGrant, StoreError>> + Send;
+
+    /// Renews a lease for its whole time to live.
+    fn renew_lease(&self, id: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Ends a lease; keys bound to it vanish.
+    fn revoke_lease(&self, id: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+}
--- /dev/null
+++ b/crates/poplargapd/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
