Add homes, shards, membership, answers and the link's messages

Cause: the daemon's actors need their decisions and messages first. Change: shard homes with bounded load and four policies, membership from heartbeats, a splitter and tracker of streamed answers, buckets that never go back; sealed heartbeats, relay envelopes and RPC between daemons. Weighed: a home for each upstream (the frame) against a home for a shard of up to N upstreams of one pool in one data centre. A shard size of 1 is the former; a larger one knows the mean exactly, holds one queue and sends one report for all of them. Which is better is to be measured.

--- /dev/null
+++ b/crates/poplargap-core/src/answer.rs
@@ -0,0 +1,11 @@
+//! Streamed answers: their events, their order and their end.
+
+mod answer_tracker;
+mod event_splitter;
+mod token_usage;
+
+pub use {
+    answer_tracker::{AnswerTracker, EventVerdict},
+    event_splitter::{EventSplitter, SplitError},
+    token_usage::TokenUsage,
+};
--- /dev/null
+++ b/crates/poplargap-core/src/answer/answer_tracker.rs
@@ -0,0 +1,155 @@
+//! Checks that an answer is whole and belongs to its request.
+
+use {
+    super::TokenUsage, crate::name::RequestId, memchr::memmem, serde::Deserialize, std::borrow::Cow,
+};
+
+const DONE: &[u8] = b"data: [DONE]";
+const ID_FIELD: &[u8] = b"id: ";
+const DATA_FIELD: &[u8] = b"data: ";
+const USAGE_MEMBER: &[u8] = b"\"usage\":{";
+
+/// What to do with one event of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EventVerdict {
+    /// A comment that keeps the connection alive; not for the caller.
+    Comment,
+    /// The event was already forwarded.
+    Duplicate,
+    /// The answer is complete.
+    End,
+    /// The upstream can't finish the answer.
+    Failed,
+    /// The event belongs to another request.
+    Foreign,
+    /// The event is the next one for the caller.
+    Forward,
+    /// Events before this one are missing.
+    Gap,
+}
+
+#[derive(Deserialize)]
+struct EventHead<'a> {
+    #[serde(borrow)]
+    id: Option<Cow<'a, str>>,
+}
+
+#[derive(Deserialize)]
+struct EventUsage {
+    usage: Option<TokenUsage>,
+}
+
+/// Follows the events of one answer over all its attempts.
+#[derive(Debug)]
+pub struct AnswerTracker {
+    complete: bool,
+    id: RequestId,
+    next_index: u64,
+    usage: Option<TokenUsage>,
+}
+
+impl AnswerTracker {
+    /// Creates a tracker of the answer to the request `id`.
+    #[must_use]
+    pub fn new(id: RequestId) -> Self {
+        Self {
+            complete: false,
+            id,
+            next_index: 0,
+            usage: None,
+        }
+    }
+
+    /// Judges one event with its ending blank line.
+    pub fn judge(&mut self, event: &[u8]) -> EventVerdict {
+        if event.starts_with(b":") {
+            return EventVerdict::Comment;
+        }
+        if event.starts_with(b"event: error") {
+            return EventVerdict::Failed;
+        }
+        if event.starts_with(DONE) {
+            self.complete = true;
+            return EventVerdict::End;
+        }
+        let (index, data) = fields(event);
+        if !self.is_own(data) {
+            return EventVerdict::Foreign;
+        }
+        match index {
+            Some(index) => self.judge_token(index),
+            None => self.judge_trailer(data),
+        }
+    }
+
+    /// Returns whether the whole answer was seen.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns the index of the first event that is still missing.
+    #[must_use]
+    pub fn next_index(&self) -> u64 {
+        self.next_index
+    }
+
+    /// Returns the answer's token counts, once its upstream has told them.
+    #[must_use]
+    pub fn usage(&self) -> Option<TokenUsage> {
+        self.usage
+    }
+
+    fn is_own(&self, data: &[u8]) -> bool {
+        let id = self.id.as_str().as_bytes();
+        let quick = data
+            .strip_prefix(b"{\"id\":\"")
+            .and_then(|rest| rest.strip_prefix(id))
+            .is_some_and(|rest| rest.starts_with(b"\""));
+        quick
+            || serde_json::from_slice::<EventHead<'_>>(data)
+                .ok()
+                .and_then(|head| head.id)
+                .is_some_and(|head| head.as_bytes() == id)
+    }
+
+    fn judge_token(&mut self, index: u64) -> EventVerdict {
+        if index < self.next_index {
+            return EventVerdict::Duplicate;
+        }
+        if index > self.next_index {
+            return EventVerdict::Gap;
+        }
+        self.next_index += 1;
+        EventVerdict::Forward
+    }
+
+    fn judge_trailer(&mut self, data: &[u8]) -> EventVerdict {
+        if memmem::find(data, USAGE_MEMBER).is_none() {
+            return EventVerdict::Forward;
+        }
+        if self.usage.is_some() {
+            return EventVerdict::Duplicate;
+        }
+        self.usage = serde_json::from_slice::<EventUsage>(data)
+            .ok()
+            .and_then(|event| event.usage);
+        EventVerdict::Forward
+    }
+}
+
+/// Returns the index from the `id` field and the bytes of the `data` field.
+fn fields(event: &[u8]) -> (Option<u64>, &[u8]) {
+    let mut index = None;
+    let mut data: &[u8] = &[];
+    for line in event.split(|byte| *byte == b'\n') {
+        if let Some(text) = line.strip_prefix(ID_FIELD) {
+            index = std::str::from_utf8(text)
+                .ok()
+                .and_then(|text| text.trim().parse().ok());
+        } else if let Some(bytes) = line.strip_prefix(DATA_FIELD) {
+            data = bytes;
+        }
+    }
+    (index, data)
+}
--- /dev/null
+++ b/crates/poplargap-core/src/answer/event_splitter.rs
@@ -0,0 +1,65 @@
+//! Splits a byte stream into server-sent events.
+//!
+//! The format is that of the WHATWG HTML standard, section "Server-sent events", with line feeds as
+//! line ends.
+
+use {
+    bytes::{Bytes, BytesMut},
+    displaydoc::Display,
+    memchr::memmem,
+};
+
+/// Most bytes of one event.
+pub const EVENT_LEN_MAX: usize = 1024 * 1024;
+
+const EVENT_END: &[u8] = b"\n\n";
+
+/// A byte stream that holds no events.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum SplitError {
+    /// an event is longer than 1 MiB
+    TooLong,
+}
+
+impl std::error::Error for SplitError {}
+
+/// Cuts chunks of bytes into whole events, keeping an unfinished event until its rest comes.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    chunk: Bytes,
+    rest: BytesMut,
+}
+
+impl EventSplitter {
+    /// Takes in the next chunk; the events of the last chunk must have been taken out.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an unfinished event grows too long.
+    pub fn push(&mut self, chunk: Bytes) -> Result<(), SplitError> {
+        debug_assert!(
+            self.chunk.is_empty(),
+            "the last chunk's events are still inside"
+        );
+        if self.rest.is_empty() {
+            self.chunk = chunk;
+            return Ok(());
+        }
+        self.rest.extend_from_slice(&chunk);
+        if self.rest.len() > EVENT_LEN_MAX {
+            return Err(SplitError::TooLong);
+        }
+        self.chunk = self.rest.split().freeze();
+        Ok(())
+    }
+
+    /// Returns the next whole event with the blank line that ends it.
+    pub fn next_event(&mut self) -> Option<Bytes> {
+        if let Some(position) = memmem::find(&self.chunk, EVENT_END) {
+            return Some(self.chunk.split_to(position + EVENT_END.len()));
+        }
+        self.rest.extend_from_slice(&self.chunk);
+        self.chunk.clear();
+        None
+    }
+}
--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The operators' catalogue: entries, their versions and the state in force.
 
 mod bucket;
+mod bucket_table;
 mod entry;
 mod entry_kind;
 mod key_digest;
@@ -9,6 +10,7 @@
 
 pub use {
     bucket::{BUCKET_COUNT, BUCKET_PREFIX, BucketRecord, EntryRecord, bucket_key},
+    bucket_table::{BucketError, BucketTable, VersionedBucket},
     entry::{
         CatalogueEntry, ClassEntry, DataCentreEntry, FencingCheck, LimitSet, PoolEntry, PoolKind,
         PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
--- a/crates/poplargap-core/src/catalogue/snapshot.rs
+++ b/crates/poplargap-core/src/catalogue/snapshot.rs
@@ -5,7 +5,11 @@
         BucketRecord, CatalogueEntry, ClassEntry, DataCentreEntry, KeyDigest, PoolEntry,
         UpstreamEntry, WorkspaceEntry,
     },
-    crate::name::{ClassName, DataCentre, PoolName, UpstreamName, WorkspaceName},
+    crate::{
+        collections::HashMap,
+        name::{ClassName, DataCentre, PoolName, UpstreamName, WorkspaceName},
+        shard::{self, PoolShard},
+    },
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -24,6 +28,9 @@
     pub upstreams: BTreeMap<UpstreamName, Arc<UpstreamEntry>>,
     /// Workspaces by name.
     pub workspaces: BTreeMap<WorkspaceName, Arc<WorkspaceEntry>>,
+    classes_by_owner: HashMap<WorkspaceName, Vec<Arc<ClassEntry>>>,
+    shards: HashMap<PoolName, BTreeMap<DataCentre, Vec<PoolShard>>>,
+    workspaces_by_digest: HashMap<String, Arc<WorkspaceEntry>>,
 }
 
 impl CatalogueSnapshot {
@@ -41,22 +48,88 @@
             .flat_map(|bucket| bucket.entries.values())
             .filter_map(|record| record.entry.as_ref())
             .for_each(|entry| snapshot.insert(entry));
+        snapshot.index();
         snapshot
     }
 
     /// Returns the classes that `workspace` owns for `pool`.
     pub fn classes_of<'a>(
         &'a self,
-        workspace: &'a WorkspaceName,
+        workspace: &WorkspaceName,
         pool: &'a PoolName,
     ) -> impl Iterator<Item = &'a Arc<ClassEntry>> {
-        self.classes
+        self.classes_by_owner
+            .get(workspace)
+            .into_iter()
+            .flatten()
+            .filter(move |class| class.pool == *pool)
+    }
+
+    /// Returns the data centres that hold shards of `pool`.
+    pub fn data_centres_of(&self, pool: &PoolName) -> impl Iterator<Item = &DataCentre> {
+        self.shards.get(pool).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Returns the shards of `pool` in `data_centre`.
+    #[must_use]
+    pub fn shards_of(&self, pool: &PoolName, data_centre: &DataCentre) -> &[PoolShard] {
+        self.shards
+            .get(pool)
+            .and_then(|shards| shards.get(data_centre))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all shards in `data_centre`.
+    pub fn shards_in<'a>(
+        &'a self,
+        data_centre: &'a DataCentre,
+    ) -> impl Iterator<Item = &'a PoolShard> {
+        self.shards
             .values()
-            .filter(move |class| class.owner == *workspace && class.pool == *pool)
+            .filter_map(move |shards| shards.get(data_centre))
+            .flatten()
+    }
+
+    /// Returns the workspace whose bearer key has `digest`.
+    #[must_use]
+    pub fn workspace_of_key(&self, digest: &KeyDigest) -> Option<&Arc<WorkspaceEntry>> {
+        self.workspaces_by_digest
+            .get(&String::from(*digest))
+            .filter(|workspace| workspace.key_sha256 == *digest)
+    }
+
+    fn index(&mut self) {
+        for class in self.classes.values() {
+            let classes = self
+                .classes_by_owner
+                .entry(class.owner.clone())
+                .or_default();
+            classes.push(Arc::clone(class));
+        }
+        for workspace in self.workspaces.values() {
+            let digest = String::from(workspace.key_sha256);
+            self.workspaces_by_digest
+                .insert(digest, Arc::clone(workspace));
+        }
+        let mut groups: BTreeMap<(&PoolName, &DataCentre), Vec<Arc<UpstreamEntry>>> =
+            BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            let group = groups
+                .entry((&upstream.pool, &upstream.data_centre))
+                .or_default();
+            group.push(Arc::clone(upstream));
+        }
+        for ((name, data_centre), upstreams) in groups {
+            let Some(pool) = self.pools.get(name) else {
+                continue;
+            };
+            let shards = shard::split(name, data_centre, &upstreams, pool.shard_size);
+            let pool_shards = self.shards.entry(name.clone()).or_default();
+            pool_shards.insert(data_centre.clone(), shards);
+        }
     }
 
-    /// Adds an entry, replacing the one of the same kind and name.
-    pub fn insert(&mut self, entry: &CatalogueEntry) {
+    fn insert(&mut self, entry: &CatalogueEntry) {
         match entry.clone() {
             CatalogueEntry::Class(entry) => {
                 self.classes.insert(entry.name.clone(), Arc::new(entry));
@@ -76,23 +149,4 @@
             }
         }
     }
-
-    /// Returns the upstreams of `pool` in `data_centre`, by name.
-    pub fn upstreams_of<'a>(
-        &'a self,
-        pool: &'a PoolName,
-        data_centre: &'a DataCentre,
-    ) -> impl Iterator<Item = &'a Arc<UpstreamEntry>> {
-        self.upstreams
-            .values()
-            .filter(move |upstream| upstream.pool == *pool && upstream.data_centre == *data_centre)
-    }
-
-    /// Returns the workspace whose bearer key has `digest`.
-    #[must_use]
-    pub fn workspace_of_key(&self, digest: &KeyDigest) -> Option<&Arc<WorkspaceEntry>> {
-        self.workspaces
-            .values()
-            .find(|workspace| workspace.key_sha256 == *digest)
-    }
 }
--- /dev/null
+++ b/crates/poplargap-core/src/home.rs
@@ -0,0 +1,16 @@
+//! The home of a shard: exact loads of its upstreams and the choice among them.
+
+mod candidate;
+mod policy;
+mod shard_home;
+mod upstream_load;
+
+pub use {
+    candidate::PlaceRequest,
+    policy::{
+        HashPolicy, HomedPolicy, LeastLoadPolicy, PlacementPolicy, PolicyChoice, PolicyKind,
+        RandomPolicy,
+    },
+    shard_home::{PlaceRefusal, PoolLoad, ShardHome},
+    upstream_load::{UpstreamHealth, UpstreamLoad},
+};
--- /dev/null
+++ b/crates/poplargap-core/src/home/shard_home.rs
@@ -0,0 +1,163 @@
+//! State of one shard at its home daemon.
+
+use {
+    super::{PlaceRequest, PlacementPolicy, UpstreamLoad, policy::LoadTable},
+    crate::{
+        catalogue::{LoadMultiple, PoolEntry},
+        collections::HashMapExt,
+        instant::MonotonicInstant,
+        name::UpstreamName,
+        shard::PoolShard,
+    },
+    displaydoc::Display,
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// Why no upstream of the shard takes a request.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum PlaceRefusal {
+    /// every upstream of the shard is at its bound
+    Full,
+    /// no upstream of the shard is up and serving
+    NoUpstream,
+}
+
+impl std::error::Error for PlaceRefusal {}
+
+/// Load and open upstreams of a pool's other shards.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolLoad {
+    /// Requests in flight.
+    pub in_flight: u64,
+    /// Upstreams that take work.
+    pub upstreams: u64,
+}
+
+/// Exact loads of a shard's upstreams and the choice among them.
+#[derive(Debug)]
+pub struct ShardHome {
+    epoch: u64,
+    loads: LoadTable,
+    pool: Arc<PoolEntry>,
+}
+
+impl ShardHome {
+    /// Creates the home of a shard at `epoch`.
+    #[must_use]
+    pub fn new(epoch: u64, pool: Arc<PoolEntry>, shard: &PoolShard) -> Self {
+        let mut home = Self {
+            epoch,
+            loads: LoadTable::new(),
+            pool,
+        };
+        home.set_upstreams(shard);
+        home
+    }
+
+    /// Returns the number that orders the homes of this shard over time.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the load of the whole shard.
+    #[must_use]
+    pub fn load(&self, now: MonotonicInstant) -> PoolLoad {
+        let in_flight = self.loads.values().map(UpstreamLoad::total).sum();
+        let open = self.loads.values().filter(|load| load.is_open(now)).count();
+        let upstreams = u64::try_from(open).unwrap_or(u64::MAX);
+        PoolLoad {
+            in_flight,
+            upstreams,
+        }
+    }
+
+    /// Returns the loads of single upstreams.
+    pub fn loads(&self) -> impl Iterator<Item = &UpstreamLoad> {
+        self.loads.values()
+    }
+
+    /// Returns one upstream's record for changing it.
+    pub fn load_mut(&mut self, upstream: &UpstreamName) -> Option<&mut UpstreamLoad> {
+        self.loads.get_mut(upstream)
+    }
+
+    /// Takes over a changed pool entry.
+    pub fn set_pool(&mut self, pool: Arc<PoolEntry>) {
+        self.pool = pool;
+    }
+
+    /// Takes over the shard's upstreams from a changed catalogue, keeping loads.
+    ///
+    /// An upstream that left the catalogue stays, without new work, until its requests end.
+    pub fn set_upstreams(&mut self, shard: &PoolShard) {
+        let names: BTreeSet<&UpstreamName> =
+            shard.upstreams.iter().map(|entry| &entry.name).collect();
+        self.loads
+            .retain(|name, load| names.contains(name) || load.in_flight > 0);
+        for (name, load) in &mut self.loads {
+            load.leaving = load.leaving || !names.contains(name);
+        }
+        for entry in &shard.upstreams {
+            let entry = Arc::clone(entry);
+            match self.loads.get_mut(&entry.name) {
+                Some(load) => load.entry = entry,
+                None => {
+                    self.loads
+                        .insert(entry.name.clone(), UpstreamLoad::new(entry));
+                }
+            }
+        }
+    }
+
+    /// Returns the most requests that one upstream may carry with one request more in the pool.
+    #[must_use]
+    pub fn bound(&self, others: PoolLoad, now: MonotonicInstant) -> u64 {
+        let own = self.load(now);
+        let load = own.in_flight + others.in_flight + 1;
+        let multiple: LoadMultiple = self.pool.multiple;
+        multiple.bound(load, own.upstreams + others.upstreams)
+    }
+
+    /// Chooses an upstream and counts the request as in flight there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream takes the request.
+    pub fn place<P: PlacementPolicy>(
+        &mut self,
+        policy: &mut P,
+        request: &PlaceRequest,
+        others: PoolLoad,
+        random: u64,
+        now: MonotonicInstant,
+    ) -> Result<UpstreamName, PlaceRefusal> {
+        let bound = self.bound(others, now);
+        let slots = u64::from(self.pool.slots);
+        let mut open: Vec<&UpstreamLoad> = self
+            .loads
+            .values()
+            .filter(|load| load.is_open(now) && !request.avoid.contains(&load.entry.name))
+            .collect();
+        if open.is_empty() {
+            return Err(PlaceRefusal::NoUpstream);
+        }
+        open.retain(|load| load.total() < slots && (!P::BOUNDED || load.total() < bound));
+        open.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
+        let Some(name) = policy.choose(request, &open, random) else {
+            return Err(PlaceRefusal::Full);
+        };
+        policy.remember(request, &name);
+        if let Some(load) = self.loads.get_mut(&name) {
+            load.in_flight += 1;
+        }
+        Ok(name)
+    }
+
+    /// Counts a request as ended.
+    pub fn release(&mut self, upstream: &UpstreamName) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+}
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -2,9 +2,14 @@
 //!
 //! Nothing here opens a socket, starts a task or reads a clock: time and randomness are arguments.
 
+pub mod answer;
 pub mod catalogue;
 pub mod collections;
 pub mod finding;
+pub mod home;
 pub mod instant;
+pub mod membership;
 pub mod name;
+pub mod outcome;
 pub mod rendezvous;
+pub mod shard;
--- /dev/null
+++ b/crates/poplargap-link/src/rpc.rs
@@ -0,0 +1,53 @@
+//! Calls between daemons.
+
+use {
+    crate::proof::FleetProof,
+    jsonrpsee::{proc_macros::rpc, types::ErrorObjectOwned},
+    serde::{Deserialize, Serialize},
+};
+
+/// Most bytes of values in one page of a catalogue delta.
+pub const DELTA_LEN_MAX: usize = 512 * 1024;
+
+/// Error code of a call without the fleet's proof.
+pub const CODE_PROOF: i32 = -32001;
+
+/// Error code of a call that the daemon can't answer yet.
+pub const CODE_NOT_READY: i32 = -32002;
+
+/// One bucket of the catalogue as the store keeps it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CatalogueBucket {
+    /// The bucket's key in the store.
+    pub key: String,
+    /// Revision of the bucket's last change.
+    pub revision: u64,
+    /// The bucket's value.
+    pub value: String,
+}
+
+/// Buckets that changed after a revision, one page.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct CatalogueDelta {
+    /// Changed buckets in the order of their keys.
+    pub buckets: Vec<CatalogueBucket>,
+    /// Key to continue after, or `None` on the last page.
+    pub next: Option<String>,
+    /// Revision in force at the daemon that answers.
+    pub revision: u64,
+}
+
+/// Calls that every daemon answers to daemons of its fleet.
+#[rpc(client, server, namespace = "fleet")]
+pub trait FleetRpc {
+    /// Returns buckets that changed after `revision`, from the key after `after`.
+    #[method(name = "catalogue_since")]
+    async fn catalogue_since(
+        &self,
+        proof: FleetProof,
+        revision: u64,
+        after: Option<String>,
+    ) -> Result<CatalogueDelta, ErrorObjectOwned>;
+}
