Add the bounded waiting queue of a pool's home

Cause: a home must order waiting work by class and workspace, refuse what can't start in time, and tell refused callers when to come back.

Ruled out: one FIFO for each class (a surge moves every other workspace's wait); a quantum of at least the largest cost (one workspace could serve a burst of that many small items in a turn), so the quantum is one unit and rounds in which nobody can be served are skipped by calculation; an estimate of the wait from the whole backlog (it would refuse a small workspace for the backlog of a large one).

Change: `queue::WorkQueue` with strict priority, ageing by one class each 10 s, deficit round robin over workspaces inside a class, displacement of the newest item of the largest holder when the queue is full, refusal at once by the measured drain rate, expiry, cancellation, and `retry_after` from the drain rate or fixed (`RetryPolicy`).

Not measured: `RetryPolicy::DrainRate` against `Fixed` under load.

--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod finding;
 pub mod instant;
 pub mod name;
+pub mod queue;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/poplargap-core/src/queue/class_lane.rs
@@ -0,0 +1,169 @@
+//! Waiting tickets of one priority class, shared out between workspaces.
+
+use {
+    crate::{collections::HashMap, instant::MonotonicInstant, name::WorkspaceName},
+    std::collections::VecDeque,
+};
+
+/// Units that a workspace gains in one round.
+const QUANTUM_UNITS: u64 = 1;
+
+/// Place of one item in a lane.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueueTicket {
+    /// Cost in units.
+    pub cost: u64,
+    /// Number of the item, unique in the queue.
+    pub number: u64,
+    /// When the item's wait in this lane began.
+    pub since: MonotonicInstant,
+}
+
+#[derive(Debug, Default)]
+struct WorkspaceFlow {
+    cost: u64,
+    deficit: u64,
+    tickets: VecDeque<QueueTicket>,
+}
+
+impl WorkspaceFlow {
+    fn rounds_to_head(&self) -> u64 {
+        let head = self.tickets.front().map_or(0, |ticket| ticket.cost);
+        head.saturating_sub(self.deficit).div_ceil(QUANTUM_UNITS)
+    }
+
+    fn take_head(&mut self) -> Option<QueueTicket> {
+        let ticket = self.tickets.pop_front()?;
+        self.cost -= ticket.cost;
+        Some(ticket)
+    }
+}
+
+/// Deficit round robin over the workspaces that wait in one class.
+#[derive(Debug, Default)]
+pub(super) struct ClassLane {
+    cost: u64,
+    flows: HashMap<WorkspaceName, WorkspaceFlow>,
+    ring: VecDeque<WorkspaceName>,
+    turn_open: bool,
+}
+
+impl ClassLane {
+    /// Adds a ticket behind those of its workspace.
+    pub fn push(&mut self, workspace: &WorkspaceName, ticket: QueueTicket) {
+        if !self.flows.contains_key(workspace) {
+            self.ring.push_back(workspace.clone());
+        }
+        let flow = self.flows.entry(workspace.clone()).or_default();
+        flow.cost += ticket.cost;
+        flow.tickets.push_back(ticket);
+        self.cost += ticket.cost;
+    }
+
+    /// Takes the next ticket.
+    pub fn pop(&mut self) -> Option<QueueTicket> {
+        let mut passed = 0;
+        loop {
+            let workspace = self.ring.front()?.clone();
+            let flow = self.flows.get_mut(&workspace)?;
+            if !self.turn_open {
+                flow.deficit += QUANTUM_UNITS;
+                self.turn_open = true;
+            }
+            if flow.rounds_to_head() == 0 {
+                let ticket = flow.take_head()?;
+                flow.deficit -= ticket.cost;
+                self.cost -= ticket.cost;
+                self.forget_if_empty(&workspace);
+                return Some(ticket);
+            }
+            self.ring.rotate_left(1);
+            self.turn_open = false;
+            passed += 1;
+            if passed % self.ring.len() == 0 {
+                self.skip_empty_rounds();
+            }
+        }
+    }
+
+    /// Takes the tickets whose wait began at `begun` or before.
+    pub fn take_aged(&mut self, begun: MonotonicInstant) -> Vec<(WorkspaceName, QueueTicket)> {
+        let mut aged: Vec<(WorkspaceName, QueueTicket)> = self
+            .flows
+            .iter()
+            .flat_map(|(workspace, flow)| {
+                flow.tickets
+                    .iter()
+                    .take_while(|ticket| ticket.since <= begun)
+                    .map(|ticket| (workspace.clone(), *ticket))
+            })
+            .collect();
+        aged.sort_by_key(|(_, ticket)| ticket.number);
+        for (workspace, ticket) in &aged {
+            self.remove(workspace, ticket.number);
+        }
+        aged
+    }
+
+    /// Removes the ticket of item `number`.
+    pub fn remove(&mut self, workspace: &WorkspaceName, number: u64) {
+        let Some(flow) = self.flows.get_mut(workspace) else {
+            return;
+        };
+        let Some(index) = flow.tickets.iter().position(|t| t.number == number) else {
+            return;
+        };
+        let Some(ticket) = flow.tickets.remove(index) else {
+            return;
+        };
+        flow.cost -= ticket.cost;
+        self.cost -= ticket.cost;
+        self.forget_if_empty(workspace);
+    }
+
+    /// Returns the newest ticket of `workspace`.
+    pub fn newest_of(&self, workspace: &WorkspaceName) -> Option<QueueTicket> {
+        self.flows.get(workspace)?.tickets.back().copied()
+    }
+
+    /// Returns the cost of all tickets.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// Returns the cost that is served before a new ticket of `workspace` has its turn.
+    ///
+    /// In the time in which its own tickets are served each other workspace gets as much.
+    pub fn cost_ahead(&self, workspace: &WorkspaceName, cost: u64) -> u64 {
+        let own = self.flows.get(workspace).map_or(0, |flow| flow.cost);
+        self.flows
+            .iter()
+            .filter(|(name, _)| *name != workspace)
+            .map(|(_, flow)| flow.cost.min(own + cost))
+            .sum::<u64>()
+            + own
+    }
+
+    fn forget_if_empty(&mut self, workspace: &WorkspaceName) {
+        if !self
+            .flows
+            .get(workspace)
+            .is_some_and(|flow| flow.tickets.is_empty())
+        {
+            return;
+        }
+        self.flows.remove(workspace);
+        if self.ring.front() == Some(workspace) {
+            self.turn_open = false;
+        }
+        self.ring.retain(|name| name != workspace);
+    }
+
+    fn skip_empty_rounds(&mut self) {
+        let rounds = self.flows.values().map(WorkspaceFlow::rounds_to_head).min();
+        let empty = rounds.unwrap_or(0).saturating_sub(1);
+        for flow in self.flows.values_mut() {
+            flow.deficit += empty * QUANTUM_UNITS;
+        }
+    }
+}
