--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod membership;
 pub mod name;
 pub mod outcome;
+pub mod queue;
 pub mod rendezvous;
 pub mod shard;
