--- a/crates/poplargap-core/src/answer/event_splitter.rs
+++ b/crates/poplargap-core/src/answer/event_splitter.rs
@@ -62,4 +62,10 @@
         self.chunk.clear();
         None
     }
+
+    /// Returns the bytes of an unfinished event and forgets them.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
+        let rest = self.rest.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
 }
--- a/crates/poplargap-core/src/home/shard_home.rs
+++ b/crates/poplargap-core/src/home/shard_home.rs
@@ -4,7 +4,7 @@
     super::{PlaceRequest, PlacementPolicy, UpstreamLoad, policy::LoadTable},
     crate::{
         catalogue::{LoadMultiple, PoolEntry},
-        collections::HashMapExt,
+        collections::{HashMap, HashMapExt},
         instant::MonotonicInstant,
         name::UpstreamName,
         shard::PoolShard,
@@ -96,7 +96,7 @@
         self.loads
             .retain(|name, load| names.contains(name) || load.in_flight > 0);
         for (name, load) in &mut self.loads {
-            load.leaving = load.leaving || !names.contains(name);
+            load.removed = !names.contains(name);
         }
         for entry in &shard.upstreams {
             let entry = Arc::clone(entry);
@@ -154,10 +154,67 @@
         Ok(name)
     }
 
+    /// Returns whether some upstream may take one request more.
+    #[must_use]
+    pub fn has_room(&self, others: PoolLoad, now: MonotonicInstant) -> bool {
+        let limit = self.bound(others, now).min(u64::from(self.pool.slots));
+        self.loads
+            .values()
+            .any(|load| load.is_open(now) && load.total() < limit)
+    }
+
     /// Counts a request as ended.
     pub fn release(&mut self, upstream: &UpstreamName) {
         if let Some(load) = self.loads.get_mut(upstream) {
             load.in_flight = load.in_flight.saturating_sub(1);
         }
     }
+
+    /// Starts from the loads that the upstreams themselves report.
+    ///
+    /// What an upstream reports above this home's own requests was sent by a former home.
+    pub fn adopt(&mut self, reported: &HashMap<UpstreamName, u64>) {
+        for (name, load) in &mut self.loads {
+            let reported = reported.get(name).copied().unwrap_or_default();
+            load.adopted = reported.saturating_sub(load.in_flight);
+            load.reported = reported;
+        }
+    }
+
+    /// Notes what former homes say that they still have at the upstreams.
+    pub fn set_foreign(&mut self, foreign: impl Fn(&UpstreamName) -> u64) {
+        for (name, load) in &mut self.loads {
+            load.foreign = foreign(name);
+        }
+    }
+
+    /// Forgets what former homes had at the upstreams.
+    pub fn forget_foreign(&mut self) {
+        for load in self.loads.values_mut() {
+            load.adopted = 0;
+            load.foreign = 0;
+        }
+    }
+
+    /// Notes the upstreams' own reports of their loads.
+    pub fn report(&mut self, reported: &HashMap<UpstreamName, u64>) {
+        for (name, load) in &mut self.loads {
+            if let Some(reported) = reported.get(name).copied() {
+                load.reported = reported;
+                load.adopted = load.adopted.min(reported.saturating_sub(load.in_flight));
+            }
+        }
+    }
+
+    /// Changes the epoch at a takeover.
+    pub fn set_epoch(&mut self, epoch: u64) {
+        self.epoch = epoch;
+    }
+
+    /// Notes which upstreams the platform says are leaving.
+    pub fn set_leaving(&mut self, leaving: impl Fn(&UpstreamName) -> bool) {
+        for (name, load) in &mut self.loads {
+            load.leaving = load.removed || leaving(name);
+        }
+    }
 }
--- a/crates/poplargap-core/src/home/upstream_load.rs
+++ b/crates/poplargap-core/src/home/upstream_load.rs
@@ -42,9 +42,11 @@
 /// What the home knows of one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamLoad {
+    /// Requests that the upstream reported at the takeover beside the home's own.
+    pub adopted: u64,
     /// The catalogue's entry.
     pub entry: Arc<UpstreamEntry>,
-    /// Requests at the upstream that another daemon sent before the home took over.
+    /// Requests at the upstream that a former home says it still has there.
     pub foreign: u64,
     /// Whether the upstream answers.
     pub health: UpstreamHealth,
@@ -52,6 +54,8 @@
     pub in_flight: u64,
     /// Whether the upstream or the platform said that it is leaving.
     pub leaving: bool,
+    /// Whether the entry left the catalogue.
+    pub removed: bool,
     /// Requests at the upstream by its own last report.
     pub reported: u64,
 }
@@ -61,11 +65,13 @@
     #[must_use]
     pub fn new(entry: Arc<UpstreamEntry>) -> Self {
         Self {
+            adopted: 0,
             entry,
             foreign: 0,
             health: UpstreamHealth::default(),
             in_flight: 0,
             leaving: false,
+            removed: false,
             reported: 0,
         }
     }
@@ -79,12 +85,12 @@
     /// Returns whether the upstream is neither draining nor leaving.
     #[must_use]
     pub fn is_serving(&self) -> bool {
-        self.entry.state == UpstreamState::Serving && !self.leaving
+        self.entry.state == UpstreamState::Serving && !self.leaving && !self.removed
     }
 
     /// Returns all requests that count against the bound.
     #[must_use]
     pub fn total(&self) -> u64 {
-        self.in_flight + self.foreign
+        self.in_flight + self.foreign.max(self.adopted)
     }
 }
--- a/crates/poplargap-core/src/membership.rs
+++ b/crates/poplargap-core/src/membership.rs
@@ -69,6 +69,7 @@
 /// The members of one data centre as one daemon sees them.
 #[derive(Debug)]
 pub struct MemberTable {
+    checked: MonotonicInstant,
     own: MemberReport,
     records: HashMap<DaemonName, MemberRecord>,
     suspect: Duration,
@@ -79,9 +80,10 @@
     ///
     /// A member that isn't heard for `suspect` counts as dead.
     #[must_use]
-    pub fn new(own: MemberReport, suspect: Duration) -> Self {
+    pub fn new(own: MemberReport, suspect: Duration, now: MonotonicInstant) -> Self {
         let records = HashMap::new();
         Self {
+            checked: now,
             own,
             records,
             suspect,
@@ -118,8 +120,17 @@
     }
 
     /// Removes members that were not heard for the suspect time and returns their names.
+    ///
+    /// Time in which the daemon itself was paused says nothing about its peers and doesn't count.
     pub fn expire(&mut self, now: MonotonicInstant) -> Vec<DaemonName> {
         let suspect = self.suspect;
+        let pause = now.since(self.checked);
+        self.checked = now;
+        if pause > suspect / 2 {
+            for record in self.records.values_mut() {
+                record.heard = record.heard + pause;
+            }
+        }
         let mut dead: Vec<DaemonName> = self
             .records
             .iter()
--- a/crates/poplargap-link/src/rpc.rs
+++ b/crates/poplargap-link/src/rpc.rs
@@ -3,7 +3,9 @@
 use {
     crate::proof::FleetProof,
     jsonrpsee::{proc_macros::rpc, types::ErrorObjectOwned},
+    poplargap_core::shard::ShardId,
     serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
 };
 
 /// Most bytes of values in one page of a catalogue delta.
@@ -39,6 +41,14 @@
     pub revision: u64,
 }
 
+/// Where the home of a shard takes requests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct HomeReply {
+    /// The home's relay listener, or `None` when no daemon of the data centre is ready.
+    pub relay: Option<SocketAddr>,
+}
+
 /// Calls that every daemon answers to daemons of its fleet.
 #[rpc(client, server, namespace = "fleet")]
 pub trait FleetRpc {
@@ -50,4 +60,8 @@
         revision: u64,
         after: Option<String>,
     ) -> Result<CatalogueDelta, ErrorObjectOwned>;
+
+    /// Returns the home of a shard in the daemon's own data centre.
+    #[method(name = "home_of")]
+    async fn home_of(&self, proof: FleetProof, shard: ShardId) -> Result<HomeReply, ErrorObjectOwned>;
 }
--- /dev/null
+++ b/crates/poplargapd/src/feed.rs
@@ -0,0 +1,10 @@
+//! The catalogue in force: from the store, or from peers.
+
+mod catalogue_feed;
+mod peer_clients;
+mod store_watch;
+
+pub use {
+    catalogue_feed::{CatalogueFeed, CatalogueReader, FeedInputs},
+    peer_clients::PeerClients,
+};
--- /dev/null
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -0,0 +1,287 @@
+//! The task that keeps the catalogue in force up to date.
+
+use {
+    super::{
+        PeerClients,
+        store_watch::{self, BucketUpdate, StoreUpdate},
+    },
+    crate::{
+        invariant::{Invariant, InvariantMonitor},
+        members::{MemberView, VmView},
+        metrics::DaemonMetrics,
+    },
+    poplargap_core::{
+        catalogue::{BucketTable, CatalogueSnapshot},
+        name::DataCentre,
+    },
+    poplargap_link::rpc::{CatalogueBucket, CatalogueDelta, DELTA_LEN_MAX},
+    poplargap_platform::{KeyValueStore, StoreError},
+    slog::Logger,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, RwLock},
+        time::Duration,
+    },
+    tokio::{sync::watch, task::JoinHandle, time},
+};
+
+/// Daemons of a data centre that watch the store; the others learn from them.
+const WATCHERS: usize = 2;
+
+/// Pause after a failed reading of the store or of peers.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the peers' revisions.
+const PEER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between two readings from other data centres while the store is out of reach.
+const REMOTE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What the feed needs of other tasks.
+#[derive(Debug)]
+pub struct FeedInputs {
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// Asserts that the revision never goes back.
+    pub invariants: InvariantMonitor,
+    /// The daemon's log.
+    pub log: Logger,
+    /// The peers' revisions.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// RPC clients of peers.
+    pub peers: PeerClients,
+    /// Daemons of other data centres.
+    pub vms: watch::Receiver<Arc<VmView>>,
+}
+
+/// Reads the catalogue in force; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct CatalogueReader {
+    snapshots: watch::Receiver<Arc<CatalogueSnapshot>>,
+    table: Arc<RwLock<BucketTable>>,
+}
+
+impl CatalogueReader {
+    /// Returns buckets that changed after `revision`, one page from the key after `after`.
+    #[must_use]
+    pub fn since(&self, revision: u64, after: Option<&str>) -> CatalogueDelta {
+        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
+        let mut buckets = Vec::new();
+        let mut len = 0;
+        let mut next = None;
+        for (key, bucket) in table.since(revision, after) {
+            if len >= DELTA_LEN_MAX {
+                next = buckets.last().map(|bucket: &CatalogueBucket| bucket.key.clone());
+                break;
+            }
+            len += bucket.value.len();
+            buckets.push(CatalogueBucket {
+                key: key.to_owned(),
+                revision: bucket.revision,
+                value: bucket.value.clone(),
+            });
+        }
+        CatalogueDelta { buckets, next, revision: table.revision() }
+    }
+
+    /// Returns a receiver of the snapshots in force.
+    #[must_use]
+    pub fn snapshots(&self) -> watch::Receiver<Arc<CatalogueSnapshot>> {
+        self.snapshots.clone()
+    }
+}
+
+/// The running feed.
+#[derive(Debug)]
+pub struct CatalogueFeed {
+    handle: JoinHandle<()>,
+}
+
+/// Creates the channels of the feed, so that tasks that the feed needs can start before it.
+pub(crate) fn channels() -> (FeedChannels, CatalogueReader, watch::Receiver<u64>) {
+    let table = Arc::new(RwLock::new(BucketTable::default()));
+    let (snapshots, receiver) = watch::channel(Arc::new(CatalogueSnapshot::default()));
+    let (revision, revisions) = watch::channel(0);
+    let reader = CatalogueReader { snapshots: receiver, table: Arc::clone(&table) };
+    (FeedChannels { revision, snapshots, table }, reader, revisions)
+}
+
+/// Where the feed publishes.
+#[derive(Debug)]
+pub(crate) struct FeedChannels {
+    revision: watch::Sender<u64>,
+    snapshots: watch::Sender<Arc<CatalogueSnapshot>>,
+    table: Arc<RwLock<BucketTable>>,
+}
+
+impl CatalogueFeed {
+    /// Starts reading the catalogue from `store` or peers.
+    pub(crate) fn start<S: KeyValueStore>(store: S, inputs: FeedInputs, channels: FeedChannels) -> Self {
+        let state = FeedState { channels, inputs, reachable: true, store };
+        let handle = tokio::spawn(state.run());
+        Self { handle }
+    }
+
+    /// Stops reading.
+    pub fn close(self) {
+        self.handle.abort();
+    }
+}
+
+struct FeedState<S> {
+    channels: FeedChannels,
+    inputs: FeedInputs,
+    reachable: bool,
+    store: S,
+}
+
+impl<S: KeyValueStore> FeedState<S> {
+    async fn run(mut self) {
+        while self.revision() == 0 {
+            self.start_up().await;
+        }
+        loop {
+            if self.is_watcher() {
+                self.watch_store().await;
+            } else {
+                self.follow_peers().await;
+                time::sleep(PEER_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Takes the first catalogue from the store, or from any peer when the store doesn't answer.
+    async fn start_up(&mut self) {
+        match store_watch::list(&self.store).await {
+            Ok(update) => {
+                self.note_store(None);
+                self.take(update);
+            }
+            Err(error) => {
+                self.note_store(Some(&error));
+                self.follow_remote().await;
+                self.follow_peers().await;
+            }
+        }
+        if self.revision() == 0 {
+            time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        *self.channels.revision.borrow()
+    }
+
+    /// Returns whether this daemon has one of the lowest names of its data centre.
+    fn is_watcher(&self) -> bool {
+        let members = self.inputs.members.borrow();
+        let lower = members.ready.iter().filter(|member| member.name < members.own.name);
+        lower.count() < WATCHERS
+    }
+
+    async fn watch_store(&mut self) {
+        let update = match store_watch::watch(&self.store, self.revision()).await {
+            Err(StoreError::Compacted(_)) => store_watch::list(&self.store).await,
+            result => result,
+        };
+        match update {
+            Ok(update) => {
+                self.note_store(None);
+                self.take(update);
+            }
+            Err(error) => {
+                self.note_store(Some(&error));
+                self.follow_peers().await;
+                self.follow_remote().await;
+                time::sleep(REMOTE_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Learns from the peer with the highest revision, if that is higher than the own one.
+    async fn follow_peers(&mut self) {
+        let best = {
+            let members = self.inputs.members.borrow();
+            members.peers.iter().max_by_key(|peer| peer.revision).map(|peer| (peer.revision, peer.peers))
+        };
+        if let Some((revision, peer)) = best
+            && revision > self.revision()
+        {
+            self.learn_from(peer).await;
+        }
+    }
+
+    /// Learns from one daemon of each other data centre.
+    async fn follow_remote(&mut self) {
+        let peers: Vec<SocketAddr> = {
+            let vms = self.inputs.vms.borrow();
+            let remote = vms.daemons.iter().filter(|(name, _)| **name != self.inputs.data_centre);
+            remote.filter_map(|(_, daemons)| daemons.first().copied()).collect()
+        };
+        for peer in peers {
+            self.learn_from(peer).await;
+        }
+    }
+
+    async fn learn_from(&mut self, peer: SocketAddr) {
+        let own = self.revision();
+        let mut after = None;
+        let mut revision = None;
+        let mut buckets = Vec::new();
+        loop {
+            let Some(delta) = self.inputs.peers.catalogue_since(peer, own, after).await else {
+                return;
+            };
+            revision.get_or_insert(delta.revision);
+            buckets.extend(delta.buckets.into_iter().map(|bucket| BucketUpdate {
+                key: bucket.key,
+                revision: bucket.revision,
+                value: bucket.value,
+            }));
+            after = delta.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        let revision = revision.unwrap_or_default();
+        self.take(StoreUpdate { buckets, revision });
+    }
+
+    fn take(&mut self, update: StoreUpdate) {
+        let before = self.revision();
+        let mut table = self.channels.table.write().unwrap_or_else(PoisonError::into_inner);
+        let mut changed = false;
+        for bucket in &update.buckets {
+            match table.accept(&bucket.key, bucket.revision, &bucket.value) {
+                Ok(accepted) => changed |= accepted,
+                Err(error) => slog::error!(self.inputs.log, "bucket can't be read"; "error" => %error),
+            }
+        }
+        table.complete(update.revision);
+        let revision = table.revision();
+        let snapshot = (changed || revision > before).then(|| table.snapshot());
+        drop(table);
+        self.inputs.invariants.check(Invariant::RevisionMonotonic, revision >= before, || {
+            format!("revision {revision} after {before}")
+        });
+        if let Some(snapshot) = snapshot {
+            self.channels.snapshots.send_replace(Arc::new(snapshot));
+            self.channels.revision.send_replace(revision);
+            self.inputs.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        }
+        if changed {
+            slog::info!(self.inputs.log, "catalogue in force"; "revision" => revision);
+        }
+    }
+
+    fn note_store(&mut self, error: Option<&StoreError>) {
+        match (error, self.reachable) {
+            (Some(error), true) => slog::warn!(self.inputs.log, "store is out of reach"; "error" => %error),
+            (None, false) => slog::info!(self.inputs.log, "store answers again"),
+            _ => {}
+        }
+        self.reachable = error.is_none();
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/feed/peer_clients.rs
@@ -0,0 +1,78 @@
+//! RPC clients of other daemons, kept by address.
+
+use {
+    jsonrpsee::http_client::{HttpClient, HttpClientBuilder},
+    poplargap_core::{
+        collections::{HashMap, HashMapExt},
+        shard::ShardId,
+    },
+    poplargap_link::{
+        proof::FleetProof,
+        rpc::{CatalogueDelta, FleetRpcClient},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+const RPC_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Clients of other daemons; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PeerClients {
+    clients: Arc<Mutex<HashMap<SocketAddr, HttpClient>>>,
+    proof: FleetProof,
+}
+
+impl PeerClients {
+    /// Creates clients without connections.
+    #[must_use]
+    pub fn new(proof: FleetProof) -> Self {
+        let clients = Arc::new(Mutex::new(HashMap::new()));
+        Self { clients, proof }
+    }
+
+    /// Asks a peer for buckets that changed after `revision`; `None` when it doesn't answer.
+    pub async fn catalogue_since(
+        &self,
+        peer: SocketAddr,
+        revision: u64,
+        after: Option<String>,
+    ) -> Option<CatalogueDelta> {
+        let client = self.client(peer)?;
+        let result = client.catalogue_since(self.proof.clone(), revision, after).await;
+        self.keep_if(peer, result.is_ok());
+        result.ok()
+    }
+
+    /// Asks a daemon of another data centre for the home of a shard there.
+    pub async fn home_of(&self, peer: SocketAddr, shard: &ShardId) -> Option<SocketAddr> {
+        let client = self.client(peer)?;
+        let result = client.home_of(self.proof.clone(), shard.clone()).await;
+        self.keep_if(peer, result.is_ok());
+        result.ok()?.relay
+    }
+
+    fn client(&self, peer: SocketAddr) -> Option<HttpClient> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(&peer) {
+            return Some(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(RPC_TIMEOUT)
+            .build(format!("http://{peer}"))
+            .ok()?;
+        clients.insert(peer, client.clone());
+        Some(client)
+    }
+
+    /// Drops a client whose call failed, with its connections, which may have gone silent.
+    fn keep_if(&self, peer: SocketAddr, answered: bool) {
+        if !answered {
+            let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+            clients.remove(&peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/home/home_actor.rs
@@ -0,0 +1,451 @@
+//! The actor that knows the exact load of every upstream that this daemon is home to.
+
+use {
+    super::{
+        AttemptResult, PlacePermit, UpstreamClients,
+        homed_shard::{HomePhase, HomedShard, WaitingWork, answer},
+        messages::{PlaceReply, PlaceWork, RefreshHomes, ReleaseWork, TakeoverLoads},
+    },
+    crate::{
+        clock::ProcessClock,
+        invariant::{Invariant, InvariantMonitor},
+        members::{MemberView, VmView},
+        metrics::DaemonMetrics,
+    },
+    poplargap_core::{
+        catalogue::CatalogueSnapshot,
+        collections::{HashMap, HashMapExt},
+        home::{PlaceRefusal, PlaceRequest, PolicyChoice, PolicyKind, PoolLoad, ShardHome},
+        instant::MonotonicInstant,
+        name::DataCentre,
+        queue::{RetryPolicy, WorkItem, WorkQueue},
+        rendezvous,
+        shard::{PoolShard, ShardId},
+    },
+    poplargap_link::{
+        envelope::{RefusalReason, RelayRefusal},
+        heartbeat::{ResidualLoad, ShardReport},
+    },
+    rand::{RngCore, SeedableRng, rngs::SmallRng},
+    slog::Logger,
+    std::{num::NonZeroUsize, sync::Arc, time::Duration},
+    tokio::sync::watch,
+    xtra::prelude::{Actor, Context, Handler},
+};
+
+/// What the home actor needs to know.
+#[derive(Debug)]
+pub struct HomeSettings {
+    /// Chats whose last upstream is remembered.
+    pub chats: NonZeroUsize,
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// How an upstream is chosen.
+    pub policy: PolicyKind,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Time without heartbeats after which a daemon counts as dead.
+    pub suspect: Duration,
+}
+
+/// Owns the loads, queues and epochs of the shards that this daemon is home to.
+#[derive(Debug)]
+pub struct HomeActor {
+    pub(crate) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    pub(crate) clients: UpstreamClients,
+    pub(crate) clock: ProcessClock,
+    pub(crate) invariants: InvariantMonitor,
+    pub(crate) log: Logger,
+    pub(crate) members: watch::Receiver<Arc<MemberView>>,
+    pub(crate) metrics: Arc<DaemonMetrics>,
+    pub(crate) reports: watch::Sender<Vec<ShardReport>>,
+    pub(crate) settings: HomeSettings,
+    pub(crate) vms: watch::Receiver<Arc<VmView>>,
+    policy: PolicyChoice,
+    random: SmallRng,
+    refreshed: MonotonicInstant,
+    shards: HashMap<ShardId, HomedShard>,
+}
+
+/// The parts that other tasks give to the actor.
+#[derive(Debug)]
+pub(crate) struct HomeInputs {
+    pub(crate) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    pub(crate) clients: UpstreamClients,
+    pub(crate) clock: ProcessClock,
+    pub(crate) invariants: InvariantMonitor,
+    pub(crate) log: Logger,
+    pub(crate) members: watch::Receiver<Arc<MemberView>>,
+    pub(crate) metrics: Arc<DaemonMetrics>,
+    pub(crate) reports: watch::Sender<Vec<ShardReport>>,
+    pub(crate) vms: watch::Receiver<Arc<VmView>>,
+}
+
+impl HomeActor {
+    /// Creates an actor that is home to nothing yet.
+    pub(crate) fn new(settings: HomeSettings, inputs: HomeInputs) -> Self {
+        let policy = PolicyChoice::new(settings.policy, settings.chats);
+        let random = SmallRng::seed_from_u64(settings.seed);
+        let refreshed = inputs.clock.now();
+        Self {
+            catalogue: inputs.catalogue,
+            clients: inputs.clients,
+            clock: inputs.clock,
+            invariants: inputs.invariants,
+            log: inputs.log,
+            members: inputs.members,
+            metrics: inputs.metrics,
+            policy,
+            random,
+            refreshed,
+            reports: inputs.reports,
+            settings,
+            shards: HashMap::new(),
+            vms: inputs.vms,
+        }
+    }
+
+    /// Returns whether this daemon places work for `shard`.
+    ///
+    /// Without homes, which the baselines do, every daemon places for itself.
+    fn is_home(&self, members: &MemberView, shard: &ShardId) -> bool {
+        self.settings.policy != PolicyKind::Homed || members.is_home_of(shard)
+    }
+
+    fn refresh(&mut self, ctx: &Context<Self>) {
+        let now = self.clock.now();
+        self.forget_after_pause(now);
+        let catalogue = Arc::clone(&self.catalogue.borrow_and_update());
+        let members = Arc::clone(&self.members.borrow_and_update());
+        let data_centre = self.settings.data_centre.clone();
+        for shard in catalogue.shards_in(&data_centre) {
+            if self.is_home(&members, &shard.id) {
+                self.keep(shard, &catalogue, &members, ctx, now);
+            } else {
+                self.give_up(&shard.id, now);
+            }
+        }
+        self.drop_removed(&catalogue, now);
+        self.note_leaving();
+        self.note_residuals(&members);
+        self.serve_queues(now, ctx);
+        self.report(now);
+    }
+
+    /// Starts anew after a pause in which another daemon may have taken over.
+    fn forget_after_pause(&mut self, now: MonotonicInstant) {
+        let pause = now.since(self.refreshed);
+        self.refreshed = now;
+        if pause <= self.settings.suspect {
+            return;
+        }
+        slog::warn!(self.log, "daemon was paused"; "pause_ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+        for shard in self.shards.values_mut() {
+            shard.phase = HomePhase::Former;
+        }
+    }
+
+    fn keep(
+        &mut self,
+        shard: &PoolShard,
+        catalogue: &CatalogueSnapshot,
+        members: &MemberView,
+        ctx: &Context<Self>,
+        now: MonotonicInstant,
+    ) {
+        let Some(pool) = catalogue.pools.get(&shard.id.pool) else {
+            return;
+        };
+        let seen = members.epoch_of(&shard.id);
+        let homed = self.shards.entry(shard.id.clone()).or_insert_with(|| HomedShard {
+            home: ShardHome::new(0, Arc::clone(pool), shard),
+            phase: HomePhase::Former,
+            probed: now,
+            queue: WorkQueue::new(pool.queue, RetryPolicy::Fixed, now),
+        });
+        homed.home.set_pool(Arc::clone(pool));
+        homed.home.set_upstreams(shard);
+        homed.queue.resize(pool.queue);
+        let overtaken = homed.phase != HomePhase::Former && seen > homed.home.epoch();
+        if homed.phase == HomePhase::Former || overtaken {
+            let epoch = seen.max(homed.home.epoch()) + 1;
+            homed.home.set_epoch(epoch);
+            homed.phase = HomePhase::TakingOver;
+            slog::info!(self.log, "home taken over"; "shard" => %shard.id, "epoch" => epoch);
+            self.probe(shard, epoch, ctx);
+        } else if homed.needs_reports(self.settings.policy, now) {
+            let epoch = homed.home.epoch();
+            self.probe(shard, epoch, ctx);
+        }
+    }
+
+    /// Asks the upstreams for their loads before the first placement.
+    fn probe(&self, shard: &PoolShard, epoch: u64, ctx: &Context<Self>) {
+        let (address, clients) = (ctx.mailbox().address(), self.clients.clone());
+        let (id, upstreams) = (shard.id.clone(), shard.upstreams.clone());
+        tokio::spawn(async move {
+            let loads = clients.loads(&upstreams).await;
+            let message = TakeoverLoads { epoch, loads, shard: id };
+            drop(address.send(message).await);
+        });
+    }
+
+    fn give_up(&mut self, id: &ShardId, now: MonotonicInstant) {
+        let Some(homed) = self.shards.get_mut(id) else {
+            return;
+        };
+        if homed.phase != HomePhase::Former {
+            slog::info!(self.log, "home given up"; "shard" => %id, "epoch" => homed.home.epoch());
+        }
+        homed.phase = HomePhase::Former;
+        homed.home.forget_foreign();
+        homed.move_waiting(now);
+    }
+
+    fn drop_removed(&mut self, catalogue: &CatalogueSnapshot, now: MonotonicInstant) {
+        let listed: Vec<ShardId> =
+            catalogue.shards_in(&self.settings.data_centre).map(|shard| shard.id.clone()).collect();
+        for (id, homed) in &mut self.shards {
+            if !listed.contains(id) {
+                homed.phase = HomePhase::Former;
+                homed.move_waiting(now);
+            }
+        }
+        self.shards.retain(|id, homed| listed.contains(id) || homed.home.load(now).in_flight > 0);
+    }
+
+    fn note_leaving(&mut self) {
+        let vms = Arc::clone(&self.vms.borrow());
+        for homed in self.shards.values_mut() {
+            homed.home.set_leaving(|upstream| vms.leaving.contains(upstream));
+        }
+    }
+
+    /// Counts what former homes' requests still cause against the bound.
+    fn note_residuals(&mut self, members: &MemberView) {
+        for (id, homed) in &mut self.shards {
+            if homed.phase == HomePhase::Home {
+                homed.home.set_foreign(|upstream| members.residual_of(id, upstream_digest(upstream)));
+            }
+        }
+    }
+
+    fn others(&self, shard: &ShardId) -> PoolLoad {
+        let catalogue = self.catalogue.borrow();
+        let members = self.members.borrow();
+        let shards = catalogue.shards_of(&shard.pool, &shard.data_centre);
+        let (own, other): (Vec<&PoolShard>, Vec<&PoolShard>) =
+            shards.iter().filter(|other| other.id != *shard).partition(|other| {
+                self.shards.get(&other.id).is_some_and(|homed| homed.phase == HomePhase::Home)
+            });
+        let now = self.clock.now();
+        own.iter()
+            .filter_map(|shard| self.shards.get(&shard.id))
+            .map(|homed| homed.home.load(now))
+            .fold(members.load_of(other.into_iter()), |sum, load| PoolLoad {
+                in_flight: sum.in_flight + load.in_flight,
+                upstreams: sum.upstreams + load.upstreams,
+            })
+    }
+
+    /// Chooses an upstream now and counts the request there.
+    fn place(
+        &mut self,
+        id: &ShardId,
+        request: &PlaceRequest,
+        ctx: &Context<Self>,
+    ) -> Result<PlaceReply, PlaceRefusal> {
+        let now = self.clock.now();
+        let others = self.others(id);
+        let random = self.random.next_u64();
+        let homed = self.shards.get_mut(id).ok_or(PlaceRefusal::NoUpstream)?;
+        let bound = homed.home.bound(others, now);
+        let name = homed.place(&mut self.policy, request, others, random, now)?;
+        let load = homed.home.load_mut(&name).ok_or(PlaceRefusal::NoUpstream)?;
+        let upstream = Arc::clone(&load.entry);
+        let (total, serving) = (load.total(), load.is_serving());
+        let bounded = self.settings.policy != PolicyKind::Homed || total <= bound;
+        self.invariants.check(Invariant::BoundedLoad, bounded, || {
+            format!("upstream {name} carries {total}, its bound is {bound}")
+        });
+        self.invariants.check(Invariant::NoWorkAfterDrain, serving, || format!("upstream {name} is leaving"));
+        let permit = PlacePermit::new(ctx.mailbox().address(), id.clone(), name);
+        Ok(PlaceReply { permit, upstream })
+    }
+
+    fn serve_queues(&mut self, now: MonotonicInstant, ctx: &Context<Self>) {
+        let ids: Vec<ShardId> = self
+            .shards
+            .iter_mut()
+            .filter(|(_, homed)| homed.phase == HomePhase::Home)
+            .map(|(id, homed)| {
+                homed.expire(now);
+                (id, homed)
+            })
+            .filter(|(_, homed)| !homed.queue.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.serve_queue(&id, now, ctx);
+        }
+    }
+
+    fn serve_queue(&mut self, id: &ShardId, now: MonotonicInstant, ctx: &Context<Self>) {
+        loop {
+            let others = self.others(id);
+            let Some(homed) = self.shards.get_mut(id) else {
+                return;
+            };
+            if !homed.home.has_room(others, now) {
+                return;
+            }
+            let Some(item) = homed.queue.pop(now) else {
+                return;
+            };
+            self.serve_item(id, item, ctx);
+        }
+    }
+
+    fn serve_item(&mut self, id: &ShardId, item: WorkItem<WaitingWork>, ctx: &Context<Self>) {
+        let WaitingWork { reply, request } = item.payload;
+        if reply.is_closed() {
+            return;
+        }
+        let result = self.place(id, &request, ctx).map_err(refusal);
+        answer(reply, result);
+    }
+
+    fn report(&mut self, now: MonotonicInstant) {
+        let mut reports: Vec<ShardReport> = Vec::new();
+        for (id, homed) in &self.shards {
+            let home = homed.phase == HomePhase::Home;
+            let load = homed.home.load(now);
+            let residuals = if home { Vec::new() } else { residuals(&homed.home) };
+            for load in homed.home.loads() {
+                let in_flight = i64::try_from(load.in_flight).unwrap_or(i64::MAX);
+                self.metrics.upstream_load.with_label_values(&[load.entry.name.as_str()]).set(in_flight);
+            }
+            reports.push(ShardReport {
+                digest: id.digest(),
+                epoch: homed.home.epoch(),
+                home: homed.phase != HomePhase::Former,
+                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+                residuals,
+                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
+            });
+        }
+        reports.sort_by_key(|report| report.digest);
+        self.reports.send_replace(reports);
+    }
+}
+
+fn residuals(home: &ShardHome) -> Vec<ResidualLoad> {
+    home.loads()
+        .filter(|load| load.in_flight > 0)
+        .map(|load| ResidualLoad {
+            in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+            upstream: upstream_digest(&load.entry.name),
+        })
+        .collect()
+}
+
+fn upstream_digest(upstream: impl AsRef<str>) -> u64 {
+    rendezvous::score("upstream", upstream.as_ref())
+}
+
+fn refusal(refusal: PlaceRefusal) -> RelayRefusal {
+    RelayRefusal::not_run(match refusal {
+        PlaceRefusal::Full => RefusalReason::Full,
+        PlaceRefusal::NoUpstream => RefusalReason::NoUpstream,
+    })
+}
+
+impl Actor for HomeActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<RefreshHomes> for HomeActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: RefreshHomes, ctx: &mut Context<Self>) {
+        self.refresh(ctx);
+    }
+}
+
+impl Handler<PlaceWork> for HomeActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PlaceWork, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        if now.since(self.refreshed) > self.settings.suspect {
+            self.refresh(ctx);
+        }
+        let phase = self.shards.get(&message.shard).map(|homed| homed.phase);
+        let Some(phase) = phase.filter(|phase| *phase != HomePhase::Former) else {
+            let members = self.members.borrow();
+            let mut refusal = RelayRefusal::not_run(RefusalReason::Moved);
+            refusal.home = members.home_of(&message.shard).map(|member| member.relay);
+            answer(message.reply, Err(refusal));
+            return;
+        };
+        let queued = self.shards.get(&message.shard).is_some_and(|homed| !homed.queue.is_empty());
+        if phase == HomePhase::Home && !queued {
+            match self.place(&message.shard, &message.request, ctx) {
+                Ok(reply) => return answer(message.reply, Ok(reply)),
+                Err(PlaceRefusal::Full) if message.wait => {}
+                Err(error) => return answer(message.reply, Err(refusal(error))),
+            }
+        } else if !message.wait && phase == HomePhase::Home {
+            return answer(message.reply, Err(refusal(PlaceRefusal::Full)));
+        }
+        if let Some(homed) = self.shards.get_mut(&message.shard) {
+            homed.wait(message, now);
+        }
+    }
+}
+
+impl Handler<ReleaseWork> for HomeActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: ReleaseWork, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(homed) = self.shards.get_mut(&message.shard) else {
+            return;
+        };
+        homed.home.release(&message.upstream);
+        if let Some(load) = homed.home.load_mut(&message.upstream) {
+            match message.result {
+                AttemptResult::Abandoned => {}
+                AttemptResult::Answered => load.health.succeed(),
+                AttemptResult::Failed | AttemptResult::Refused => load.health.fail(now),
+            }
+        }
+        if homed.phase == HomePhase::Home && !homed.queue.is_empty() {
+            homed.expire(now);
+            self.serve_queue(&message.shard, now, ctx);
+        }
+    }
+}
+
+impl Handler<TakeoverLoads> for HomeActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeoverLoads, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(homed) = self.shards.get_mut(&message.shard) else {
+            return;
+        };
+        if homed.home.epoch() != message.epoch {
+            return;
+        }
+        match homed.phase {
+            HomePhase::Former => return,
+            HomePhase::Home => homed.home.report(&message.loads),
+            HomePhase::TakingOver => homed.home.adopt(&message.loads),
+        }
+        homed.phase = HomePhase::Home;
+        self.serve_queue(&message.shard, now, ctx);
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/home/home_frame.rs
@@ -0,0 +1,44 @@
+//! What a home sends back to the entry daemon, in one process or over the link.
+
+use {
+    bytes::Bytes,
+    poplargap_core::name::UpstreamName,
+    poplargap_link::envelope::{RelayEnvelope, RelayRefusal},
+};
+
+/// One piece of a chat's answer on its way from the home to the entry daemon.
+///
+/// The first frame is `Upstream` or `Refused`. A stream that ends without `Ended` broke off.
+#[derive(Debug)]
+pub enum HomeFrame {
+    /// Bytes of the upstream's event stream.
+    Chunk(Bytes),
+    /// The upstream's stream ended.
+    Ended,
+    /// The attempt failed.
+    Refused(RelayRefusal),
+    /// This upstream works on the request.
+    Upstream(UpstreamName),
+}
+
+/// A call of a plain service on its way to its home.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// The call's body.
+    pub body: Bytes,
+    /// Everything else.
+    pub envelope: RelayEnvelope,
+}
+
+/// A plain service's whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceAnswer {
+    /// The answer's body.
+    pub body: Bytes,
+    /// Type of the body.
+    pub content_type: Option<String>,
+    /// HTTP status.
+    pub status: u16,
+    /// The upstream that answered.
+    pub upstream: UpstreamName,
+}
--- /dev/null
+++ b/crates/poplargapd/src/members.rs
@@ -0,0 +1,11 @@
+//! Membership of the own data centre: heartbeats, the VM list and who is home to what.
+
+mod heartbeat_task;
+mod member_view;
+mod vm_task;
+
+pub use {
+    heartbeat_task::{HeartbeatSettings, HeartbeatTask},
+    member_view::{MemberView, PeerShard},
+    vm_task::{VmTask, VmView},
+};
--- /dev/null
+++ b/crates/poplargapd/src/members/heartbeat_task.rs
@@ -0,0 +1,229 @@
+//! Sends and hears heartbeats within the own data centre.
+
+use {
+    super::{MemberView, PeerShard, VmView},
+    crate::{clock::ProcessClock, metrics::DaemonMetrics},
+    poplargap_core::{
+        collections::{HashMap, HashMapExt},
+        membership::{HeartbeatEffect, MemberReport, MemberState, MemberTable},
+        name::{DaemonName, DataCentre},
+    },
+    poplargap_link::{
+        heartbeat::{DATAGRAM_LEN_MAX, HeartbeatMessage, ShardReport},
+        proof::FleetKey,
+    },
+    slog::Logger,
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::UdpSocket,
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::{self, MissedTickBehavior},
+    },
+};
+
+const COMMANDS_MAX: usize = 16;
+
+/// Bytes that a datagram's UDP and IP headers add.
+const DATAGRAM_OVERHEAD: u64 = 28;
+
+/// What the heartbeat task needs to know.
+#[derive(Debug)]
+pub struct HeartbeatSettings {
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// Time between heartbeats.
+    pub interval: Duration,
+    /// The fleet's key.
+    pub key: FleetKey,
+    /// The daemon itself.
+    pub own: MemberReport,
+    /// Peers to greet even when the VM list is out of reach.
+    pub seeds: Vec<SocketAddr>,
+    /// Time without heartbeats after which a peer counts as dead.
+    pub suspect: Duration,
+}
+
+enum HeartbeatCommand {
+    SetState(MemberState),
+}
+
+/// Task that owns the heartbeats' socket and the table of members.
+#[derive(Debug)]
+pub struct HeartbeatTask {
+    commands: mpsc::Sender<HeartbeatCommand>,
+    handle: JoinHandle<()>,
+}
+
+/// Inputs of the task, each a view that another task publishes.
+#[derive(Debug)]
+pub(crate) struct HeartbeatInputs {
+    pub(crate) revision: watch::Receiver<u64>,
+    pub(crate) shards: watch::Receiver<Vec<ShardReport>>,
+    pub(crate) vms: watch::Receiver<Arc<VmView>>,
+}
+
+impl HeartbeatTask {
+    /// Starts sending and hearing heartbeats on `socket`.
+    pub(crate) fn start(
+        settings: HeartbeatSettings,
+        socket: UdpSocket,
+        inputs: HeartbeatInputs,
+        clock: ProcessClock,
+        metrics: Arc<DaemonMetrics>,
+        log: Logger,
+    ) -> (Self, watch::Receiver<Arc<MemberView>>) {
+        let table = MemberTable::new(settings.own.clone(), settings.suspect, clock.now());
+        let view = MemberView {
+            own: settings.own.clone(),
+            peers: Vec::new(),
+            ready: table.ready(),
+            shards: HashMap::new(),
+        };
+        let (sender, receiver) = watch::channel(Arc::new(view));
+        let (commands, command_receiver) = mpsc::channel(COMMANDS_MAX);
+        let state = HeartbeatState {
+            clock,
+            inputs,
+            log,
+            metrics,
+            reports: HashMap::new(),
+            sender,
+            settings,
+            socket,
+            table,
+        };
+        let handle = tokio::spawn(state.run(command_receiver));
+        (Self { commands, handle }, receiver)
+    }
+
+    /// Announces a new state of the daemon at once.
+    pub async fn set_state(&self, state: MemberState) {
+        let sent = self.commands.send(HeartbeatCommand::SetState(state)).await;
+        debug_assert!(sent.is_ok(), "the task ends only when it is closed");
+    }
+
+    /// Stops sending and hearing heartbeats.
+    pub fn close(self) {
+        self.handle.abort();
+    }
+}
+
+struct HeartbeatState {
+    clock: ProcessClock,
+    inputs: HeartbeatInputs,
+    log: Logger,
+    metrics: Arc<DaemonMetrics>,
+    reports: HashMap<DaemonName, Vec<ShardReport>>,
+    sender: watch::Sender<Arc<MemberView>>,
+    settings: HeartbeatSettings,
+    socket: UdpSocket,
+    table: MemberTable,
+}
+
+impl HeartbeatState {
+    async fn run(mut self, mut commands: mpsc::Receiver<HeartbeatCommand>) {
+        let mut ticks = time::interval(self.settings.interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut datagram = vec![0; DATAGRAM_LEN_MAX];
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut datagram) => {
+                    if let Ok((len, _)) = received {
+                        self.hear(&datagram[..len]);
+                    }
+                }
+                _ = ticks.tick() => self.tick().await,
+                command = commands.recv() => match command {
+                    Some(HeartbeatCommand::SetState(state)) => {
+                        self.table.own_mut().state = state;
+                        self.publish();
+                        self.send().await;
+                    }
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn hear(&mut self, datagram: &[u8]) {
+        let message = match HeartbeatMessage::decode(datagram, &self.settings.key) {
+            Ok(message) => message,
+            Err(_) => {
+                self.metrics.peers_refused.with_label_values(&["heartbeat"]).inc();
+                return;
+            }
+        };
+        let (name, state) = (message.report.name.clone(), message.report.state);
+        match self.table.hear(message.report, self.clock.now()) {
+            HeartbeatEffect::Stale => return,
+            HeartbeatEffect::Refreshed => {}
+            HeartbeatEffect::Changed => {
+                slog::info!(self.log, "member heard"; "daemon" => %name, "state" => %state);
+            }
+        }
+        self.reports.insert(name, message.shards);
+        self.publish();
+    }
+
+    async fn tick(&mut self) {
+        for name in self.table.expire(self.clock.now()) {
+            slog::warn!(self.log, "member lost"; "daemon" => %name);
+            self.reports.remove(&name);
+        }
+        self.publish();
+        self.send().await;
+    }
+
+    fn publish(&mut self) {
+        let mut shards: HashMap<_, Vec<PeerShard>> = HashMap::new();
+        for (daemon, reports) in &self.reports {
+            for report in reports {
+                let peer = PeerShard { daemon: daemon.clone(), report: report.clone() };
+                shards.entry(report.digest).or_default().push(peer);
+            }
+        }
+        let view = MemberView {
+            own: self.table.own().clone(),
+            peers: self.table.peers().cloned().collect(),
+            ready: self.table.ready(),
+            shards,
+        };
+        let ready = i64::try_from(view.ready.len()).unwrap_or(i64::MAX);
+        self.metrics.members_ready.set(ready);
+        self.sender.send_replace(Arc::new(view));
+    }
+
+    async fn send(&mut self) {
+        let revision = *self.inputs.revision.borrow();
+        let own = self.table.own_mut();
+        own.sequence += 1;
+        own.revision = revision;
+        let report = own.clone();
+        let shards = self.inputs.shards.borrow().clone();
+        let message = HeartbeatMessage { report, shards };
+        let datagram = match message.encode(&self.settings.key) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                slog::error!(self.log, "heartbeat can't be sent"; "error" => %error);
+                return;
+            }
+        };
+        let len = u64::try_from(datagram.len()).unwrap_or_default() + DATAGRAM_OVERHEAD;
+        for address in self.addresses() {
+            if self.socket.send_to(&datagram, address).await.is_ok() {
+                self.metrics.control_sent.with_label_values(&["heartbeat"]).inc_by(len);
+            }
+        }
+    }
+
+    fn addresses(&self) -> BTreeSet<SocketAddr> {
+        let vms = self.inputs.vms.borrow();
+        let listed = vms.daemons.get(&self.settings.data_centre).into_iter().flatten().copied();
+        let heard = self.table.peers().map(|report| report.peers);
+        let mut addresses: BTreeSet<SocketAddr> =
+            listed.chain(heard).chain(self.settings.seeds.iter().copied()).collect();
+        addresses.remove(&self.settings.own.peers);
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/members/member_view.rs
@@ -0,0 +1,83 @@
+//! What one daemon knows of its peers, as other tasks read it.
+
+use {
+    poplargap_core::{
+        collections::HashMap,
+        home::PoolLoad,
+        membership::{MemberReport, MemberState},
+        name::DaemonName,
+        rendezvous,
+        shard::{PoolShard, ShardDigest, ShardId},
+    },
+    poplargap_link::heartbeat::ShardReport,
+};
+
+/// One shard as a peer reports it.
+#[derive(Clone, Debug)]
+pub struct PeerShard {
+    /// The peer.
+    pub daemon: DaemonName,
+    /// The peer's report.
+    pub report: ShardReport,
+}
+
+/// Ready members and their shards at one moment.
+#[derive(Clone, Debug)]
+pub struct MemberView {
+    /// The daemon itself.
+    pub own: MemberReport,
+    /// All members heard of lately, the daemon itself excluded.
+    pub peers: Vec<MemberReport>,
+    /// Ready members by name, the daemon itself included when it is ready.
+    pub ready: Vec<MemberReport>,
+    /// Peers' shards.
+    pub shards: HashMap<ShardDigest, Vec<PeerShard>>,
+}
+
+impl MemberView {
+    /// Returns the home of a shard, or `None` when no member is ready.
+    #[must_use]
+    pub fn home_of(&self, shard: &ShardId) -> Option<&MemberReport> {
+        let key = shard.to_string();
+        let name = rendezvous::first(&key, self.ready.iter().map(|member| &member.name))?;
+        self.ready.iter().find(|member| member.name == *name)
+    }
+
+    /// Returns whether the daemon itself is ready and the shard's home.
+    #[must_use]
+    pub fn is_home_of(&self, shard: &ShardId) -> bool {
+        self.own.state == MemberState::Ready
+            && self.home_of(shard).is_some_and(|member| member.name == self.own.name)
+    }
+
+    /// Returns the highest epoch that a peer reports for a shard, or 0.
+    #[must_use]
+    pub fn epoch_of(&self, shard: &ShardId) -> u64 {
+        let reports = self.shards.get(&shard.digest()).into_iter().flatten();
+        reports.map(|peer| peer.report.epoch).max().unwrap_or_default()
+    }
+
+    /// Returns what former homes' requests still cause at an upstream.
+    #[must_use]
+    pub fn residual_of(&self, shard: &ShardId, upstream: u64) -> u64 {
+        let reports = self.shards.get(&shard.digest()).into_iter().flatten();
+        reports
+            .flat_map(|peer| &peer.report.residuals)
+            .filter(|residual| residual.upstream == upstream)
+            .map(|residual| u64::from(residual.in_flight))
+            .sum()
+    }
+
+    /// Returns the load of `shards` by their homes' reports.
+    pub fn load_of<'a>(&self, shards: impl Iterator<Item = &'a PoolShard>) -> PoolLoad {
+        let reports = shards
+            .filter_map(|shard| self.shards.get(&shard.id.digest()))
+            .flatten()
+            .map(|peer| &peer.report)
+            .filter(|report| report.home);
+        reports.fold(PoolLoad::default(), |load, report| PoolLoad {
+            in_flight: load.in_flight + u64::from(report.in_flight),
+            upstreams: load.upstreams + u64::from(report.upstreams),
+        })
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/members/vm_task.rs
@@ -0,0 +1,94 @@
+//! Reads the platform's VM list from time to time.
+
+use {
+    poplargap_core::{
+        collections::HashSet,
+        name::{DataCentre, UpstreamName},
+    },
+    poplargap_platform::{VmEntry, VmList, VmRole, VmState},
+    slog::Logger,
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::watch, task::JoinHandle, time},
+};
+
+/// The VM list as last read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VmView {
+    /// Peers' listeners of daemons, by data centre.
+    pub daemons: BTreeMap<DataCentre, Vec<SocketAddr>>,
+    /// Upstreams that the platform is about to take away.
+    pub leaving: HashSet<UpstreamName>,
+}
+
+impl VmView {
+    fn from_entries(entries: &[VmEntry]) -> Self {
+        let mut view = Self::default();
+        for entry in entries {
+            match (entry.role, entry.state) {
+                (VmRole::Entry, VmState::Live) => {
+                    let daemons = view.daemons.entry(entry.data_centre.clone()).or_default();
+                    daemons.push(entry.address);
+                }
+                (VmRole::Upstream, VmState::Leaving) => {
+                    let name = UpstreamName::try_from(entry.name.as_str());
+                    view.leaving.extend(name);
+                }
+                (VmRole::Entry, VmState::Leaving) | (VmRole::Upstream, VmState::Live) => {}
+            }
+        }
+        view
+    }
+}
+
+/// Task that polls the VM list.
+#[derive(Debug)]
+pub struct VmTask {
+    handle: JoinHandle<()>,
+}
+
+impl VmTask {
+    /// Starts polling `list` every `poll`.
+    ///
+    /// A list that can't be read leaves the last view in force.
+    pub fn start<L: VmList>(list: L, poll: Duration, log: Logger) -> (Self, watch::Receiver<Arc<VmView>>) {
+        let (sender, receiver) = watch::channel(Arc::new(VmView::default()));
+        let handle = tokio::spawn(run(list, poll, log, sender));
+        (Self { handle }, receiver)
+    }
+
+    /// Stops polling.
+    pub fn close(self) {
+        self.handle.abort();
+    }
+}
+
+async fn run<L: VmList>(list: L, poll: Duration, log: Logger, sender: watch::Sender<Arc<VmView>>) {
+    let mut reachable = true;
+    let mut ticks = time::interval(poll);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match list.vms().await {
+            Ok(entries) => {
+                if !reachable {
+                    slog::info!(log, "VM list answers again");
+                }
+                reachable = true;
+                let view = VmView::from_entries(&entries);
+                sender.send_if_modified(|current| {
+                    let changed = **current != view;
+                    if changed {
+                        *current = Arc::new(view);
+                    }
+                    changed
+                });
+            }
+            Err(error) => {
+                if reachable {
+                    slog::warn!(log, "VM list can't be read"; "error" => %error);
+                }
+                reachable = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/path.rs
@@ -0,0 +1,83 @@
+//! The path of a caller's request, a filter each: accept, identify, admit, claim, place, relay, settle.
+
+mod accept;
+mod admit;
+mod chat;
+mod claim;
+mod identify;
+mod place;
+mod problem;
+mod relay;
+mod request;
+mod service;
+mod settle;
+mod trace;
+
+pub use {
+    accept::CallerServer,
+    admit::{AdmitGate, AdmitPass},
+    claim::{ClaimOutcome, ClaimStore, ClaimTicket},
+    identify::Identity,
+    place::{Placement, RouteDirectory},
+    problem::{PathProblem, ProblemCode},
+    relay::AnswerRelay,
+    request::{CallTarget, CallerRequest, RouteHint},
+    settle::Settlement,
+    trace::{RequestTrace, TraceRing, TraceStep},
+};
+
+use {
+    crate::{
+        clock::ProcessClock,
+        feed::PeerClients,
+        home::ChatTask,
+        invariant::InvariantMonitor,
+        members::{MemberView, VmView},
+        metrics::DaemonMetrics,
+        relay::RelayClient,
+    },
+    poplargap_core::{catalogue::CatalogueSnapshot, name::DataCentre},
+    std::{sync::Arc, time::Duration},
+    tokio::sync::watch,
+};
+
+/// What every request's path needs; shared by all requests.
+#[derive(Debug)]
+pub struct PathContext<S> {
+    /// Bounds what callers hold at once.
+    pub admit: AdmitGate,
+    /// Longest wait for a body.
+    pub body_deadline: Duration,
+    /// Most bytes of a body.
+    pub body_max: u64,
+    /// The catalogue in force.
+    pub catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    /// Claims of calls that may not be repeated.
+    pub claims: ClaimStore<S>,
+    /// The daemon's clock.
+    pub clock: ProcessClock,
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// Whether shards have homes; the baselines place without.
+    pub homed: bool,
+    /// What must always hold.
+    pub invariants: InvariantMonitor,
+    /// The members of the own data centre.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// RPC clients, for homes in other data centres.
+    pub peers: PeerClients,
+    /// Clients of other daemons' relay listeners.
+    pub relays: RelayClient,
+    /// Homes in other data centres.
+    pub routes: RouteDirectory,
+    /// Work for shards that this daemon is home to.
+    pub task: ChatTask,
+    /// The last requests' traces.
+    pub traces: TraceRing,
+    /// Daemons of other data centres.
+    pub vms: watch::Receiver<Arc<VmView>>,
+    /// Longest time that a caller may take no bytes.
+    pub write: Duration,
+}
--- /dev/null
+++ b/crates/poplargapd/src/path/identify.rs
@@ -0,0 +1,82 @@
+//! Finds the workspace, the class and the pool of a request.
+
+use {
+    super::{CallerRequest, PathProblem, ProblemCode},
+    poplargap_core::{
+        catalogue::{CatalogueSnapshot, ClassEntry, KeyDigest, PoolEntry, PoolKind},
+        finding::nearest_word,
+        instant::MonotonicInstant,
+        name::PoolName,
+    },
+    std::sync::Arc,
+};
+
+/// Who asks for what, by the catalogue in force.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The class of work.
+    pub class: Arc<ClassEntry>,
+    /// When the answer has to be whole.
+    pub deadline: MonotonicInstant,
+    /// The pool that serves the class.
+    pub pool: Arc<PoolEntry>,
+}
+
+impl Identity {
+    /// Finds the identity of a request for `pool`, which must be of `kind`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of an unknown key, pool or class.
+    pub fn find(
+        request: &CallerRequest,
+        catalogue: &CatalogueSnapshot,
+        pool: &str,
+        kind: PoolKind,
+    ) -> Result<Self, PathProblem> {
+        let key = request.bearer.as_deref().unwrap_or_default();
+        let workspace = catalogue
+            .workspace_of_key(&KeyDigest::of_key(key))
+            .ok_or_else(|| PathProblem::not_run(ProblemCode::UnknownKey, "no workspace has this bearer key"))?;
+        let pool = find_pool(catalogue, pool, kind)?;
+        let mut classes = catalogue.classes_of(&workspace.name, &pool.name);
+        let class = match &request.class {
+            Some(name) => classes.find(|class| class.name == *name).ok_or_else(|| {
+                let detail = format!("the workspace has no class `{name}` for `{}`", pool.name);
+                PathProblem::not_run(ProblemCode::UnknownClass, detail)
+            })?,
+            None => only_class(classes, &pool.name)?,
+        };
+        let class = Arc::clone(class);
+        let time = request.deadline.map_or(class.deadline(), |deadline| deadline.min(class.deadline()));
+        let deadline = request.accepted + time;
+        Ok(Self { class, deadline, pool })
+    }
+}
+
+fn find_pool(catalogue: &CatalogueSnapshot, name: &str, kind: PoolKind) -> Result<Arc<PoolEntry>, PathProblem> {
+    let unknown = || {
+        let known = catalogue.pools.values().filter(|pool| pool.kind == kind);
+        let near = nearest_word(name, known.map(|pool| pool.name.as_str()));
+        let hint = near.map(|near| format!("; the nearest is `{near}`")).unwrap_or_default();
+        PathProblem::not_run(ProblemCode::UnknownPool, format!("no {kind} is called `{name}`{hint}"))
+    };
+    let name = PoolName::try_from(name).map_err(|_source| unknown())?;
+    let pool = catalogue.pools.get(&name).filter(|pool| pool.kind == kind);
+    pool.cloned().ok_or_else(unknown)
+}
+
+fn only_class<'a>(
+    mut classes: impl Iterator<Item = &'a Arc<ClassEntry>>,
+    pool: &PoolName,
+) -> Result<&'a Arc<ClassEntry>, PathProblem> {
+    let Some(class) = classes.next() else {
+        let detail = format!("the workspace has no class for `{pool}`");
+        return Err(PathProblem::not_run(ProblemCode::UnknownClass, detail));
+    };
+    if classes.next().is_some() {
+        let detail = format!("the workspace has several classes for `{pool}`; name one in poplargap-class");
+        return Err(PathProblem::not_run(ProblemCode::ClassRequired, detail));
+    }
+    Ok(class)
+}
--- /dev/null
+++ b/crates/poplargapd/src/path/place.rs
@@ -0,0 +1,131 @@
+//! Finds the homes that may serve a request, in their order of preference.
+
+use {
+    super::PathContext,
+    poplargap_core::{
+        catalogue::CatalogueSnapshot,
+        collections::{HashMap, HashMapExt},
+        name::{DataCentre, PoolName, UpstreamName},
+        rendezvous,
+        shard::{self, PoolShard, ShardId},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+    },
+};
+
+use super::RouteHint;
+
+/// Where a shard's home is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HomeLocation {
+    /// This daemon.
+    Local,
+    /// The relay listener of another daemon.
+    Remote(SocketAddr),
+    /// No daemon is known that could be the home.
+    Unknown,
+}
+
+/// One shard that may serve a request.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The shard.
+    pub shard: ShardId,
+}
+
+/// Homes of shards in other data centres, as last heard.
+#[derive(Debug)]
+pub struct RouteDirectory(Mutex<HashMap<ShardId, SocketAddr>>);
+
+impl Default for RouteDirectory {
+    fn default() -> Self {
+        Self(Mutex::new(HashMap::new()))
+    }
+}
+
+impl RouteDirectory {
+    fn find(&self, shard: &ShardId) -> Option<SocketAddr> {
+        let routes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        routes.get(shard).copied()
+    }
+
+    /// Notes where a shard's home is.
+    pub fn learn(&self, shard: &ShardId, home: SocketAddr) {
+        let mut routes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        routes.insert(shard.clone(), home);
+    }
+
+    /// Forgets a home that didn't answer or moved.
+    pub fn forget(&self, shard: &ShardId) {
+        let mut routes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        routes.remove(shard);
+    }
+}
+
+/// Returns the shards of `pool` in the order in which a request tries them.
+///
+/// The hinted upstream's shard comes first, then the own data centre's shards, then the others'.
+pub(super) fn candidates(
+    catalogue: &CatalogueSnapshot,
+    own: &DataCentre,
+    pool: &PoolName,
+    key: &str,
+    hint: Option<&RouteHint>,
+) -> Vec<Placement> {
+    let mut remote: Vec<&DataCentre> = catalogue.data_centres_of(pool).filter(|name| *name != own).collect();
+    remote.sort_by_key(|name| std::cmp::Reverse(rendezvous::score(key, name.as_str())));
+    let mut placements: Vec<Placement> = std::iter::once(own)
+        .chain(remote)
+        .flat_map(|data_centre| shard::preference(key, catalogue.shards_of(pool, data_centre)))
+        .map(|shard| Placement { shard: shard.id.clone() })
+        .collect();
+    if let Some(shard) = hint.and_then(|hint| shard_of(catalogue, pool, hint)) {
+        placements.sort_by_key(|placement| placement.shard != shard.id);
+    }
+    placements
+}
+
+fn shard_of<'a>(catalogue: &'a CatalogueSnapshot, pool: &PoolName, hint: &RouteHint) -> Option<&'a PoolShard> {
+    let holds = |shard: &&PoolShard| shard.upstreams.iter().any(|upstream| upstream.name == hint.upstream);
+    catalogue.shards_of(pool, &hint.data_centre).iter().find(holds)
+}
+
+/// Returns the upstream that a hint names, if it belongs to `pool`.
+pub(super) fn hinted(catalogue: &CatalogueSnapshot, pool: &PoolName, hint: Option<&RouteHint>) -> Option<UpstreamName> {
+    let hint = hint?;
+    shard_of(catalogue, pool, hint).map(|_| hint.upstream.clone())
+}
+
+impl<S> PathContext<S> {
+    /// Finds the home of a shard.
+    pub(super) async fn locate(&self, shard: &ShardId) -> HomeLocation {
+        if shard.data_centre == self.data_centre {
+            return self.locate_near(shard);
+        }
+        if let Some(home) = self.routes.find(shard) {
+            return HomeLocation::Remote(home);
+        }
+        let daemons = self.vms.borrow().daemons.get(&shard.data_centre).cloned();
+        for peer in daemons.unwrap_or_default() {
+            if let Some(home) = self.peers.home_of(peer, shard).await {
+                self.routes.learn(shard, home);
+                return HomeLocation::Remote(home);
+            }
+        }
+        HomeLocation::Unknown
+    }
+
+    fn locate_near(&self, shard: &ShardId) -> HomeLocation {
+        if !self.homed {
+            return HomeLocation::Local;
+        }
+        let members = self.members.borrow();
+        match members.home_of(shard) {
+            Some(member) if member.name == members.own.name => HomeLocation::Local,
+            Some(member) => HomeLocation::Remote(member.relay),
+            None => HomeLocation::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/path/settle.rs
@@ -0,0 +1,88 @@
+//! Accounts for a request's end.
+
+use {
+    super::{AdmitPass, PathContext, RequestTrace, TraceStep},
+    poplargap_core::{answer::TokenUsage, instant::MonotonicInstant},
+    std::sync::Arc,
+};
+
+/// What a request holds until its end; settles itself when dropped.
+#[derive(Debug)]
+pub struct Settlement<S> {
+    accepted: MonotonicInstant,
+    class: String,
+    context: Arc<PathContext<S>>,
+    first_token: bool,
+    outcome: String,
+    pass: Option<AdmitPass>,
+    trace: RequestTrace,
+    usage: Option<TokenUsage>,
+}
+
+impl<S> Settlement<S> {
+    /// Starts accounting for a request that was let in.
+    pub fn new(context: Arc<PathContext<S>>, accepted: MonotonicInstant, pass: AdmitPass, trace: RequestTrace) -> Self {
+        context.metrics.requests_in_flight.inc();
+        Self {
+            accepted,
+            class: "unidentified".to_owned(),
+            context,
+            first_token: false,
+            outcome: "abandoned".to_owned(),
+            pass: Some(pass),
+            trace,
+            usage: None,
+        }
+    }
+
+    /// Notes the request's class.
+    pub fn identify(&mut self, class: &str) {
+        class.clone_into(&mut self.class);
+        self.note(TraceStep::Identified { class: class.to_owned() });
+    }
+
+    /// Adds a step to the request's trace.
+    pub fn note(&mut self, step: TraceStep) {
+        self.trace.note(step);
+    }
+
+    /// Notes that a token is on its way to the caller.
+    pub fn note_token(&mut self) {
+        if !self.first_token {
+            self.first_token = true;
+            let seconds = self.context.clock.now().since(self.accepted).as_secs_f64();
+            self.context.metrics.observe_first_token(&self.class, seconds);
+        }
+    }
+
+    /// Notes the answer's token counts.
+    pub fn note_usage(&mut self, usage: Option<TokenUsage>) {
+        self.usage = usage;
+    }
+
+    /// Ends the request with its outcome.
+    pub fn close(mut self, outcome: &str) {
+        outcome.clone_into(&mut self.outcome);
+    }
+}
+
+impl<S> Drop for Settlement<S> {
+    fn drop(&mut self) {
+        let metrics = &self.context.metrics;
+        let seconds = self.context.clock.now().since(self.accepted).as_secs_f64();
+        metrics.observe_request(&self.class, &self.outcome, seconds);
+        metrics.requests_in_flight.dec();
+        if let Some(usage) = self.usage {
+            metrics.observe_tokens(&self.class, "prompt", usage.prompt_tokens);
+            metrics.observe_tokens(&self.class, "cached", usage.prompt_tokens_details.cached_tokens);
+            metrics.observe_tokens(&self.class, "completion", usage.completion_tokens);
+        }
+        let outcome = std::mem::take(&mut self.outcome);
+        self.trace.note(TraceStep::Settled { outcome });
+        let trace = RequestTrace { id: self.trace.id.clone(), steps: std::mem::take(&mut self.trace.steps) };
+        self.context.traces.push(trace);
+        if let Some(pass) = self.pass.take() {
+            pass.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/relay/relay_client.rs
@@ -0,0 +1,247 @@
+//! Sends requests to the homes of shards at other daemons.
+
+use {
+    super::{REFUSAL_EVENT, SILENCE_MAX_MS, STATUS_HEADER, UPSTREAM_COMMENT},
+    crate::home::{HomeFrame, ServiceAnswer, ServiceRequest},
+    bytes::Bytes,
+    poplargap_core::{
+        answer::EventSplitter,
+        collections::{HashMap, HashMapExt},
+        name::UpstreamName,
+        outcome::RunOutcome,
+    },
+    poplargap_link::{
+        envelope::{
+            ENVELOPE_HEADER, PROOF_HEADER, RELAY_PATH, RefusalReason, RelayEnvelope, RelayRefusal, UPSTREAM_HEADER,
+        },
+        proof::FleetProof,
+    },
+    reqwest::{Client, RequestBuilder, Response, StatusCode, header::CONTENT_TYPE},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::mpsc, time},
+};
+
+const FRAMES_MAX: usize = 32;
+const SILENCE_MAX: Duration = Duration::from_millis(SILENCE_MAX_MS);
+
+/// Clients of other daemons' relay listeners; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct RelayClient {
+    connect: Duration,
+    fresh: Client,
+    pooled: Arc<Mutex<HashMap<SocketAddr, Client>>>,
+    proof: FleetProof,
+}
+
+impl RelayClient {
+    /// Creates clients without connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP library can't start.
+    pub fn new(connect: Duration, proof: FleetProof) -> Result<Self, reqwest::Error> {
+        let fresh = crate::home::build_client(connect, 0)?;
+        let pooled = Arc::new(Mutex::new(HashMap::new()));
+        Ok(Self { connect, fresh, pooled, proof })
+    }
+
+    /// Sends a chat to its home and returns the frames of its answer.
+    ///
+    /// Dropping the receiver cancels the request.
+    #[must_use]
+    pub fn start_chat(&self, home: SocketAddr, envelope: RelayEnvelope, body: Bytes) -> mpsc::Receiver<HomeFrame> {
+        let (frames, receiver) = mpsc::channel(FRAMES_MAX);
+        let client = self.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = frames.closed() => {}
+                () = client.run_chat(home, &envelope, body, &frames) => {}
+            }
+        });
+        receiver
+    }
+
+    /// Makes a service call at its home.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with what is known of the call's effects.
+    pub async fn call(&self, home: SocketAddr, call: &ServiceRequest) -> Result<ServiceAnswer, RelayRefusal> {
+        let wait = Duration::from_millis(call.envelope.deadline_ms);
+        let request = self.request(home, &call.envelope, call.body.clone())?;
+        let Ok(sent) = time::timeout(wait, request.send()).await else {
+            self.drop_pool(home);
+            return Err(lost());
+        };
+        let response = sent.map_err(|error| self.failure(home, &error))?;
+        if response.status() != StatusCode::OK {
+            return Err(read_refusal(response).await);
+        }
+        read_answer(response).await
+    }
+
+    async fn run_chat(
+        &self,
+        home: SocketAddr,
+        envelope: &RelayEnvelope,
+        body: Bytes,
+        frames: &mpsc::Sender<HomeFrame>,
+    ) {
+        let result = self.forward_chat(home, envelope, body, frames).await;
+        let frame = match result {
+            Ok(()) => HomeFrame::Ended,
+            Err(refusal) => HomeFrame::Refused(refusal),
+        };
+        drop(frames.send(frame).await);
+    }
+
+    async fn forward_chat(
+        &self,
+        home: SocketAddr,
+        envelope: &RelayEnvelope,
+        body: Bytes,
+        frames: &mpsc::Sender<HomeFrame>,
+    ) -> Result<(), RelayRefusal> {
+        let request = self.request(home, envelope, body)?;
+        let sent = time::timeout(SILENCE_MAX, request.send()).await;
+        let sent = sent.map_err(|_elapsed| {
+            self.drop_pool(home);
+            lost()
+        })?;
+        let response = sent.map_err(|error| self.failure(home, &error))?;
+        if response.status() != StatusCode::OK {
+            return Err(read_refusal(response).await);
+        }
+        let mut reader = FrameReader::new(response);
+        while let Some(chunk) = reader.next_chunk().await.inspect_err(|_refusal| self.drop_pool(home))? {
+            for frame in reader.frames(chunk)? {
+                if frames.send(frame).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn request(&self, home: SocketAddr, envelope: &RelayEnvelope, body: Bytes) -> Result<RequestBuilder, RelayRefusal> {
+        let unreadable = |_source| RelayRefusal::not_run(RefusalReason::Unreadable);
+        let text = serde_json::to_string(envelope).map_err(unreadable)?;
+        let client = if envelope.repeatable { self.pooled(home) } else { self.fresh.clone() };
+        Ok(client
+            .post(format!("http://{home}{RELAY_PATH}"))
+            .header(PROOF_HEADER, self.proof.as_str())
+            .header(ENVELOPE_HEADER, text)
+            .body(body))
+    }
+
+    fn pooled(&self, home: SocketAddr) -> Client {
+        let mut pooled = self.pooled.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = pooled.get(&home) {
+            return client.clone();
+        }
+        let Ok(client) = crate::home::build_client(self.connect, usize::MAX) else {
+            return self.fresh.clone();
+        };
+        pooled.insert(home, client.clone());
+        client
+    }
+
+    fn drop_pool(&self, home: SocketAddr) {
+        let mut pooled = self.pooled.lock().unwrap_or_else(PoisonError::into_inner);
+        pooled.remove(&home);
+    }
+
+    fn failure(&self, home: SocketAddr, error: &reqwest::Error) -> RelayRefusal {
+        if error.is_connect() {
+            return RelayRefusal::not_run(RefusalReason::Unreachable);
+        }
+        self.drop_pool(home);
+        lost()
+    }
+}
+
+/// Returns the refusal of a request that was sent and got no answer from its home.
+fn lost() -> RelayRefusal {
+    let mut refusal = RelayRefusal::not_run(RefusalReason::Unreachable);
+    refusal.ran = RunOutcome::Unknown;
+    refusal
+}
+
+async fn read_refusal(response: Response) -> RelayRefusal {
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        return RelayRefusal::not_run(RefusalReason::Unreadable);
+    }
+    response.json().await.unwrap_or_else(|_source| lost())
+}
+
+async fn read_answer(response: Response) -> Result<ServiceAnswer, RelayRefusal> {
+    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let status = header(STATUS_HEADER).and_then(|text| text.parse().ok());
+    let upstream = header(UPSTREAM_HEADER).and_then(|text| UpstreamName::try_from(text).ok());
+    let content_type = header(CONTENT_TYPE.as_str()).map(ToOwned::to_owned);
+    let (Some(status), Some(upstream)) = (status, upstream) else {
+        return Err(lost());
+    };
+    let body = response.bytes().await.map_err(|_source| lost())?;
+    Ok(ServiceAnswer { body, content_type, status, upstream })
+}
+
+/// Reads the first event of a home's stream, which names the upstream or refuses; the rest is passed on.
+struct FrameReader {
+    response: Response,
+    splitter: EventSplitter,
+    started: bool,
+}
+
+impl FrameReader {
+    fn new(response: Response) -> Self {
+        let splitter = EventSplitter::default();
+        Self { response, splitter, started: false }
+    }
+
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayRefusal> {
+        let chunk = time::timeout(SILENCE_MAX, self.response.chunk()).await;
+        chunk.map_err(|_elapsed| lost())?.map_err(|_source| lost())
+    }
+
+    fn frames(&mut self, chunk: Bytes) -> Result<Vec<HomeFrame>, RelayRefusal> {
+        let broken = |_source| lost();
+        if self.started && !ends_with_refusal(&chunk) {
+            return Ok(vec![HomeFrame::Chunk(chunk)]);
+        }
+        let mut frames = Vec::new();
+        self.splitter.push(chunk).map_err(broken)?;
+        while let Some(event) = self.splitter.next_event() {
+            if let Some(refusal) = event.strip_prefix(REFUSAL_EVENT) {
+                return Err(serde_json::from_slice(refusal).unwrap_or_else(|_source| lost()));
+            }
+            match upstream_of(&event) {
+                Some(upstream) => {
+                    self.started = true;
+                    frames.push(HomeFrame::Upstream(upstream));
+                }
+                None if self.started => frames.push(HomeFrame::Chunk(event)),
+                None => {}
+            }
+        }
+        if self.started {
+            frames.extend(self.splitter.take_rest().map(HomeFrame::Chunk));
+        }
+        Ok(frames)
+    }
+}
+
+/// Returns whether a chunk may hold a refusal, which is always a stream's last event.
+fn ends_with_refusal(chunk: &[u8]) -> bool {
+    chunk.ends_with(b"}\n\n") && memchr::memmem::rfind(chunk, REFUSAL_EVENT).is_some()
+}
+
+fn upstream_of(event: &[u8]) -> Option<UpstreamName> {
+    let name = event.strip_prefix(UPSTREAM_COMMENT)?;
+    let name = std::str::from_utf8(name).ok()?;
+    UpstreamName::try_from(name.trim_end()).ok()
+}
--- /dev/null
+++ b/crates/poplargapd/src/server.rs
@@ -0,0 +1,67 @@
+//! HTTP listeners that end without cutting off a request.
+
+use {
+    std::{future::Future, io, net::SocketAddr, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpSocket},
+        sync::oneshot,
+        task::JoinHandle,
+        time,
+    },
+    warp::{Filter, Reply, reject::IsReject},
+};
+
+const BACKLOG: u32 = 1_024;
+
+/// Binds a listener whose connections send small pieces at once.
+///
+/// # Errors
+///
+/// Returns an error when the address is taken or not the VM's own.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the option from their listener.
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// A running HTTP listener.
+#[derive(Debug)]
+pub struct HttpServer {
+    handle: JoinHandle<()>,
+    stop: oneshot::Sender<()>,
+}
+
+impl HttpServer {
+    /// Starts serving `route` on `listener`.
+    pub fn start<F>(route: F, listener: TcpListener) -> Self
+    where
+        F: Filter + Clone + Send + Sync + 'static,
+        F::Extract: Reply,
+        F::Error: IsReject,
+    {
+        let (stop, stopped) = oneshot::channel();
+        let serving = warp::serve(route).incoming(listener).graceful(wait(stopped)).run();
+        let handle = tokio::spawn(serving);
+        Self { handle, stop }
+    }
+
+    /// Takes no more connections and waits up to `grace` for those that are busy.
+    ///
+    /// Connections that are still open then, idle ones above all, are dropped.
+    pub async fn close(self, grace: Duration) {
+        drop(self.stop);
+        let abort = self.handle.abort_handle();
+        if time::timeout(grace, self.handle).await.is_err() {
+            abort.abort();
+        }
+    }
+}
+
+fn wait(stopped: oneshot::Receiver<()>) -> impl Future<Output = ()> + Send + 'static {
+    async move {
+        drop(stopped.await);
+    }
+}
