Add HTTP clients of the store and the VM list

Cause: the platform's traits had no implementation. Change: HttpStore and HttpVmList over HTTP with deadlines on every wait, a connection pool that is replaced after a timeout, counters by call and outcome, PacedStore, and write_then_settle, which resolves lost answers by a write id. Ruled out: deciding 'not applied' from a reading of the old revision, since a copy still on its way may be applied after the reading; the same write is sent again instead.

--- /dev/null
+++ b/crates/poplargap-platform/src/call_kind.rs
@@ -0,0 +1,32 @@
+//! Kinds of calls to the platform.
+
+use strum::{EnumIter, IntoStaticStr};
+
+/// Kind of a call to the platform; also its label in metrics.
+#[derive(Clone, Copy, Debug, EnumIter, Eq, Hash, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CallKind {
+    /// Reads one value.
+    Get,
+    /// Asks for a lease.
+    GrantLease,
+    /// Lists values by prefix.
+    List,
+    /// Renews a lease.
+    RenewLease,
+    /// Ends a lease.
+    RevokeLease,
+    /// Compares and swaps a value.
+    Swap,
+    /// Reads the VM list.
+    Vms,
+    /// Waits for changes.
+    Watch,
+}
+
+impl CallKind {
+    /// Returns whether the call names a lease that may have ended.
+    pub(crate) fn names_lease(self) -> bool {
+        matches!(self, Self::RenewLease | Self::RevokeLease | Self::Swap)
+    }
+}
--- /dev/null
+++ b/crates/poplargap-platform/src/http_pool.rs
@@ -0,0 +1,150 @@
+//! A pool of HTTP connections that is replaced after a timeout.
+
+use {
+    crate::{StoreCounters, StoreError},
+    bytes::Bytes,
+    reqwest::{Client, RequestBuilder, StatusCode, redirect::Policy, retry},
+    serde::de::DeserializeOwned,
+    std::{error::Error, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::watch,
+};
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One answer, read to its end.
+#[derive(Debug)]
+pub(crate) struct HttpAnswer {
+    pub(crate) body: Bytes,
+    pub(crate) status: StatusCode,
+}
+
+impl HttpAnswer {
+    /// Reads the body as JSON.
+    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+        serde_json::from_slice(&self.body).map_err(|error| StoreError::Malformed(error.to_string()))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct PooledClient {
+    client: Client,
+    generation: u64,
+}
+
+/// A pool of connections to one address, replaced whole after a timeout.
+///
+/// A connection that has gone silent for good looks like a slow one. The next call after a
+/// timeout therefore uses a fresh connection, and calls that wait on old ones keep their own
+/// deadlines.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpPool {
+    address: SocketAddr,
+    client: Arc<watch::Sender<PooledClient>>,
+    counters: StoreCounters,
+    timeout: Duration,
+}
+
+impl HttpPool {
+    pub(crate) fn new(
+        address: SocketAddr,
+        timeout: Duration,
+        counters: StoreCounters,
+    ) -> Result<Self, StoreError> {
+        let client = PooledClient {
+            client: build_client(timeout).map_err(|error| StoreError::NotSent(describe(&error)))?,
+            generation: 0,
+        };
+        Ok(Self {
+            address,
+            client: Arc::new(watch::Sender::new(client)),
+            counters,
+            timeout,
+        })
+    }
+
+    pub(crate) fn counters(&self) -> &StoreCounters {
+        &self.counters
+    }
+
+    /// Returns the URL of a path.
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    /// Sends a request; `wait` is how long the platform may take on purpose.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::NotSent`] only when provably nothing was sent, and
+    /// [`StoreError::NoAnswer`] otherwise.
+    pub(crate) async fn send(
+        &self,
+        wait: Duration,
+        request: impl FnOnce(&Client) -> RequestBuilder,
+    ) -> Result<HttpAnswer, StoreError> {
+        let pooled = self.client.borrow().clone();
+        let request = request(&pooled.client)
+            .timeout(wait.saturating_add(self.timeout))
+            .build()
+            .map_err(|error| StoreError::NotSent(describe(&error)))?;
+        match exchange(&pooled.client, request).await {
+            Ok(answer) => Ok(answer),
+            Err(error) if error.is_connect() => Err(StoreError::NotSent(describe(&error))),
+            Err(error) => {
+                if error.is_timeout() {
+                    self.replace_client(pooled.generation);
+                }
+                Err(StoreError::NoAnswer(describe(&error)))
+            }
+        }
+    }
+
+    fn replace_client(&self, generation: u64) {
+        let Ok(client) = build_client(self.timeout) else {
+            return;
+        };
+        let replaced = self.client.send_if_modified(|pooled| {
+            if pooled.generation != generation {
+                return false;
+            }
+            pooled.client = client;
+            pooled.generation += 1;
+            true
+        });
+        if replaced {
+            self.counters.pools_dropped.inc();
+        }
+    }
+}
+
+async fn exchange(client: &Client, request: reqwest::Request) -> reqwest::Result<HttpAnswer> {
+    let response = client.execute(request).await?;
+    let status = response.status();
+    let body = response.bytes().await?;
+    Ok(HttpAnswer { body, status })
+}
+
+/// Builds a client whose connect timeout ends before the whole call's.
+///
+/// Otherwise a connection that can't be opened would look like a request that was sent.
+fn build_client(timeout: Duration) -> reqwest::Result<Client> {
+    Client::builder()
+        .connect_timeout(timeout / 2)
+        .http1_only()
+        .no_proxy()
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .redirect(Policy::none())
+        .retry(retry::never())
+        .build()
+}
+
+fn describe(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/poplargap-platform/src/http_vm_list.rs
@@ -0,0 +1,76 @@
+//! The platform's VM list over HTTP.
+
+use {
+    crate::{
+        CallKind, CallOutcome, StoreCounters, StoreError, VmEntry, VmList, VmListError,
+        call_record::CallRecord, http_pool::HttpPool, wire::VM_PATH,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// A client of the VM list.
+///
+/// Every call ends by its timeout. Clones share connections and counters.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    pool: HttpPool,
+}
+
+impl HttpVmList {
+    /// Creates a client with counters of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP library can't be set up.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Result<Self, VmListError> {
+        Self::with_counters(address, timeout, StoreCounters::new())
+    }
+
+    /// Creates a client that adds to `counters`, such as those of the store's client.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP library can't be set up.
+    pub fn with_counters(
+        address: SocketAddr,
+        timeout: Duration,
+        counters: StoreCounters,
+    ) -> Result<Self, VmListError> {
+        let pool = HttpPool::new(address, timeout, counters).map_err(list_error)?;
+        Ok(Self { pool })
+    }
+
+    /// Returns the client's counters.
+    #[must_use]
+    pub fn counters(&self) -> &StoreCounters {
+        self.pool.counters()
+    }
+
+    async fn read(&self) -> Result<Vec<VmEntry>, StoreError> {
+        let url = self.pool.url(VM_PATH);
+        let answer = self
+            .pool
+            .send(Duration::ZERO, |client| client.get(url))
+            .await?;
+        if !answer.status.is_success() {
+            return Err(StoreError::Refused(answer.status.as_u16()));
+        }
+        answer.decode()
+    }
+}
+
+impl VmList for HttpVmList {
+    async fn vms(&self) -> Result<Vec<VmEntry>, VmListError> {
+        let record = CallRecord::new(self.counters(), CallKind::Vms);
+        let result = self.read().await;
+        record.finish(CallOutcome::from(&result));
+        result.map_err(list_error)
+    }
+}
+
+fn list_error(error: StoreError) -> VmListError {
+    match error {
+        StoreError::Malformed(text) => VmListError::Malformed(text),
+        error => VmListError::Unreachable(error.to_string()),
+    }
+}
--- a/crates/poplargap-platform/src/lib.rs
+++ b/crates/poplargap-platform/src/lib.rs
@@ -1,12 +1,31 @@
 //! Typed clients of the platform's key-value store and VM list, behind small traits.
 
+mod call_bucket;
+mod call_kind;
+mod call_outcome;
+mod call_record;
+mod http_pool;
+mod http_store;
+mod http_vm_list;
+mod paced_store;
+mod settled_write;
 mod store;
+mod store_counters;
 mod vm_list;
+pub mod wire;
 
 pub use {
+    call_bucket::{CallBucket, CallRate},
+    call_kind::CallKind,
+    call_outcome::CallOutcome,
+    http_store::HttpStore,
+    http_vm_list::HttpVmList,
+    paced_store::PacedStore,
+    settled_write::{SettleLimit, WriteEvidence, write_then_settle},
     store::{
         KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
         SwapWrite, ValuePage, WatchBatch, WatchChange,
     },
+    store_counters::StoreCounters,
     vm_list::{VmEntry, VmList, VmListError, VmRole, VmState},
 };
--- /dev/null
+++ b/crates/poplargap-platform/src/paced_store.rs
@@ -0,0 +1,67 @@
+//! A store whose calls wait for a token bucket.
+
+use {
+    crate::{
+        CallBucket, KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue,
+        SwapOutcome, SwapWrite, ValuePage, WatchBatch,
+    },
+    std::time::Duration,
+};
+
+/// A store that bounds its calls a second by waiting.
+///
+/// Clones share the bucket. The wait has no deadline of its own: callers set one.
+#[derive(Clone, Debug)]
+pub struct PacedStore<S> {
+    bucket: CallBucket,
+    inner: S,
+}
+
+impl<S> PacedStore<S> {
+    /// Puts `bucket` in front of `inner`; several stores may share one bucket.
+    pub fn new(inner: S, bucket: CallBucket) -> Self {
+        Self { bucket, inner }
+    }
+}
+
+impl<S: KeyValueStore> KeyValueStore for PacedStore<S> {
+    async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        self.bucket.take().await;
+        self.inner.get(key).await
+    }
+
+    async fn list(&self, prefix: &str, after: Option<&str>) -> Result<ValuePage, StoreError> {
+        self.bucket.take().await;
+        self.inner.list(prefix, after).await
+    }
+
+    async fn swap(&self, write: &SwapWrite) -> SwapOutcome {
+        self.bucket.take().await;
+        self.inner.swap(write).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        self.bucket.take().await;
+        self.inner.watch(prefix, after, wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
+        self.bucket.take().await;
+        self.inner.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, id: LeaseId) -> Result<(), StoreError> {
+        self.bucket.take().await;
+        self.inner.renew_lease(id).await
+    }
+
+    async fn revoke_lease(&self, id: LeaseId) -> Result<(), StoreError> {
+        self.bucket.take().await;
+        self.inner.revoke_lease(id).await
+    }
+}
--- a/crates/poplargap-platform/src/store.rs
+++ b/crates/poplargap-platform/src/store.rs
@@ -118,6 +118,8 @@
     Refused(u16),
     /// no answer came: {0}
     NoAnswer(String),
+    /// the key has changed since; whether the write took effect before that can't be seen
+    Superseded,
 }
 
 impl std::error::Error for StoreError {}
@@ -131,6 +133,9 @@
     ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send;
 
     /// Lists values by prefix, from the key after `after`.
+    ///
+    /// Pages are read one by one. A watch that follows a listing starts from the revision
+    /// of the first page, or it misses changes to keys of pages already read.
     fn list(
         &self,
         prefix: &str,
--- /dev/null
+++ b/crates/poplargap-platform/src/store_counters.rs
@@ -0,0 +1,89 @@
+//! Counters of calls to the platform.
+
+use {
+    crate::{CallKind, CallOutcome},
+    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector},
+};
+
+/// Counts every call to the platform and every waiting watch.
+///
+/// Clones share their counts.
+#[derive(Clone, Debug)]
+pub struct StoreCounters {
+    calls: IntCounterVec,
+    pub(crate) pools_dropped: IntCounter,
+    pub(crate) waiting_watches: IntGauge,
+}
+
+impl StoreCounters {
+    /// Creates counters at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the metrics' fixed names are invalid, which is a programming fault.
+    #[must_use]
+    pub fn new() -> Self {
+        let calls = Opts::new(
+            "poplargap_platform_calls_total",
+            "Calls to the platform by kind and outcome",
+        );
+        Self {
+            calls: IntCounterVec::new(calls, &["call", "outcome"]).expect("name is valid"),
+            pools_dropped: IntCounter::new(
+                "poplargap_platform_pools_dropped_total",
+                "Connection pools dropped after a timeout",
+            )
+            .expect("name is valid"),
+            waiting_watches: IntGauge::new(
+                "poplargap_platform_waiting_watches",
+                "Watches that wait for an answer",
+            )
+            .expect("name is valid"),
+        }
+    }
+
+    /// Returns the number of ended calls of a kind with an outcome.
+    #[must_use]
+    pub fn calls(&self, kind: CallKind, outcome: CallOutcome) -> u64 {
+        self.child(kind, outcome).get()
+    }
+
+    /// Returns the number of connection pools dropped after a timeout.
+    #[must_use]
+    pub fn pools_dropped(&self) -> u64 {
+        self.pools_dropped.get()
+    }
+
+    /// Adds the counters to a registry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the registry already holds metrics of the same names.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        let collectors: [Box<dyn Collector>; 3] = [
+            Box::new(self.calls.clone()),
+            Box::new(self.pools_dropped.clone()),
+            Box::new(self.waiting_watches.clone()),
+        ];
+        collectors
+            .into_iter()
+            .try_for_each(|collector| registry.register(collector))
+    }
+
+    /// Returns the number of watches that wait now.
+    #[must_use]
+    pub fn waiting_watches(&self) -> i64 {
+        self.waiting_watches.get()
+    }
+
+    pub(crate) fn child(&self, kind: CallKind, outcome: CallOutcome) -> IntCounter {
+        self.calls
+            .with_label_values(&[<&str>::from(kind), outcome.into()])
+    }
+}
+
+impl Default for StoreCounters {
+    fn default() -> Self {
+        Self::new()
+    }
+}
