Read the daemon's settings as a checked type

Cause: a daemon learns its addresses, limits and timeouts from an INI file, and an operator needs all faults of the file at once.

Change: `settings::DaemonSettings::read` collects every finding with its place. `input` holds what the catalogue's declarations reuse: durations, sizes, INI sections, keys.

Ruled out: parsing by rust-ini alone. It joins a line without `=` with the next one, drops an indented last line, and stops at the first fault; lines are therefore checked before it splits them. Values are not quoted or continued.

Conclusion: port 0 is allowed for the daemon's own listeners only; secrets are in no finding and no Debug output.

--- /dev/null
+++ b/crates/poplargap-core/src/input/section_reader.rs
@@ -0,0 +1,275 @@
+//! Reading of one section against the description of its keys.
+
+use {
+    super::{ByteSize, IniSection, KeyDefault, KeyDescription, ValueKind, parse_duration},
+    crate::finding::{InputFinding, InputFindings, nearest_word},
+    std::{fmt::Display, net::SocketAddr, str::FromStr, time::Duration},
+};
+
+/// Reads the values of one section and collects what is wrong with them.
+///
+/// Every method returns `None` after it added a finding, or for an absent key without a default.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    descriptions: &'a [KeyDescription],
+    file: &'a str,
+    findings: &'a mut InputFindings,
+    heading: &'a str,
+    section: &'static str,
+    values: &'a [(String, String)],
+}
+
+impl<'a> SectionReader<'a> {
+    /// Opens a section whose keys are those that `descriptions` lists for `section`.
+    ///
+    /// Unknown keys and keys that stand twice are findings.
+    #[must_use]
+    pub fn open(
+        file: &'a str,
+        ini: &'a IniSection,
+        section: &'static str,
+        descriptions: &'a [KeyDescription],
+        findings: &'a mut InputFindings,
+    ) -> Self {
+        let mut reader = Self {
+            descriptions,
+            file,
+            findings,
+            heading: &ini.heading,
+            section,
+            values: &ini.values,
+        };
+        for (i, (key, _)) in reader.values.iter().enumerate() {
+            if !reader.known().any(|known| known == key) {
+                reader.add_unknown(key);
+            } else if reader.values[..i].iter().any(|(earlier, _)| earlier == key) {
+                reader.add(key, "the key stands twice in this section");
+            }
+        }
+        reader
+    }
+
+    /// Adds a finding about a key of this section, or about the whole section.
+    pub fn add(&mut self, key: &str, message: impl Display) {
+        self.findings.push(InputFinding {
+            file: self.file.to_owned(),
+            section: self.heading.to_owned(),
+            key: key.to_owned(),
+            message: message.to_string(),
+        });
+    }
+
+    /// Reads an address; a listener's port may be 0.
+    pub fn address(&mut self, key: &str) -> Option<SocketAddr> {
+        let (text, kind) = self.text(key)?;
+        let address = parse_address(text, kind == ValueKind::Listener);
+        self.keep(key, address)
+    }
+
+    /// Reads addresses separated by commas; an absent key gives none.
+    pub fn address_list(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
+        if !self.holds(key) {
+            return Some(Vec::new());
+        }
+        let (text, _) = self.text(key)?;
+        let mut addresses = Vec::new();
+        let mut complete = true;
+        for part in text.split(',').map(str::trim) {
+            match self.keep(key, parse_address(part, false)) {
+                Some(address) if addresses.contains(&address) => {
+                    self.add(key, format!("`{part}` stands twice"));
+                    complete = false;
+                }
+                Some(address) => addresses.push(address),
+                None => complete = false,
+            }
+        }
+        complete.then_some(addresses)
+    }
+
+    /// Reads a size in bytes.
+    pub fn bytes(&mut self, key: &str) -> Option<ByteSize> {
+        let (text, kind) = self.text(key)?;
+        let size = self.keep(key, text.parse::<ByteSize>())?;
+        let within = matches!(kind, ValueKind::Bytes { max, min } if (min..=max).contains(&size));
+        self.keep_within(key, text, kind, within.then_some(size))
+    }
+
+    /// Reads one of several words.
+    pub fn choice<T: FromStr>(&mut self, key: &str) -> Option<T> {
+        let (text, kind) = self.text(key)?;
+        if let Ok(choice) = text.parse() {
+            return Some(choice);
+        }
+        let ValueKind::Choice(words) = kind else {
+            unreachable!("`{key}` is described as a choice");
+        };
+        let hint = nearest_word(text, words.iter().copied())
+            .map(|word| format!("; did you mean `{word}`?"))
+            .unwrap_or_default();
+        let words = words.join("`, `");
+        self.add(key, format!("`{text}` is none of `{words}`{hint}"));
+        None
+    }
+
+    /// Reads a decimal number.
+    pub fn decimal(&mut self, key: &str) -> Option<f64> {
+        let (text, kind) = self.text(key)?;
+        let number = text.parse::<f64>().ok();
+        let Some(number) = number.filter(|number| number.is_finite()) else {
+            self.add(
+                key,
+                format!("`{text}` is no decimal number, such as `1.25`"),
+            );
+            return None;
+        };
+        let within = matches!(kind, ValueKind::Decimal { max, min }
+            if (f64::from(min)..=f64::from(max)).contains(&number));
+        self.keep_within(key, text, kind, within.then_some(number))
+    }
+
+    /// Reads a duration.
+    pub fn duration(&mut self, key: &str) -> Option<Duration> {
+        let (text, kind) = self.text(key)?;
+        let duration = self.keep(key, parse_duration(text))?;
+        let within = matches!(kind, ValueKind::Duration { max, min }
+            if (min..=max).contains(&duration));
+        self.keep_within(key, text, kind, within.then_some(duration))
+    }
+
+    /// Returns whether the section holds the key.
+    #[must_use]
+    pub fn holds(&self, key: &str) -> bool {
+        self.values.iter().any(|(held, _)| held == key)
+    }
+
+    /// Reads a value by its own checks, such as a name.
+    pub fn checked<T>(&mut self, key: &str) -> Option<T>
+    where
+        T: TryFrom<&'a str, Error: Display>,
+    {
+        let (text, _) = self.text(key)?;
+        self.keep(key, T::try_from(text))
+    }
+
+    /// Reads a whole number.
+    pub fn number<T: TryFrom<u64>>(&mut self, key: &str) -> Option<T> {
+        let (text, kind) = self.text(key)?;
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+            self.add(key, format!("`{text}` is no whole number"));
+            return None;
+        }
+        let number = text.parse::<u64>().ok().filter(
+            |number| matches!(kind, ValueKind::Number { max, min, .. } if (min..=max).contains(number)),
+        );
+        let number = number.and_then(|number| T::try_from(number).ok());
+        self.keep_within(key, text, kind, number)
+    }
+
+    /// Reads a secret; findings never show it.
+    pub fn secret<T: From<String>>(&mut self, key: &str) -> Option<T> {
+        let (text, kind) = self.text(key)?;
+        let ValueKind::Secret { len_min } = kind else {
+            unreachable!("`{key}` is described as a secret");
+        };
+        let len = text.chars().count();
+        if len < len_min {
+            self.add(
+                key,
+                format!("the secret has {len} characters; it needs at least {len_min}"),
+            );
+            return None;
+        }
+        Some(T::from(text.to_owned()))
+    }
+
+    /// Reads `yes` or `no`.
+    pub fn yes_no(&mut self, key: &str) -> Option<bool> {
+        let (text, _) = self.text(key)?;
+        match text {
+            "no" => Some(false),
+            "yes" => Some(true),
+            _ => {
+                self.add(key, format!("`{text}` is neither `yes` nor `no`"));
+                None
+            }
+        }
+    }
+
+    fn add_unknown(&mut self, key: &str) {
+        let hint = nearest_word(key, self.known())
+            .map(|known| format!("; did you mean `{known}`?"))
+            .unwrap_or_default();
+        self.add(key, format!("the key is unknown{hint}"));
+    }
+
+    fn describe(&self, key: &str) -> &'a KeyDescription {
+        self.descriptions
+            .iter()
+            .find(|description| description.section == self.section && description.key == key)
+            .expect("every key that is read is described")
+    }
+
+    fn keep<T, E: Display>(&mut self, key: &str, value: Result<T, E>) -> Option<T> {
+        value.map_err(|error| self.add(key, error)).ok()
+    }
+
+    fn keep_within<T>(
+        &mut self,
+        key: &str,
+        text: &str,
+        kind: ValueKind,
+        value: Option<T>,
+    ) -> Option<T> {
+        if value.is_none() {
+            let bounds = kind.bounds();
+            self.add(
+                key,
+                format!("`{text}` is out of range; the range is {bounds}"),
+            );
+        }
+        value
+    }
+
+    fn known(&self) -> impl Iterator<Item = &'static str> + use<'a> {
+        let section = self.section;
+        self.descriptions
+            .iter()
+            .filter(move |description| description.section == section)
+            .map(|description| description.key)
+    }
+
+    fn text(&mut self, key: &str) -> Option<(&'a str, ValueKind)> {
+        let description = self.describe(key);
+        if let Some((_, value)) = self.values.iter().find(|(held, _)| held == key) {
+            return Some((value, description.kind));
+        }
+        match description.default {
+            KeyDefault::Absent(_) => None,
+            KeyDefault::Required => {
+                let unit = description.kind.unit();
+                self.add(key, format!("the key is missing; it takes: {unit}"));
+                None
+            }
+            KeyDefault::Text(text) => Some((text, description.kind)),
+        }
+    }
+}
+
+fn parse_address(text: &str, port_zero: bool) -> Result<SocketAddr, String> {
+    if let Ok(address) = text.parse::<SocketAddr>() {
+        if address.port() == 0 && !port_zero {
+            return Err("the port 0 is out of range; ports lie between 1 and 65535".to_owned());
+        }
+        return Ok(address);
+    }
+    let port = text.rsplit_once(':').map_or("", |(_, port)| port);
+    if port.len() > 4 && port.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(format!(
+            "the port {port} is out of range; ports lie between 1 and 65535"
+        ));
+    }
+    Err(format!(
+        "`{text}` is no IP address with a port, such as `10.0.0.7:8080`"
+    ))
+}
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod catalogue;
 pub mod collections;
 pub mod finding;
+pub mod input;
 pub mod instant;
 pub mod name;
 pub mod rendezvous;
+pub mod settings;
--- /dev/null
+++ b/crates/poplargap-core/src/settings/placement_section.rs
@@ -0,0 +1,23 @@
+//! Settings of placement.
+
+use {super::PlacementPolicy, crate::input::SectionReader};
+
+/// How requests find their upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlacementSection {
+    /// Chats whose last replica is remembered.
+    pub memory: usize,
+    /// How a request finds its upstream.
+    pub policy: PlacementPolicy,
+}
+
+impl PlacementSection {
+    pub(super) fn read(reader: &mut SectionReader<'_>) -> Option<Self> {
+        let memory = reader.number("memory");
+        let policy = reader.choice("policy");
+        Some(Self {
+            memory: memory?,
+            policy: policy?,
+        })
+    }
+}
