Read, check, render and compare declarations of entries

Cause: operators keep entries in INI files and drive the fleet only by them.

Change: `catalogue::declaration` reads several files together into entries, with all findings of values, headings, duplicate sections and references at once. `CATALOGUE_KEYS` holds unit, default, bounds and meaning of each key. `EntrySet` holds entries by kind and name; `merge`, `diff` and `render` work on it. The entry types are unchanged.

Ruled out: leaving sections with faults out of the reference check. Every entry that names them would be reported as well; they count as declared.

--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -1,8 +1,11 @@
 //! The operators' catalogue: entries, their versions and the state in force.
 
+pub mod declaration;
+
 mod bucket;
 mod entry;
 mod entry_kind;
+mod entry_set;
 mod key_digest;
 mod load_multiple;
 mod snapshot;
@@ -14,6 +17,7 @@
         PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
     },
     entry_kind::{EntryKind, EntryRef},
+    entry_set::EntrySet,
     key_digest::{DigestError, KeyDigest},
     load_multiple::{LoadMultiple, MultipleError},
     snapshot::CatalogueSnapshot,
--- /dev/null
+++ b/crates/poplargap-core/src/catalogue/declaration/catalogue_declaration.rs
@@ -0,0 +1,194 @@
+//! What a set of declaration files says.
+
+use {
+    super::{entry_reading::read_entry, keys::CATALOGUE_KEYS, reference_check::ReferenceCheck},
+    crate::{
+        catalogue::{CatalogueEntry, EntryKind, EntryRef, EntrySet},
+        finding::{InputFinding, InputFindings, nearest_word},
+        input::{IniSection, IniText, SectionReader},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+    strum::VariantNames,
+};
+
+/// One declaration file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SourceText<'a> {
+    /// The file's path as the operator gave it.
+    pub file: &'a str,
+    /// The file's text.
+    pub text: &'a str,
+}
+
+/// Where an entry is declared.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DeclarationPlace {
+    /// The file's path as the operator gave it.
+    pub file: String,
+    /// The section's heading, without brackets.
+    pub section: String,
+}
+
+/// What a section wants of its entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryIntent {
+    /// The entry has this content.
+    Put(CatalogueEntry),
+    /// The entry goes.
+    Remove,
+}
+
+/// What a section wants, with its place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeclaredEntry {
+    /// What the section wants of its entry.
+    pub intent: EntryIntent,
+    /// Where the section stands.
+    pub place: DeclarationPlace,
+}
+
+/// What a set of declaration files says; entries that they don't name stay as they are.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CatalogueDeclaration {
+    entries: BTreeMap<EntryRef, DeclaredEntry>,
+    faulty: BTreeSet<EntryRef>,
+}
+
+impl CatalogueDeclaration {
+    /// Reads all files together and checks them against the catalogue `base`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings of all files and of their references together.
+    pub fn check(sources: &[SourceText<'_>], base: &EntrySet) -> Result<Self, InputFindings> {
+        let mut findings = InputFindings::default();
+        let declaration = Self::read(sources, &mut findings);
+        findings.append(declaration.check_references(base));
+        findings.into_result(declaration)
+    }
+
+    /// Checks names and addresses against the catalogue that follows from applying this to `base`.
+    ///
+    /// Sections with findings of their own count as declared.
+    #[must_use]
+    pub fn check_references(&self, base: &EntrySet) -> InputFindings {
+        ReferenceCheck::new(self, base).run()
+    }
+
+    /// Returns what the sections want, sorted by kind and name.
+    #[must_use]
+    pub fn entries(&self) -> &BTreeMap<EntryRef, DeclaredEntry> {
+        &self.entries
+    }
+
+    /// Returns the catalogue that follows from applying this to `base`.
+    #[must_use]
+    pub fn merge(&self, base: &EntrySet) -> EntrySet {
+        let mut merged = base.clone();
+        for (entry, declared) in &self.entries {
+            match &declared.intent {
+                EntryIntent::Put(content) => merged.insert(content.clone()),
+                EntryIntent::Remove => {
+                    merged.remove(entry);
+                }
+            }
+        }
+        merged
+    }
+
+    /// Reads all files together; sections with findings are left out.
+    #[must_use]
+    pub fn read(sources: &[SourceText<'_>], findings: &mut InputFindings) -> Self {
+        let mut declaration = Self::default();
+        let mut places = BTreeMap::new();
+        for source in sources {
+            for section in IniText::parse(source.file, source.text, findings).sections {
+                declaration.read_section(source.file, &section, &mut places, findings);
+            }
+        }
+        declaration
+    }
+
+    /// Returns whether a section names the entry but has findings of its own.
+    pub(super) fn is_faulty(&self, entry: &EntryRef) -> bool {
+        self.faulty.contains(entry)
+    }
+
+    fn read_section(
+        &mut self,
+        file: &str,
+        section: &IniSection,
+        places: &mut BTreeMap<EntryRef, String>,
+        findings: &mut InputFindings,
+    ) {
+        let entry = match parse_heading(&section.heading) {
+            Ok(entry) => entry,
+            Err(message) => {
+                findings.push(section_finding(file, section, message));
+                return;
+            }
+        };
+        if let Some(earlier) = places.get(&entry) {
+            let message = format!("the section stands already in `{earlier}`");
+            findings.push(section_finding(file, section, message));
+            return;
+        }
+        places.insert(entry.clone(), file.to_owned());
+        let findings_before = findings.as_slice().len();
+        let intent = read_intent(&entry, file, section, findings);
+        let clean = findings.as_slice().len() == findings_before;
+        let Some(intent) = intent.filter(|_| clean) else {
+            self.faulty.insert(entry);
+            return;
+        };
+        let place = DeclarationPlace {
+            file: file.to_owned(),
+            section: section.heading.clone(),
+        };
+        self.entries.insert(entry, DeclaredEntry { intent, place });
+    }
+}
+
+fn parse_heading(heading: &str) -> Result<EntryRef, String> {
+    let (word, name) = heading
+        .split_once(char::is_whitespace)
+        .unwrap_or((heading, ""));
+    let Ok(kind) = word.parse::<EntryKind>() else {
+        let hint = nearest_word(word, EntryKind::VARIANTS.iter().copied())
+            .map(|known| format!("; did you mean `{known}`?"))
+            .unwrap_or_default();
+        return Err(format!("`{word}` is no kind of entry{hint}"));
+    };
+    let name = name.trim();
+    if name.is_empty() {
+        return Err(format!("the name is missing; write `[{kind} NAME]`"));
+    }
+    let name = name.to_owned();
+    Ok(EntryRef { kind, name })
+}
+
+fn read_intent(
+    entry: &EntryRef,
+    file: &str,
+    section: &IniSection,
+    findings: &mut InputFindings,
+) -> Option<EntryIntent> {
+    let mut reader =
+        SectionReader::open(file, section, entry.kind.into(), CATALOGUE_KEYS, findings);
+    if reader.yes_no("remove") != Some(true) {
+        return read_entry(entry.kind, &entry.name, &mut reader).map(EntryIntent::Put);
+    }
+    for (key, _) in section.values.iter().filter(|(key, _)| key != "remove") {
+        reader.add(key, "the key can't stand beside `remove = yes`");
+    }
+    Some(EntryIntent::Remove)
+}
+
+fn section_finding(file: &str, section: &IniSection, message: String) -> InputFinding {
+    InputFinding {
+        file: file.to_owned(),
+        section: section.heading.clone(),
+        key: String::new(),
+        message,
+    }
+}
--- /dev/null
+++ b/crates/poplargap-core/tests/declaration_properties.rs
@@ -0,0 +1,213 @@
+//! Properties of declarations over random entries and texts.
+
+use {
+    poplargap_core::{
+        catalogue::{
+            CatalogueEntry, ClassEntry, DataCentreEntry, EntryRef, EntrySet, FencingCheck,
+            KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind, PriorityClass, UpstreamEntry,
+            UpstreamState, WorkspaceEntry,
+            declaration::{CatalogueDeclaration, EntryChange, SourceText, diff, render},
+        },
+        finding::InputFindings,
+        name::{ClassName, DataCentre, PoolName, UpstreamName, WorkspaceName},
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    std::{
+        fmt::Debug,
+        net::{IpAddr, SocketAddr},
+    },
+};
+
+const WHOLE: &str = "\
+[data-centre bangor]
+
+[pool curves]
+kind = model
+multiple = 1.25
+queue = 64
+slots = 20
+
+[upstream curves-1]
+pool = curves
+address = 10.0.0.9:9000
+data-centre = bangor
+fencing = checked
+
+[workspace ty-bach]
+key-sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+
+[class bench-notes]
+owner = ty-bach
+pool = curves
+priority = interactive
+deadline = 20s
+repeatable = yes
+concurrency = 1
+";
+
+fn fixed(seed: u64) -> Config {
+    Config {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    }
+}
+
+fn name<T>() -> impl Strategy<Value = T>
+where
+    T: Debug + TryFrom<String, Error: Debug>,
+{
+    "[A-Za-z0-9_.:-]{1,20}".prop_map(|name| T::try_from(name).expect("the name is valid"))
+}
+
+fn class() -> impl Strategy<Value = CatalogueEntry> {
+    let priority = prop_oneof![
+        Just(PriorityClass::Interactive),
+        Just(PriorityClass::Standard),
+        Just(PriorityClass::Batch),
+    ];
+    let limits = (
+        prop::option::of(1..=1_000_000_u32),
+        prop::option::of(1..=1_000_000_u32),
+        prop::option::of(1..=1_000_000_000_000_u64),
+    );
+    let names = (
+        name::<ClassName>(),
+        name::<WorkspaceName>(),
+        name::<PoolName>(),
+    );
+    let fields = (1..=86_400_000_u64, limits, names, priority, any::<bool>());
+    fields.prop_map(
+        |(deadline_ms, limits, (name, owner, pool), priority, repeatable)| {
+            CatalogueEntry::Class(ClassEntry {
+                deadline_ms,
+                limits: LimitSet {
+                    concurrency: limits.0,
+                    requests_per_second: limits.1,
+                    tokens_per_minute: limits.2,
+                },
+                name,
+                owner,
+                pool,
+                priority,
+                repeatable,
+            })
+        },
+    )
+}
+
+fn pool() -> impl Strategy<Value = CatalogueEntry> {
+    let kind = prop_oneof![Just(PoolKind::Model), Just(PoolKind::Service)];
+    let numbers = (
+        1.0..=100.0_f64,
+        0..=1_000_000_u32,
+        1..=4096_u32,
+        1..=65_536_u32,
+    );
+    (kind, name(), numbers).prop_map(|(kind, name, (multiple, queue, shard_size, slots))| {
+        CatalogueEntry::Pool(PoolEntry {
+            kind,
+            multiple: LoadMultiple::try_from(multiple).expect("the multiple is in range"),
+            name,
+            queue,
+            shard_size,
+            slots,
+        })
+    })
+}
+
+fn upstream() -> impl Strategy<Value = CatalogueEntry> {
+    let fencing = prop_oneof![Just(FencingCheck::Checked), Just(FencingCheck::Ignored)];
+    let state = prop_oneof![Just(UpstreamState::Draining), Just(UpstreamState::Serving)];
+    let address = (any::<IpAddr>(), 1..=u16::MAX).prop_map(SocketAddr::from);
+    let names = (
+        name::<DataCentre>(),
+        name::<UpstreamName>(),
+        name::<PoolName>(),
+    );
+    (address, fencing, names, state).prop_map(|(address, fencing, names, state)| {
+        CatalogueEntry::Upstream(UpstreamEntry {
+            address,
+            data_centre: names.0,
+            fencing,
+            name: names.1,
+            pool: names.2,
+            state,
+        })
+    })
+}
+
+fn entry() -> impl Strategy<Value = CatalogueEntry> {
+    let data_centre = name().prop_map(|name| CatalogueEntry::DataCentre(DataCentreEntry { name }));
+    let workspace = (any::<String>(), name()).prop_map(|(key, name)| {
+        let key_sha256 = KeyDigest::of_key(&key);
+        CatalogueEntry::Workspace(WorkspaceEntry { key_sha256, name })
+    });
+    prop_oneof![class(), data_centre, pool(), upstream(), workspace]
+}
+
+fn read_text(text: &str) -> (CatalogueDeclaration, InputFindings) {
+    let mut findings = InputFindings::default();
+    let source = SourceText {
+        file: "a.ini",
+        text,
+    };
+    let declaration = CatalogueDeclaration::read(&[source], &mut findings);
+    (declaration, findings)
+}
+
+proptest! {
+    #![proptest_config(fixed(72))]
+
+    #[test]
+    fn rendered_entries_read_back(entries in prop::collection::vec(entry(), 0..8)) {
+        let entries: EntrySet = entries.into_iter().collect();
+        let text: String = entries.iter().map(|(_, entry)| render(entry)).collect();
+        let (declaration, findings) = read_text(&text);
+        prop_assert!(findings.is_empty(), "{findings}");
+        prop_assert_eq!(declaration.merge(&EntrySet::default()), entries);
+    }
+
+    #[test]
+    fn changes_lead_from_before_to_after(
+        before in prop::collection::vec(entry(), 0..6),
+        after in prop::collection::vec(entry(), 0..6),
+        shared in prop::collection::vec(entry(), 0..3),
+    ) {
+        let before: EntrySet = before.into_iter().chain(shared.clone()).collect();
+        let after: EntrySet = after.into_iter().chain(shared).collect();
+        let changes = diff(&before, &after);
+        let changed: Vec<EntryRef> = changes.iter().map(EntryChange::entry_ref).collect();
+        for (entry, content) in &before {
+            prop_assert_eq!(changed.contains(entry), after.get(entry) != Some(content));
+        }
+        for (entry, content) in &after {
+            prop_assert_eq!(changed.contains(entry), before.get(entry) != Some(content));
+        }
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused(text in ".*") {
+        let (declaration, _) = read_text(&text);
+        let _findings = declaration.check_references(&EntrySet::default());
+    }
+
+    #[test]
+    fn any_change_of_a_line_is_read_or_refused(
+        line in 0..24_usize,
+        replacement in "\\[?(class|pool|upstream|remove|pool =|owner =|deadline =)[\\] a-z0-9=.,-]{0,16}",
+    ) {
+        let mut text: Vec<&str> = WHOLE.lines().collect();
+        text[line] = &replacement;
+        let (declaration, findings) = read_text(&text.join("\n"));
+        let _references = declaration.check_references(&EntrySet::default());
+        prop_assert!(declaration.entries().len() >= 4 || !findings.is_empty());
+        let entries = declaration.merge(&EntrySet::default());
+        let rendered: String = entries.iter().map(|(_, entry)| render(entry)).collect();
+        prop_assert_eq!(read_text(&rendered).0.merge(&EntrySet::default()), entries);
+    }
+}
