--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -1,9 +1,12 @@
 //! The operators' catalogue: entries, their versions and the state in force.
 
+pub mod declaration;
+
 mod bucket;
 mod bucket_table;
 mod entry;
 mod entry_kind;
+mod entry_set;
 mod key_digest;
 mod load_multiple;
 mod snapshot;
@@ -16,6 +19,7 @@
         PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
     },
     entry_kind::{EntryKind, EntryRef},
+    entry_set::EntrySet,
     key_digest::{DigestError, KeyDigest},
     load_multiple::{LoadMultiple, MultipleError},
     snapshot::CatalogueSnapshot,
