--- a/crates/poplargap-core/src/answer.rs
+++ b/crates/poplargap-core/src/answer.rs
@@ -3,9 +3,11 @@
 mod answer_tracker;
 mod event_splitter;
 mod token_usage;
+mod whole_answer;
 
 pub use {
     answer_tracker::{AnswerTracker, EventVerdict},
     event_splitter::{EventSplitter, SplitError},
     token_usage::TokenUsage,
+    whole_answer::{ChatCompletion, WholeAnswer},
 };
--- a/crates/poplargap-core/src/home/shard_home.rs
+++ b/crates/poplargap-core/src/home/shard_home.rs
@@ -60,6 +60,12 @@
         self.epoch
     }
 
+    /// Returns the requests that this home itself has in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> u64 {
+        self.loads.values().map(|load| load.in_flight).sum()
+    }
+
     /// Returns the load of the whole shard.
     #[must_use]
     pub fn load(&self, now: MonotonicInstant) -> PoolLoad {
--- a/crates/poplargap-core/src/settings.rs
+++ b/crates/poplargap-core/src/settings.rs
@@ -16,7 +16,7 @@
 mod vm_list_section;
 
 pub use {
-    choices::{LogFormat, LogLevel, PlacementPolicy},
+    choices::{LogFormat, LogLevel},
     daemon_section::DaemonSection,
     daemon_settings::DaemonSettings,
     fleet_section::FleetSection,
--- a/crates/poplargap-core/src/settings/choices.rs
+++ b/crates/poplargap-core/src/settings/choices.rs
@@ -29,17 +29,3 @@
     /// What may become a fault.
     Warning,
 }
-
-/// How a request finds its upstream.
-#[derive(Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq, VariantNames)]
-#[strum(serialize_all = "kebab-case")]
-pub enum PlacementPolicy {
-    /// Plain consistent hash of the chat: a baseline.
-    Hash,
-    /// Last replica first, then the bounded order of the homes.
-    Homed,
-    /// Least reported load: a baseline.
-    LeastLoad,
-    /// Any upstream: a baseline.
-    Random,
-}
--- a/crates/poplargap-core/src/settings/keys.rs
+++ b/crates/poplargap-core/src/settings/keys.rs
@@ -1,11 +1,14 @@
 //! Every key of the settings with its unit, default and bounds.
 
 use {
-    super::{LogFormat, LogLevel, PlacementPolicy},
-    crate::input::{
-        ByteSize,
-        KeyDefault::{self, Absent, Required, Text},
-        KeyDescription, ValueKind,
+    super::{LogFormat, LogLevel},
+    crate::{
+        home::PolicyKind,
+        input::{
+            ByteSize,
+            KeyDefault::{self, Absent, Required, Text},
+            KeyDescription, ValueKind,
+        },
     },
     std::time::Duration,
     strum::VariantNames,
@@ -59,7 +62,7 @@
     key("log", "level", ValueKind::Choice(LogLevel::VARIANTS), Text("info"), "the least severe lines that are written"),
     key("operators", "token", SECRET, Required, "the bearer token that operators show"),
     key("placement", "memory", count(1, 16_777_216, "chats"), Text("65536"), "chats whose last replica is remembered"),
-    key("placement", "policy", ValueKind::Choice(PlacementPolicy::VARIANTS), Text("homed"), "how a request finds its upstream; all but `homed` are baselines"),
+    key("placement", "policy", ValueKind::Choice(PolicyKind::VARIANTS), Text("homed"), "how a request finds its upstream; all but `homed` are baselines"),
     key("store", "address", ValueKind::Address, Required, "the platform's key-value store, over HTTP"),
     key("store", "calls-per-second", count(1, 10_000, "calls a second"), Text("20"), "most calls that this daemon makes to the store"),
     key("store", "timeout", duration_ms(10, 60_000), Text("2s"), "longest wait for an answer of the store"),
--- a/crates/poplargap-core/src/settings/placement_section.rs
+++ b/crates/poplargap-core/src/settings/placement_section.rs
@@ -1,6 +1,6 @@
 //! Settings of placement.
 
-use {super::PlacementPolicy, crate::input::SectionReader};
+use crate::{home::PolicyKind, input::SectionReader};
 
 /// How requests find their upstreams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -8,7 +8,7 @@
     /// Chats whose last replica is remembered.
     pub memory: usize,
     /// How a request finds its upstream.
-    pub policy: PlacementPolicy,
+    pub policy: PolicyKind,
 }
 
 impl PlacementSection {
--- a/crates/poplargap-core/tests/settings.rs
+++ b/crates/poplargap-core/tests/settings.rs
@@ -3,8 +3,9 @@
 use {
     poplargap_core::{
         finding::InputFindings,
+        home::PolicyKind,
         input::KeyTable,
-        settings::{DaemonSettings, LogFormat, PlacementPolicy, SETTING_KEYS},
+        settings::{DaemonSettings, LogFormat, SETTING_KEYS},
     },
     proptest::{
         prelude::*,
@@ -49,7 +50,7 @@
     assert_eq!(settings.fleet.seeds, Vec::<SocketAddr>::new());
     assert_eq!(settings.limits.body_max.bytes(), 4 << 20);
     assert_eq!(settings.log.format, LogFormat::Terminal);
-    assert_eq!(settings.placement.policy, PlacementPolicy::Homed);
+    assert_eq!(settings.placement.policy, PolicyKind::Homed);
     assert_eq!(settings.timeouts.connect, Duration::from_millis(250));
     assert_eq!(settings.vm_list_address(), settings.store.address);
     assert!(!settings.invariants.panic);
@@ -66,7 +67,7 @@
     assert_eq!(settings.fleet.seeds.len(), 2);
     assert_eq!(settings.limits.body_max.bytes(), 512 << 10);
     assert_eq!(settings.placement.memory, 10);
-    assert_eq!(settings.placement.policy, PlacementPolicy::LeastLoad);
+    assert_eq!(settings.placement.policy, PolicyKind::LeastLoad);
     assert_eq!(settings.store.timeout, Duration::from_millis(750));
     assert_eq!(settings.vm_list_address().to_string(), "10.0.0.3:80");
 }
--- a/crates/poplargap-link/src/rpc.rs
+++ b/crates/poplargap-link/src/rpc.rs
@@ -63,5 +63,9 @@
 
     /// Returns the home of a shard in the daemon's own data centre.
     #[method(name = "home_of")]
-    async fn home_of(&self, proof: FleetProof, shard: ShardId) -> Result<HomeReply, ErrorObjectOwned>;
+    async fn home_of(
+        &self,
+        proof: FleetProof,
+        shard: ShardId,
+    ) -> Result<HomeReply, ErrorObjectOwned>;
 }
--- /dev/null
+++ b/crates/poplargapd/src/daemon/daemon_listeners.rs
@@ -0,0 +1,51 @@
+//! The listeners of a daemon, bound but not yet served.
+
+use {
+    super::StartError,
+    crate::server,
+    poplargap_core::settings::DaemonSettings,
+    std::{io, net::SocketAddr},
+    tokio::net::{TcpListener, UdpSocket},
+};
+
+/// One listener for each kind of caller.
+pub(super) struct DaemonListeners {
+    pub(super) callers: TcpListener,
+    pub(super) heartbeats: UdpSocket,
+    pub(super) operators: TcpListener,
+    pub(super) relay: TcpListener,
+    pub(super) rpc: TcpListener,
+}
+
+impl DaemonListeners {
+    /// Binds all listeners.
+    pub(super) async fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
+        let daemon = &settings.daemon;
+        let bind = |listener, address| {
+            server::bind(address).map_err(|source| bind_error(listener, address, source))
+        };
+        let heartbeats = UdpSocket::bind(daemon.peers)
+            .await
+            .map_err(|source| bind_error("peers", daemon.peers, source))?;
+        Ok(Self {
+            callers: bind("callers", daemon.callers)?,
+            heartbeats,
+            operators: bind("operators", daemon.operators)?,
+            relay: bind("relay", daemon.relay)?,
+            rpc: bind("peers", daemon.peers)?,
+        })
+    }
+}
+
+/// Says which listener can't use its address.
+pub(super) fn bind_error(
+    listener: &'static str,
+    address: SocketAddr,
+    source: io::Error,
+) -> StartError {
+    StartError::Bind {
+        address,
+        listener,
+        source,
+    }
+}
--- a/crates/poplargapd/src/feed.rs
+++ b/crates/poplargapd/src/feed.rs
@@ -8,3 +8,5 @@
     catalogue_feed::{CatalogueFeed, CatalogueReader, FeedInputs},
     peer_clients::PeerClients,
 };
+
+pub(crate) use catalogue_feed::{FeedChannels, channels};
--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -73,7 +73,9 @@
         let mut next = None;
         for (key, bucket) in table.since(revision, after) {
             if len >= DELTA_LEN_MAX {
-                next = buckets.last().map(|bucket: &CatalogueBucket| bucket.key.clone());
+                next = buckets
+                    .last()
+                    .map(|bucket: &CatalogueBucket| bucket.key.clone());
                 break;
             }
             len += bucket.value.len();
@@ -83,7 +85,11 @@
                 value: bucket.value.clone(),
             });
         }
-        CatalogueDelta { buckets, next, revision: table.revision() }
+        CatalogueDelta {
+            buckets,
+            next,
+            revision: table.revision(),
+        }
     }
 
     /// Returns a receiver of the snapshots in force.
@@ -104,8 +110,19 @@
     let table = Arc::new(RwLock::new(BucketTable::default()));
     let (snapshots, receiver) = watch::channel(Arc::new(CatalogueSnapshot::default()));
     let (revision, revisions) = watch::channel(0);
-    let reader = CatalogueReader { snapshots: receiver, table: Arc::clone(&table) };
-    (FeedChannels { revision, snapshots, table }, reader, revisions)
+    let reader = CatalogueReader {
+        snapshots: receiver,
+        table: Arc::clone(&table),
+    };
+    (
+        FeedChannels {
+            revision,
+            snapshots,
+            table,
+        },
+        reader,
+        revisions,
+    )
 }
 
 /// Where the feed publishes.
@@ -118,8 +135,17 @@
 
 impl CatalogueFeed {
     /// Starts reading the catalogue from `store` or peers.
-    pub(crate) fn start<S: KeyValueStore>(store: S, inputs: FeedInputs, channels: FeedChannels) -> Self {
-        let state = FeedState { channels, inputs, reachable: true, store };
+    pub(crate) fn start<S: KeyValueStore>(
+        store: S,
+        inputs: FeedInputs,
+        channels: FeedChannels,
+    ) -> Self {
+        let state = FeedState {
+            channels,
+            inputs,
+            reachable: true,
+            store,
+        };
         let handle = tokio::spawn(state.run());
         Self { handle }
     }
@@ -157,7 +183,7 @@
         match store_watch::list(&self.store).await {
             Ok(update) => {
                 self.note_store(None);
-                self.take(update);
+                self.take(&update);
             }
             Err(error) => {
                 self.note_store(Some(&error));
@@ -177,7 +203,10 @@
     /// Returns whether this daemon has one of the lowest names of its data centre.
     fn is_watcher(&self) -> bool {
         let members = self.inputs.members.borrow();
-        let lower = members.ready.iter().filter(|member| member.name < members.own.name);
+        let lower = members
+            .ready
+            .iter()
+            .filter(|member| member.name < members.own.name);
         lower.count() < WATCHERS
     }
 
@@ -189,7 +218,7 @@
         match update {
             Ok(update) => {
                 self.note_store(None);
-                self.take(update);
+                self.take(&update);
             }
             Err(error) => {
                 self.note_store(Some(&error));
@@ -204,7 +233,11 @@
     async fn follow_peers(&mut self) {
         let best = {
             let members = self.inputs.members.borrow();
-            members.peers.iter().max_by_key(|peer| peer.revision).map(|peer| (peer.revision, peer.peers))
+            members
+                .peers
+                .iter()
+                .max_by_key(|peer| peer.revision)
+                .map(|peer| (peer.revision, peer.peers))
         };
         if let Some((revision, peer)) = best
             && revision > self.revision()
@@ -217,8 +250,13 @@
     async fn follow_remote(&mut self) {
         let peers: Vec<SocketAddr> = {
             let vms = self.inputs.vms.borrow();
-            let remote = vms.daemons.iter().filter(|(name, _)| **name != self.inputs.data_centre);
-            remote.filter_map(|(_, daemons)| daemons.first().copied()).collect()
+            let remote = vms
+                .daemons
+                .iter()
+                .filter(|(name, _)| **name != self.inputs.data_centre);
+            remote
+                .filter_map(|(_, daemons)| daemons.first().copied())
+                .collect()
         };
         for peer in peers {
             self.learn_from(peer).await;
@@ -246,30 +284,41 @@
             }
         }
         let revision = revision.unwrap_or_default();
-        self.take(StoreUpdate { buckets, revision });
+        self.take(&StoreUpdate { buckets, revision });
     }
 
-    fn take(&mut self, update: StoreUpdate) {
+    fn take(&mut self, update: &StoreUpdate) {
         let before = self.revision();
-        let mut table = self.channels.table.write().unwrap_or_else(PoisonError::into_inner);
+        let mut table = self
+            .channels
+            .table
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         let mut changed = false;
         for bucket in &update.buckets {
             match table.accept(&bucket.key, bucket.revision, &bucket.value) {
                 Ok(accepted) => changed |= accepted,
-                Err(error) => slog::error!(self.inputs.log, "bucket can't be read"; "error" => %error),
+                Err(error) => {
+                    slog::error!(self.inputs.log, "bucket can't be read"; "error" => %error);
+                }
             }
         }
         table.complete(update.revision);
         let revision = table.revision();
         let snapshot = (changed || revision > before).then(|| table.snapshot());
         drop(table);
-        self.inputs.invariants.check(Invariant::RevisionMonotonic, revision >= before, || {
-            format!("revision {revision} after {before}")
-        });
+        self.inputs
+            .invariants
+            .check(Invariant::RevisionMonotonic, revision >= before, || {
+                format!("revision {revision} after {before}")
+            });
         if let Some(snapshot) = snapshot {
             self.channels.snapshots.send_replace(Arc::new(snapshot));
             self.channels.revision.send_replace(revision);
-            self.inputs.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+            self.inputs
+                .metrics
+                .revision
+                .set(i64::try_from(revision).unwrap_or(i64::MAX));
         }
         if changed {
             slog::info!(self.inputs.log, "catalogue in force"; "revision" => revision);
@@ -278,7 +327,9 @@
 
     fn note_store(&mut self, error: Option<&StoreError>) {
         match (error, self.reachable) {
-            (Some(error), true) => slog::warn!(self.inputs.log, "store is out of reach"; "error" => %error),
+            (Some(error), true) => {
+                slog::warn!(self.inputs.log, "store is out of reach"; "error" => %error);
+            }
             (None, false) => slog::info!(self.inputs.log, "store answers again"),
             _ => {}
         }
--- a/crates/poplargapd/src/feed/peer_clients.rs
+++ b/crates/poplargapd/src/feed/peer_clients.rs
@@ -42,7 +42,9 @@
         after: Option<String>,
     ) -> Option<CatalogueDelta> {
         let client = self.client(peer)?;
-        let result = client.catalogue_since(self.proof.clone(), revision, after).await;
+        let result = client
+            .catalogue_since(self.proof.clone(), revision, after)
+            .await;
         self.keep_if(peer, result.is_ok());
         result.ok()
     }
--- a/crates/poplargapd/src/feed/store_watch.rs
+++ b/crates/poplargapd/src/feed/store_watch.rs
@@ -47,14 +47,23 @@
 }
 
 /// Waits for buckets that change after `revision`.
-pub(super) async fn watch<S: KeyValueStore>(store: &S, revision: u64) -> Result<StoreUpdate, StoreError> {
-    let batch = store.watch(BUCKET_PREFIX, StoreRevision(revision), WATCH_WAIT).await?;
+pub(super) async fn watch<S: KeyValueStore>(
+    store: &S,
+    revision: u64,
+) -> Result<StoreUpdate, StoreError> {
+    let batch = store
+        .watch(BUCKET_PREFIX, StoreRevision(revision), WATCH_WAIT)
+        .await?;
     let buckets = batch
         .changes
         .into_iter()
         .filter_map(|change| {
             let value = change.value?;
-            Some(BucketUpdate { key: change.key, revision: change.revision.0, value })
+            Some(BucketUpdate {
+                key: change.key,
+                revision: change.revision.0,
+                value,
+            })
         })
         .collect();
     let revision = batch.revision.0;
--- a/crates/poplargapd/src/home.rs
+++ b/crates/poplargapd/src/home.rs
@@ -18,4 +18,4 @@
     service_task::ServiceTask,
     upstream_clients::{ProgressLimits, UpstreamClients},
 };
-pub(crate) use upstream_clients::build_client;
+pub(crate) use {home_actor::HomeInputs, upstream_clients::build_client};
--- a/crates/poplargapd/src/home/chat_task.rs
+++ b/crates/poplargapd/src/home/chat_task.rs
@@ -1,13 +1,15 @@
 //! Carries one chat between its home and an upstream.
 
 use {
-    super::{AttemptResult, HomeActor, HomeFrame, PlacePermit, PlaceReply, PlaceWork, UpstreamClients},
+    super::{
+        AttemptResult, HomeActor, HomeFrame, PlacePermit, PlaceReply, PlaceWork, UpstreamClients,
+    },
     crate::clock::ProcessClock,
     bytes::Bytes,
     poplargap_core::{catalogue::UpstreamEntry, outcome::RunOutcome},
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     reqwest::{Response, StatusCode},
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     tokio::{
         sync::{mpsc, oneshot},
         time,
@@ -68,7 +70,11 @@
         let PlaceReply { permit, upstream } = reply;
         match self.send(envelope, body, &upstream).await {
             Ok(response) => {
-                drop(frames.send(HomeFrame::Upstream(upstream.name.clone())).await);
+                drop(
+                    frames
+                        .send(HomeFrame::Upstream(upstream.name.clone()))
+                        .await,
+                );
                 self.forward(response, &upstream, permit, frames).await;
             }
             Err(failure) => {
@@ -84,7 +90,11 @@
         body: Bytes,
         upstream: &UpstreamEntry,
     ) -> Result<Response, AttemptFailure> {
-        let client = if envelope.repeatable { self.clients.pooled(upstream) } else { self.clients.fresh() };
+        let client = if envelope.repeatable {
+            self.clients.pooled(upstream)
+        } else {
+            self.clients.fresh()
+        };
         let mut request = client
             .post(format!("http://{}/v1/chat/completions", upstream.address))
             .header("content-type", "application/json")
@@ -157,23 +167,37 @@
     /// The request was sent and no answer came.
     pub(super) fn broken(upstream: &UpstreamEntry) -> Self {
         let refusal = broken(upstream);
-        Self { refusal, result: AttemptResult::Failed }
+        Self {
+            refusal,
+            result: AttemptResult::Failed,
+        }
     }
 
     /// The upstream answered that it doesn't take the request.
     pub(super) fn refused(upstream: &UpstreamEntry, response: &Response) -> Self {
-        let said = response.headers().get(RAN_HEADER).and_then(|value| value.to_str().ok());
-        let ran = said.and_then(|said| said.parse().ok()).unwrap_or(RunOutcome::Unknown);
+        let said = response
+            .headers()
+            .get(RAN_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let ran = said
+            .and_then(|said| said.parse().ok())
+            .unwrap_or(RunOutcome::Unknown);
         let mut refusal = broken(upstream);
         refusal.ran = ran;
-        Self { refusal, result: AttemptResult::Refused }
+        Self {
+            refusal,
+            result: AttemptResult::Refused,
+        }
     }
 
     /// No connection to the upstream came about.
     pub(super) fn unreachable(upstream: &UpstreamEntry) -> Self {
         let mut refusal = broken(upstream);
         refusal.ran = RunOutcome::NotRun;
-        Self { refusal, result: AttemptResult::Failed }
+        Self {
+            refusal,
+            result: AttemptResult::Failed,
+        }
     }
 }
 
@@ -205,4 +229,3 @@
     home.send(work).await.map_err(|_closed| moved())?;
     answer.await.map_err(|_closed| moved())?
 }
-
--- a/crates/poplargapd/src/home/home_actor.rs
+++ b/crates/poplargapd/src/home/home_actor.rs
@@ -157,12 +157,15 @@
             return;
         };
         let seen = members.epoch_of(&shard.id);
-        let homed = self.shards.entry(shard.id.clone()).or_insert_with(|| HomedShard {
-            home: ShardHome::new(0, Arc::clone(pool), shard),
-            phase: HomePhase::Former,
-            probed: now,
-            queue: WorkQueue::new(pool.queue, RetryPolicy::Fixed, now),
-        });
+        let homed = self
+            .shards
+            .entry(shard.id.clone())
+            .or_insert_with(|| HomedShard {
+                home: ShardHome::new(0, Arc::clone(pool), shard),
+                phase: HomePhase::Former,
+                probed: now,
+                queue: WorkQueue::new(pool.queue, RetryPolicy::Fixed, now),
+            });
         homed.home.set_pool(Arc::clone(pool));
         homed.home.set_upstreams(shard);
         homed.queue.resize(pool.queue);
@@ -185,7 +188,11 @@
         let (id, upstreams) = (shard.id.clone(), shard.upstreams.clone());
         tokio::spawn(async move {
             let loads = clients.loads(&upstreams).await;
-            let message = TakeoverLoads { epoch, loads, shard: id };
+            let message = TakeoverLoads {
+                epoch,
+                loads,
+                shard: id,
+            };
             drop(address.send(message).await);
         });
     }
@@ -203,21 +210,26 @@
     }
 
     fn drop_removed(&mut self, catalogue: &CatalogueSnapshot, now: MonotonicInstant) {
-        let listed: Vec<ShardId> =
-            catalogue.shards_in(&self.settings.data_centre).map(|shard| shard.id.clone()).collect();
+        let listed: Vec<ShardId> = catalogue
+            .shards_in(&self.settings.data_centre)
+            .map(|shard| shard.id.clone())
+            .collect();
         for (id, homed) in &mut self.shards {
             if !listed.contains(id) {
                 homed.phase = HomePhase::Former;
                 homed.move_waiting(now);
             }
         }
-        self.shards.retain(|id, homed| listed.contains(id) || homed.home.load(now).in_flight > 0);
+        self.shards
+            .retain(|id, homed| listed.contains(id) || homed.home.load(now).in_flight > 0);
     }
 
     fn note_leaving(&mut self) {
         let vms = Arc::clone(&self.vms.borrow());
         for homed in self.shards.values_mut() {
-            homed.home.set_leaving(|upstream| vms.leaving.contains(upstream));
+            homed
+                .home
+                .set_leaving(|upstream| vms.leaving.contains(upstream));
         }
     }
 
@@ -225,7 +237,9 @@
     fn note_residuals(&mut self, members: &MemberView) {
         for (id, homed) in &mut self.shards {
             if homed.phase == HomePhase::Home {
-                homed.home.set_foreign(|upstream| members.residual_of(id, upstream_digest(upstream)));
+                homed
+                    .home
+                    .set_foreign(|upstream| members.residual_of(id, upstream_digest(upstream)));
             }
         }
     }
@@ -234,9 +248,13 @@
         let catalogue = self.catalogue.borrow();
         let members = self.members.borrow();
         let shards = catalogue.shards_of(&shard.pool, &shard.data_centre);
-        let (own, other): (Vec<&PoolShard>, Vec<&PoolShard>) =
-            shards.iter().filter(|other| other.id != *shard).partition(|other| {
-                self.shards.get(&other.id).is_some_and(|homed| homed.phase == HomePhase::Home)
+        let (own, other): (Vec<&PoolShard>, Vec<&PoolShard>) = shards
+            .iter()
+            .filter(|other| other.id != *shard)
+            .partition(|other| {
+                self.shards
+                    .get(&other.id)
+                    .is_some_and(|homed| homed.phase == HomePhase::Home)
             });
         let now = self.clock.now();
         own.iter()
@@ -268,7 +286,10 @@
         self.invariants.check(Invariant::BoundedLoad, bounded, || {
             format!("upstream {name} carries {total}, its bound is {bound}")
         });
-        self.invariants.check(Invariant::NoWorkAfterDrain, serving, || format!("upstream {name} is leaving"));
+        self.invariants
+            .check(Invariant::NoWorkAfterDrain, serving, || {
+                format!("upstream {name} is leaving")
+            });
         let permit = PlacePermit::new(ctx.mailbox().address(), id.clone(), name);
         Ok(PlaceReply { permit, upstream })
     }
@@ -317,13 +338,28 @@
 
     fn report(&mut self, now: MonotonicInstant) {
         let mut reports: Vec<ShardReport> = Vec::new();
+        let own: u64 = self
+            .shards
+            .values()
+            .map(|homed| homed.home.in_flight())
+            .sum();
+        self.metrics
+            .homed_in_flight
+            .set(i64::try_from(own).unwrap_or(i64::MAX));
         for (id, homed) in &self.shards {
             let home = homed.phase == HomePhase::Home;
             let load = homed.home.load(now);
-            let residuals = if home { Vec::new() } else { residuals(&homed.home) };
+            let residuals = if home {
+                Vec::new()
+            } else {
+                residuals(&homed.home)
+            };
             for load in homed.home.loads() {
                 let in_flight = i64::try_from(load.in_flight).unwrap_or(i64::MAX);
-                self.metrics.upstream_load.with_label_values(&[load.entry.name.as_str()]).set(in_flight);
+                self.metrics
+                    .upstream_load
+                    .with_label_values(&[load.entry.name.as_str()])
+                    .set(in_flight);
             }
             reports.push(ShardReport {
                 digest: id.digest(),
@@ -390,7 +426,10 @@
             answer(message.reply, Err(refusal));
             return;
         };
-        let queued = self.shards.get(&message.shard).is_some_and(|homed| !homed.queue.is_empty());
+        let queued = self
+            .shards
+            .get(&message.shard)
+            .is_some_and(|homed| !homed.queue.is_empty());
         if phase == HomePhase::Home && !queued {
             match self.place(&message.shard, &message.request, ctx) {
                 Ok(reply) => return answer(message.reply, Ok(reply)),
--- a/crates/poplargapd/src/home/homed_shard.rs
+++ b/crates/poplargapd/src/home/homed_shard.rs
@@ -3,7 +3,10 @@
 use {
     super::messages::{PlaceReply, PlaceWork},
     poplargap_core::{
-        home::{PlaceRefusal, PlaceRequest, PlacementPolicy, PolicyChoice, PolicyKind, PoolLoad, ShardHome},
+        home::{
+            PlaceRefusal, PlaceRequest, PlacementPolicy, PolicyChoice, PolicyKind, PoolLoad,
+            ShardHome,
+        },
         instant::MonotonicInstant,
         name::UpstreamName,
         queue::{RefusalReason as QueueReason, WorkCost, WorkItem, WorkQueue},
@@ -90,7 +93,10 @@
             cost: WorkCost::ONE,
             id: work.id,
             latest_start: work.deadline,
-            payload: WaitingWork { reply: work.reply, request: work.request },
+            payload: WaitingWork {
+                reply: work.reply,
+                request: work.request,
+            },
             priority: work.priority,
             workspace: work.workspace,
         };
@@ -100,7 +106,9 @@
             Err(refusal) => {
                 let reason = match refusal.reason {
                     QueueReason::DeadlineTooNear => RefusalReason::Expired,
-                    QueueReason::DuplicateRequest | QueueReason::QueueFull => RefusalReason::QueueFull,
+                    QueueReason::DuplicateRequest | QueueReason::QueueFull => {
+                        RefusalReason::QueueFull
+                    }
                 };
                 self.refuse(refusal.item, reason, now);
             }
@@ -117,11 +125,19 @@
     /// Refuses everything that waits, since another daemon is the home now.
     pub(super) fn move_waiting(&mut self, now: MonotonicInstant) {
         while let Some(item) = self.queue.pop(now) {
-            answer(item.payload.reply, Err(RelayRefusal::not_run(RefusalReason::Moved)));
+            answer(
+                item.payload.reply,
+                Err(RelayRefusal::not_run(RefusalReason::Moved)),
+            );
         }
     }
 
-    fn refuse(&mut self, item: WorkItem<WaitingWork>, reason: RefusalReason, now: MonotonicInstant) {
+    fn refuse(
+        &mut self,
+        item: WorkItem<WaitingWork>,
+        reason: RefusalReason,
+        now: MonotonicInstant,
+    ) {
         let wait: Duration = self.queue.retry_after(&item.workspace, now);
         let mut refusal = RelayRefusal::not_run(reason);
         refusal.retry_after_ms = u64::try_from(wait.as_millis()).ok();
--- a/crates/poplargapd/src/home/place_permit.rs
+++ b/crates/poplargapd/src/home/place_permit.rs
@@ -30,9 +30,18 @@
 }
 
 impl PlacePermit {
-    pub(super) fn new(address: WeakAddress<HomeActor>, shard: ShardId, upstream: UpstreamName) -> Self {
+    pub(super) fn new(
+        address: WeakAddress<HomeActor>,
+        shard: ShardId,
+        upstream: UpstreamName,
+    ) -> Self {
         let result = AttemptResult::Abandoned;
-        Self { address, result, shard, upstream }
+        Self {
+            address,
+            result,
+            shard,
+            upstream,
+        }
     }
 
     /// Ends the request with what was learned about the upstream.
--- a/crates/poplargapd/src/home/service_task.rs
+++ b/crates/poplargapd/src/home/service_task.rs
@@ -32,7 +32,11 @@
         let reply = place(&self.0.home, self.0.clock, &call.envelope).await?;
         let PlaceReply { permit, upstream } = reply;
         let deadline = Duration::from_millis(call.envelope.deadline_ms);
-        let wait = if call.envelope.repeatable { deadline.min(self.0.clients.limits().first_byte) } else { deadline };
+        let wait = if call.envelope.repeatable {
+            deadline.min(self.0.clients.limits().first_byte)
+        } else {
+            deadline
+        };
         let attempt = time::timeout(wait, self.attempt(call, &upstream));
         let result = attempt.await.unwrap_or_else(|_elapsed| {
             self.0.clients.drop_pool(&upstream.name);
@@ -50,7 +54,11 @@
         }
     }
 
-    async fn attempt(&self, call: &ServiceRequest, upstream: &UpstreamEntry) -> Result<ServiceAnswer, AttemptFailure> {
+    async fn attempt(
+        &self,
+        call: &ServiceRequest,
+        upstream: &UpstreamEntry,
+    ) -> Result<ServiceAnswer, AttemptFailure> {
         let request = self.request(call, upstream)?;
         let response = request.send().await.map_err(|error| {
             if error.is_connect() {
@@ -65,16 +73,30 @@
         read(response, upstream).await
     }
 
-    fn request(&self, call: &ServiceRequest, upstream: &UpstreamEntry) -> Result<RequestBuilder, AttemptFailure> {
+    fn request(
+        &self,
+        call: &ServiceRequest,
+        upstream: &UpstreamEntry,
+    ) -> Result<RequestBuilder, AttemptFailure> {
         let envelope = &call.envelope;
-        let RelayWork::Service { content_type, idempotency_key, method, path } = &envelope.work else {
+        let RelayWork::Service {
+            content_type,
+            idempotency_key,
+            method,
+            path,
+        } = &envelope.work
+        else {
             return Err(unreadable(upstream));
         };
         let Ok(method) = Method::from_bytes(method.as_bytes()) else {
             return Err(unreadable(upstream));
         };
         let clients = &self.0.clients;
-        let client = if envelope.repeatable { clients.pooled(upstream) } else { clients.fresh() };
+        let client = if envelope.repeatable {
+            clients.pooled(upstream)
+        } else {
+            clients.fresh()
+        };
         let mut request = client
             .request(method, format!("http://{}{path}", upstream.address))
             .header("x-request-id", envelope.request_id.as_str())
@@ -91,16 +113,27 @@
     }
 }
 
-async fn read(response: Response, upstream: &UpstreamEntry) -> Result<ServiceAnswer, AttemptFailure> {
+async fn read(
+    response: Response,
+    upstream: &UpstreamEntry,
+) -> Result<ServiceAnswer, AttemptFailure> {
     let status = response.status().as_u16();
     let content_type = response
         .headers()
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .map(ToOwned::to_owned);
-    let body = response.bytes().await.map_err(|_source| AttemptFailure::broken(upstream))?;
+    let body = response
+        .bytes()
+        .await
+        .map_err(|_source| AttemptFailure::broken(upstream))?;
     let upstream = upstream.name.clone();
-    Ok(ServiceAnswer { body, content_type, status, upstream })
+    Ok(ServiceAnswer {
+        body,
+        content_type,
+        status,
+        upstream,
+    })
 }
 
 fn unreadable(upstream: &UpstreamEntry) -> AttemptFailure {
--- a/crates/poplargapd/src/home/upstream_clients.rs
+++ b/crates/poplargapd/src/home/upstream_clients.rs
@@ -71,7 +71,11 @@
     pub fn new(limits: ProgressLimits) -> Result<Self, reqwest::Error> {
         let fresh = build_client(limits.connect, 0)?;
         let pooled = Arc::default();
-        Ok(Self { fresh, limits, pooled })
+        Ok(Self {
+            fresh,
+            limits,
+            pooled,
+        })
     }
 
     /// Returns the longest waits for progress.
@@ -98,7 +102,10 @@
         let Ok(client) = build_client(self.limits.connect, usize::MAX) else {
             return self.fresh.clone();
         };
-        let entry = PooledClient { address: upstream.address, client: client.clone() };
+        let entry = PooledClient {
+            address: upstream.address,
+            client: client.clone(),
+        };
         pooled.insert(upstream.name.clone(), entry);
         client
     }
@@ -122,7 +129,13 @@
 
     async fn load(&self, upstream: &UpstreamEntry) -> Option<u64> {
         let url = format!("http://{}/load", upstream.address);
-        let response = self.fresh.get(url).timeout(LOAD_TIMEOUT).send().await.ok()?;
+        let response = self
+            .fresh
+            .get(url)
+            .timeout(LOAD_TIMEOUT)
+            .send()
+            .await
+            .ok()?;
         let report: LoadReport = response.error_for_status().ok()?.json().await.ok()?;
         Some(report.running + report.waiting)
     }
--- a/crates/poplargapd/src/invariant.rs
+++ b/crates/poplargapd/src/invariant.rs
@@ -37,7 +37,10 @@
     ///
     /// Returns an error when the registry has such a counter already.
     pub fn new(registry: &Registry, log: Logger, panic: bool) -> Result<Self, prometheus::Error> {
-        let opts = Opts::new("poplargap_invariants_broken_total", "Invariants found broken, by name");
+        let opts = Opts::new(
+            "poplargap_invariants_broken_total",
+            "Invariants found broken, by name",
+        );
         let broken = IntCounterVec::new(opts, &["invariant"])?;
         registry.register(Box::new(broken.clone()))?;
         Ok(Self { broken, log, panic })
--- a/crates/poplargapd/src/lib.rs
+++ b/crates/poplargapd/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Daemon of the poplargap router fleet, one on every entry VM.
+
+pub mod args;
+pub mod daemon;
+pub mod feed;
+pub mod home;
+pub mod invariant;
+pub mod log;
+pub mod members;
+pub mod metrics;
+pub mod operators;
+pub mod path;
+pub mod relay;
+pub mod rpc_server;
+pub mod run;
+
+mod clock;
+mod server;
--- /dev/null
+++ b/crates/poplargapd/src/log.rs
@@ -0,0 +1,42 @@
+//! The daemon's log.
+
+use {
+    poplargap_core::settings::{LogFormat, LogLevel, LogSection},
+    slog::{Drain, Level, LevelFilter, Logger, o},
+    slog_async::Async,
+    slog_json::Json,
+    slog_term::{FullFormat, TermDecorator},
+    std::io,
+};
+
+/// Creates the log that settings describe, on the standard error stream.
+pub fn create(section: &LogSection) -> Logger {
+    let level = level(section.level);
+    match section.format {
+        LogFormat::Json => {
+            let drain = Json::default(io::stderr()).fuse();
+            root(Async::new(drain).build(), level)
+        }
+        LogFormat::Terminal => {
+            let drain = FullFormat::new(TermDecorator::new().stderr().build())
+                .build()
+                .fuse();
+            root(Async::new(drain).build(), level)
+        }
+    }
+}
+
+fn root(drain: Async, level: Level) -> Logger {
+    Logger::root(LevelFilter::new(drain.fuse(), level).fuse(), o!())
+}
+
+fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Critical => Level::Critical,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Error => Level::Error,
+        LogLevel::Info => Level::Info,
+        LogLevel::Trace => Level::Trace,
+        LogLevel::Warning => Level::Warning,
+    }
+}
--- a/crates/poplargapd/src/members.rs
+++ b/crates/poplargapd/src/members.rs
@@ -9,3 +9,5 @@
     member_view::{MemberView, PeerShard},
     vm_task::{VmTask, VmView},
 };
+
+pub(crate) use heartbeat_task::HeartbeatInputs;
--- a/crates/poplargapd/src/members/heartbeat_task.rs
+++ b/crates/poplargapd/src/members/heartbeat_task.rs
@@ -147,12 +147,12 @@
     }
 
     fn hear(&mut self, datagram: &[u8]) {
-        let message = match HeartbeatMessage::decode(datagram, &self.settings.key) {
-            Ok(message) => message,
-            Err(_) => {
-                self.metrics.peers_refused.with_label_values(&["heartbeat"]).inc();
-                return;
-            }
+        let Ok(message) = HeartbeatMessage::decode(datagram, &self.settings.key) else {
+            self.metrics
+                .peers_refused
+                .with_label_values(&["heartbeat"])
+                .inc();
+            return;
         };
         let (name, state) = (message.report.name.clone(), message.report.state);
         match self.table.hear(message.report, self.clock.now()) {
@@ -179,7 +179,10 @@
         let mut shards: HashMap<_, Vec<PeerShard>> = HashMap::new();
         for (daemon, reports) in &self.reports {
             for report in reports {
-                let peer = PeerShard { daemon: daemon.clone(), report: report.clone() };
+                let peer = PeerShard {
+                    daemon: daemon.clone(),
+                    report: report.clone(),
+                };
                 shards.entry(report.digest).or_default().push(peer);
             }
         }
@@ -212,17 +215,27 @@
         let len = u64::try_from(datagram.len()).unwrap_or_default() + DATAGRAM_OVERHEAD;
         for address in self.addresses() {
             if self.socket.send_to(&datagram, address).await.is_ok() {
-                self.metrics.control_sent.with_label_values(&["heartbeat"]).inc_by(len);
+                self.metrics
+                    .control_sent
+                    .with_label_values(&["heartbeat"])
+                    .inc_by(len);
             }
         }
     }
 
     fn addresses(&self) -> BTreeSet<SocketAddr> {
         let vms = self.inputs.vms.borrow();
-        let listed = vms.daemons.get(&self.settings.data_centre).into_iter().flatten().copied();
+        let listed = vms
+            .daemons
+            .get(&self.settings.data_centre)
+            .into_iter()
+            .flatten()
+            .copied();
         let heard = self.table.peers().map(|report| report.peers);
-        let mut addresses: BTreeSet<SocketAddr> =
-            listed.chain(heard).chain(self.settings.seeds.iter().copied()).collect();
+        let mut addresses: BTreeSet<SocketAddr> = listed
+            .chain(heard)
+            .chain(self.settings.seeds.iter().copied())
+            .collect();
         addresses.remove(&self.settings.own.peers);
         addresses
     }
--- a/crates/poplargapd/src/members/member_view.rs
+++ b/crates/poplargapd/src/members/member_view.rs
@@ -47,14 +47,19 @@
     #[must_use]
     pub fn is_home_of(&self, shard: &ShardId) -> bool {
         self.own.state == MemberState::Ready
-            && self.home_of(shard).is_some_and(|member| member.name == self.own.name)
+            && self
+                .home_of(shard)
+                .is_some_and(|member| member.name == self.own.name)
     }
 
     /// Returns the highest epoch that a peer reports for a shard, or 0.
     #[must_use]
     pub fn epoch_of(&self, shard: &ShardId) -> u64 {
         let reports = self.shards.get(&shard.digest()).into_iter().flatten();
-        reports.map(|peer| peer.report.epoch).max().unwrap_or_default()
+        reports
+            .map(|peer| peer.report.epoch)
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns what former homes' requests still cause at an upstream.
--- a/crates/poplargapd/src/members/vm_task.rs
+++ b/crates/poplargapd/src/members/vm_task.rs
@@ -50,7 +50,11 @@
     /// Starts polling `list` every `poll`.
     ///
     /// A list that can't be read leaves the last view in force.
-    pub fn start<L: VmList>(list: L, poll: Duration, log: Logger) -> (Self, watch::Receiver<Arc<VmView>>) {
+    pub fn start<L: VmList>(
+        list: L,
+        poll: Duration,
+        log: Logger,
+    ) -> (Self, watch::Receiver<Arc<VmView>>) {
         let (sender, receiver) = watch::channel(Arc::new(VmView::default()));
         let handle = tokio::spawn(run(list, poll, log, sender));
         (Self { handle }, receiver)
--- a/crates/poplargapd/src/metrics.rs
+++ b/crates/poplargapd/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use {
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-        TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder,
     },
     std::{collections::BTreeSet, sync::Mutex},
 };
@@ -49,6 +49,8 @@
     pub events_dropped: IntCounterVec,
     /// Datagrams and calls of daemons that were refused, by reason.
     pub peers_refused: IntCounterVec,
+    /// Requests in flight at upstreams that this daemon is or was home to.
+    pub homed_in_flight: IntGauge,
     /// Requests of callers in flight.
     pub requests_in_flight: IntGauge,
     /// Revision of the catalogue in force.
@@ -67,7 +69,12 @@
     tokens: IntCounterVec,
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
     let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
     registry.register(Box::new(counters.clone()))?;
     Ok(counters)
@@ -79,7 +86,12 @@
     Ok(gauge)
 }
 
-fn seconds(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec, prometheus::Error> {
+fn seconds(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<HistogramVec, prometheus::Error> {
     let opts = HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec());
     let histograms = HistogramVec::new(opts, labels)?;
     registry.register(Box::new(histograms.clone()))?;
@@ -95,36 +107,89 @@
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
         let upstream_load = IntGaugeVec::new(
-            Opts::new("poplargap_upstream_load", "Requests in flight at an upstream, counted at its home"),
+            Opts::new(
+                "poplargap_upstream_load",
+                "Requests in flight at an upstream, counted at its home",
+            ),
             &["upstream"],
         )?;
         registry.register(Box::new(upstream_load.clone()))?;
-        let resumes = IntCounter::new("poplargap_resumes_total", "Answers resumed at another upstream or home")?;
+        let resumes = IntCounter::new(
+            "poplargap_resumes_total",
+            "Answers resumed at another upstream or home",
+        )?;
         registry.register(Box::new(resumes.clone()))?;
         Ok(Self {
-            attempts: counters(&registry, "poplargap_attempts_total", "Attempts, by outcome", &["outcome"])?,
+            attempts: counters(
+                &registry,
+                "poplargap_attempts_total",
+                "Attempts, by outcome",
+                &["outcome"],
+            )?,
             class_labels: ClassLabels::default(),
-            control_sent: counters(&registry, "poplargap_control_bytes_total", "Control bytes sent", &["kind"])?,
-            events_dropped: counters(&registry, "poplargap_events_dropped_total", "Events not forwarded", &["reason"])?,
+            control_sent: counters(
+                &registry,
+                "poplargap_control_bytes_total",
+                "Control bytes sent",
+                &["kind"],
+            )?,
+            events_dropped: counters(
+                &registry,
+                "poplargap_events_dropped_total",
+                "Events not forwarded",
+                &["reason"],
+            )?,
             first_token: seconds(
                 &registry,
                 "poplargap_first_token_seconds",
                 "Time from accepting a request to its first token",
                 &["class"],
             )?,
-            members_ready: gauge(&registry, "poplargap_members_ready", "Ready daemons of the own data centre")?,
-            peers_refused: counters(&registry, "poplargap_peers_refused_total", "Refused messages", &["reason"])?,
+            homed_in_flight: gauge(
+                &registry,
+                "poplargap_homed_in_flight",
+                "Requests at upstreams homed here",
+            )?,
+            members_ready: gauge(
+                &registry,
+                "poplargap_members_ready",
+                "Ready daemons of the own data centre",
+            )?,
+            peers_refused: counters(
+                &registry,
+                "poplargap_peers_refused_total",
+                "Refused messages",
+                &["reason"],
+            )?,
             request_seconds: seconds(
                 &registry,
                 "poplargap_request_seconds",
                 "Time from accepting a request to the end of its answer",
                 &["class", "outcome"],
             )?,
-            requests: counters(&registry, "poplargap_requests_total", "Requests, by outcome", &["class", "outcome"])?,
-            requests_in_flight: gauge(&registry, "poplargap_requests_in_flight", "Callers' requests in flight")?,
+            requests: counters(
+                &registry,
+                "poplargap_requests_total",
+                "Requests, by outcome",
+                &["class", "outcome"],
+            )?,
+            requests_in_flight: gauge(
+                &registry,
+                "poplargap_requests_in_flight",
+                "Callers' requests in flight",
+            )?,
             resumes,
-            revision: gauge(&registry, "poplargap_catalogue_revision", "Revision of the catalogue in force")?,
-            tokens: counters(&registry, "poplargap_tokens_total", "Tokens by kind", &["class", "kind"])?,
+            revision: gauge(
+                &registry,
+                "poplargap_catalogue_revision",
+                "Revision of the catalogue in force",
+            )?,
+            tokens: counters(
+                &registry,
+                "poplargap_tokens_total",
+                "Tokens by kind",
+                &["class", "kind"],
+            )?,
             upstream_load,
             registry,
         })
@@ -139,14 +204,18 @@
     /// Notes the time to a request's first token, in seconds.
     pub fn observe_first_token(&self, class: &str, seconds: f64) {
         let class = self.class_labels.label(class);
-        self.first_token.with_label_values(&[class]).observe(seconds);
+        self.first_token
+            .with_label_values(&[class])
+            .observe(seconds);
     }
 
     /// Notes a request's end, with its duration in seconds.
     pub fn observe_request(&self, class: &str, outcome: &str, seconds: f64) {
         let class = self.class_labels.label(class);
         self.requests.with_label_values(&[class, outcome]).inc();
-        self.request_seconds.with_label_values(&[class, outcome]).observe(seconds);
+        self.request_seconds
+            .with_label_values(&[class, outcome])
+            .observe(seconds);
     }
 
     /// Notes tokens that a request used.
--- /dev/null
+++ b/crates/poplargapd/src/path/accept.rs
@@ -0,0 +1,189 @@
+//! Takes callers' requests off the wire and gives them to the path.
+
+use {
+    super::{
+        AdmitPass, CallTarget, CallerRequest, PathContext, PathProblem, ProblemCode, RequestTrace,
+        Settlement, chat, service,
+    },
+    crate::server::HttpServer,
+    bytes::{Buf, Bytes, BytesMut},
+    futures::{Stream, StreamExt},
+    poplargap_core::name::{PoolName, RequestId},
+    poplargap_platform::KeyValueStore,
+    std::{pin::pin, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, time},
+    warp::{
+        Filter, Reply,
+        filters::path::FullPath,
+        http::{HeaderMap, Method, StatusCode},
+        reply::Response,
+    },
+};
+
+const SERVICES_PREFIX: &str = "/v1/services/";
+
+/// The running listener for callers.
+#[derive(Debug)]
+pub struct CallerServer(HttpServer);
+
+impl CallerServer {
+    /// Starts taking requests on `listener`.
+    #[must_use]
+    pub fn start<S: KeyValueStore>(context: Arc<PathContext<S>>, listener: TcpListener) -> Self {
+        let context = warp::any().map(move || Arc::clone(&context));
+        let chats = warp::path!("v1" / "chat" / "completions")
+            .and(warp::post())
+            .and(context.clone())
+            .and(warp::header::headers_cloned())
+            .and(warp::body::stream())
+            .then(|context, headers, body| serve(context, headers, body, CallTarget::Chat));
+        let query = warp::query::raw().or(warp::any().map(String::new)).unify();
+        let services = warp::path!("v1" / "services" / ..)
+            .and(warp::path::full())
+            .and(warp::method())
+            .and(query)
+            .and(context)
+            .and(warp::header::headers_cloned())
+            .and(warp::body::stream())
+            .then(
+                |path: FullPath, method, query: String, context, headers, body| async move {
+                    match service_target(&path, &method, &query, &headers) {
+                        Some(target) => serve(context, headers, body, target).await,
+                        None => StatusCode::NOT_FOUND.into_response(),
+                    }
+                },
+            );
+        Self(HttpServer::start(chats.or(services), listener))
+    }
+
+    /// Ends the listener once its requests have ended, at the latest after `grace`.
+    pub async fn close(self, grace: Duration) {
+        self.0.close(grace).await;
+    }
+}
+
+fn service_target(
+    path: &FullPath,
+    method: &Method,
+    query: &str,
+    headers: &HeaderMap,
+) -> Option<CallTarget> {
+    let rest = path.as_str().strip_prefix(SERVICES_PREFIX)?;
+    let (pool, tail) = rest.split_once('/').unwrap_or((rest, ""));
+    let pool = PoolName::try_from(pool).ok()?;
+    let query = if query.is_empty() {
+        String::new()
+    } else {
+        format!("?{query}")
+    };
+    let content_type = headers
+        .get("content-type")
+        .and_then(|value| value.to_str().ok())
+        .map(ToOwned::to_owned);
+    Some(CallTarget::Service {
+        content_type,
+        method: method.to_string(),
+        path: format!("/{tail}{query}"),
+        pool,
+    })
+}
+
+/// Returns an id for a request whose caller gave none.
+fn fresh_id() -> RequestId {
+    let text = format!("req-{:032x}", rand::random::<u128>());
+    RequestId::try_from(text).expect("hexadecimal digits and a dash make a name")
+}
+
+async fn serve<S, B, D, E>(
+    context: Arc<PathContext<S>>,
+    headers: HeaderMap,
+    body: B,
+    target: CallTarget,
+) -> Response
+where
+    S: KeyValueStore,
+    B: Stream<Item = Result<D, E>> + Send,
+    D: Buf,
+{
+    let accepted = context.clock.now();
+    let request = match CallerRequest::read(&headers, target, accepted, fresh_id()) {
+        Ok(request) => request,
+        Err((id, findings)) => {
+            let problem = PathProblem::not_run(ProblemCode::MalformedRequest, findings.join("; "));
+            return problem.into_response(&id);
+        }
+    };
+    let pass: AdmitPass = match context.admit.enter() {
+        Ok(pass) => pass,
+        Err(problem) => return problem.into_response(&request.id),
+    };
+    let trace = RequestTrace::new(request.id.clone());
+    let settlement = Settlement::new(Arc::clone(&context), accepted, pass, trace);
+    if context.catalogue.borrow().revision == 0 {
+        let problem =
+            PathProblem::not_run(ProblemCode::NotReady, "the daemon has no catalogue yet");
+        return chat::refuse(problem, &request.id, settlement);
+    }
+    let body = match read_body(&context, &headers, body).await {
+        Ok(body) => body,
+        Err(problem) => return chat::refuse(problem, &request.id, settlement),
+    };
+    match &request.target {
+        CallTarget::Chat => chat::serve(context, request, body, settlement).await,
+        CallTarget::Service { .. } => service::serve(context, request, body, settlement).await,
+    }
+}
+
+async fn read_body<S, B, D, E>(
+    context: &PathContext<S>,
+    headers: &HeaderMap,
+    body: B,
+) -> Result<Bytes, PathProblem>
+where
+    B: Stream<Item = Result<D, E>>,
+    D: Buf,
+{
+    let max = context.body_max;
+    let declared = headers
+        .get("content-length")
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if declared.is_some_and(|declared| declared > max) {
+        return Err(too_large(max));
+    }
+    let read = collect(body, max);
+    time::timeout(context.body_deadline, read)
+        .await
+        .unwrap_or_else(|_elapsed| {
+            let seconds = context.body_deadline.as_secs();
+            let detail = format!("the body didn't arrive within {seconds} s");
+            Err(PathProblem::not_run(ProblemCode::BodyTimeout, detail))
+        })
+}
+
+async fn collect<B, D, E>(body: B, max: u64) -> Result<Bytes, PathProblem>
+where
+    B: Stream<Item = Result<D, E>>,
+    D: Buf,
+{
+    let mut body = pin!(body);
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = body.next().await {
+        let chunk = chunk.map_err(|_source| {
+            PathProblem::not_run(
+                ProblemCode::MalformedRequest,
+                "the body broke off before its end",
+            )
+        })?;
+        if bytes.len().saturating_add(chunk.remaining()) as u64 > max {
+            return Err(too_large(max));
+        }
+        bytes.extend_from_slice(chunk.chunk());
+    }
+    Ok(bytes.freeze())
+}
+
+fn too_large(max: u64) -> PathProblem {
+    let detail =
+        format!("the body is longer than {max} bytes, the most that the daemon's settings allow");
+    PathProblem::not_run(ProblemCode::BodyTooLarge, detail)
+}
--- a/crates/poplargapd/src/path/admit.rs
+++ b/crates/poplargapd/src/path/admit.rs
@@ -29,7 +29,10 @@
     #[must_use]
     pub fn new(callers_max: usize) -> Self {
         let semaphore = Arc::new(Semaphore::new(callers_max));
-        Self { callers_max, semaphore }
+        Self {
+            callers_max,
+            semaphore,
+        }
     }
 
     /// Lets one request in.
--- /dev/null
+++ b/crates/poplargapd/src/path/chat.rs
@@ -0,0 +1,234 @@
+//! Serves chat completions, streamed or whole.
+
+use {
+    super::{
+        AnswerRelay, CallerRequest, Identity, PathContext, PathProblem, ProblemCode, Settlement,
+        problem::REQUEST_ID_HEADER, relay::ChatWork, request::ROUTE_HEADER,
+    },
+    bytes::Bytes,
+    futures::stream,
+    poplargap_core::{
+        answer::WholeAnswer,
+        catalogue::PoolKind,
+        name::{RequestId, WorkspaceName},
+    },
+    serde::Deserialize,
+    serde_json::{Value, json, value::RawValue},
+    std::{borrow::Cow, convert::Infallible, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time},
+    warp::{
+        Reply,
+        http::{
+            HeaderValue,
+            header::{CACHE_CONTROL, CONTENT_TYPE},
+        },
+        reply::Response,
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Groups of events that may wait for a slow caller.
+const GROUPS_MAX: usize = 16;
+
+#[derive(Deserialize)]
+struct ChatBody<'a> {
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Serves one chat completion.
+pub(super) async fn serve<S: Send + Sync + 'static>(
+    context: Arc<PathContext<S>>,
+    request: CallerRequest,
+    body: Bytes,
+    mut settlement: Settlement<S>,
+) -> Response {
+    let id = request.id.clone();
+    let (work, streamed) = match prepare(&context, request, body, &mut settlement) {
+        Ok(prepared) => prepared,
+        Err(problem) => return refuse(problem, &id, settlement),
+    };
+    let write = context.write;
+    let mut relay = AnswerRelay::new(context, work);
+    if let Err(problem) = relay.open(&mut settlement).await {
+        return refuse(problem, &id, settlement);
+    }
+    if streamed {
+        stream_answer(relay, id, settlement, write)
+    } else {
+        whole_answer(relay, &id, settlement).await
+    }
+}
+
+/// Ends a request with a refusal.
+pub(super) fn refuse<S>(
+    problem: PathProblem,
+    id: &RequestId,
+    settlement: Settlement<S>,
+) -> Response {
+    settlement.close(problem.code.into());
+    problem.into_response(id)
+}
+
+fn prepare<S>(
+    context: &Arc<PathContext<S>>,
+    request: CallerRequest,
+    body: Bytes,
+    settlement: &mut Settlement<S>,
+) -> Result<(ChatWork, bool), PathProblem> {
+    let malformed = |detail: String| PathProblem::not_run(ProblemCode::MalformedRequest, detail);
+    let chat: ChatBody<'_> = serde_json::from_slice(&body)
+        .map_err(|error| malformed(format!("the body is no chat completion: {error}")))?;
+    let first = chat
+        .messages
+        .first()
+        .ok_or_else(|| malformed("messages: the list is empty".to_owned()))?;
+    let catalogue = Arc::clone(&context.catalogue.borrow());
+    let identity = Identity::find(&request, &catalogue, &chat.model, PoolKind::Model)?;
+    settlement.identify(identity.class.name.as_str());
+    let key = placement_key(&request, &identity.class.owner, first);
+    let streamed = chat.stream;
+    let body = if streamed {
+        body
+    } else {
+        as_streamed(&body).map_err(malformed)?
+    };
+    let CallerRequest { chat, hint, id, .. } = request;
+    Ok((
+        ChatWork {
+            body,
+            chat,
+            hint,
+            id,
+            identity,
+            key,
+        },
+        streamed,
+    ))
+}
+
+/// Returns a text that stays the same over the turns of a chat.
+fn placement_key(request: &CallerRequest, workspace: &WorkspaceName, first: &RawValue) -> String {
+    match &request.chat {
+        Some(chat) => format!("{workspace}/{chat}"),
+        None => format!("{workspace}/{:016x}", xxh3_64(first.get().as_bytes())),
+    }
+}
+
+/// Rewrites the body so that the upstream streams its answer, which can then be resumed.
+fn as_streamed(body: &[u8]) -> Result<Bytes, String> {
+    let mut value: Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let Some(object) = value.as_object_mut() else {
+        return Err("the body is no JSON object".to_owned());
+    };
+    object.insert("stream".to_owned(), Value::Bool(true));
+    object.insert("stream_options".to_owned(), json!({"include_usage": true}));
+    serde_json::to_vec(&value)
+        .map(Bytes::from)
+        .map_err(|error| error.to_string())
+}
+
+async fn whole_answer<S>(
+    mut relay: AnswerRelay<S>,
+    id: &RequestId,
+    mut settlement: Settlement<S>,
+) -> Response {
+    let mut answer = WholeAnswer::default();
+    loop {
+        match relay.next(&mut settlement).await {
+            Ok(Some(events)) => {
+                settlement.note_token();
+                for event in &events {
+                    answer.push(event);
+                }
+            }
+            Ok(None) => break,
+            Err(problem) => return refuse(problem, id, settlement),
+        }
+    }
+    let mut response = warp::reply::json(&answer.into_completion()).into_response();
+    label(&mut response, id, &relay);
+    settlement.note_usage(relay.usage());
+    settlement.close("complete");
+    relay.close();
+    response
+}
+
+fn stream_answer<S: Send + Sync + 'static>(
+    relay: AnswerRelay<S>,
+    id: RequestId,
+    settlement: Settlement<S>,
+    write: Duration,
+) -> Response {
+    let (groups, receiver) = mpsc::channel::<Vec<Bytes>>(GROUPS_MAX);
+    let body = stream::unfold(receiver, |mut receiver| async move {
+        let group = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(join(group)), receiver))
+    });
+    let mut response = warp::reply::stream(body).into_response();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    label(&mut response, &id, &relay);
+    tokio::spawn(pump(relay, id, settlement, groups, write));
+    response
+}
+
+/// Forwards an answer until it is whole, its caller goes, or its caller takes nothing for too long.
+async fn pump<S>(
+    mut relay: AnswerRelay<S>,
+    id: RequestId,
+    mut settlement: Settlement<S>,
+    groups: mpsc::Sender<Vec<Bytes>>,
+    write: Duration,
+) {
+    loop {
+        let next = tokio::select! {
+            next = relay.next(&mut settlement) => next,
+            () = groups.closed() => return settlement.close("caller-gone"),
+        };
+        let group = match next {
+            Ok(Some(events)) => events,
+            Ok(None) => {
+                settlement.note_usage(relay.usage());
+                settlement.close("complete");
+                return relay.close();
+            }
+            Err(problem) => {
+                let event = format!("event: error\ndata: {}\n\n", problem.to_json(&id));
+                drop(time::timeout(write, groups.send(vec![Bytes::from(event)])).await);
+                return settlement.close(problem.code.into());
+            }
+        };
+        settlement.note_token();
+        match time::timeout(write, groups.send(group)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return settlement.close("caller-gone"),
+            Err(_) => return settlement.close("caller-slow"),
+        }
+    }
+}
+
+fn join(mut group: Vec<Bytes>) -> Bytes {
+    if group.len() == 1 {
+        return group.swap_remove(0);
+    }
+    Bytes::from(group.concat())
+}
+
+fn label<S>(response: &mut Response, id: &RequestId, relay: &AnswerRelay<S>) {
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    let route = relay
+        .route()
+        .and_then(|route| HeaderValue::from_str(&route.to_string()).ok());
+    if let Some(route) = route {
+        headers.insert(ROUTE_HEADER, route);
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/path/claim.rs
@@ -0,0 +1,239 @@
+//! Claims of calls that may not be repeated, kept in the platform's store.
+//!
+//! A call with an idempotency key is claimed before it is sent, so that a repeated send through any
+//! daemon finds the claim and never runs the call again. A claim whose outcome isn't known stays.
+
+use {
+    super::{PathProblem, ProblemCode},
+    poplargap_core::name::{DaemonName, IdempotencyKey, RequestId, WorkspaceName},
+    poplargap_platform::{
+        KeyValueStore, SettleLimit, StoreRevision, StoredValue, SwapOutcome, SwapWrite,
+        WriteEvidence, write_then_settle,
+    },
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+    tokio::time::{self, Instant},
+};
+
+/// Prefix of claims' keys in the store.
+pub const CLAIM_PREFIX: &str = "poplargap/claims/";
+
+/// Longest body that a claim keeps for repeated sends, in bytes.
+const BODY_MAX: usize = 64 * 1024;
+
+const WRITE_DEADLINE: Duration = Duration::from_secs(3);
+const WRITE_PAUSE: Duration = Duration::from_millis(20);
+const WRITE_ROUNDS: u32 = 6;
+
+/// Time over which a settled outcome is written again and again while the store is out of reach.
+const SETTLE_DEADLINE: Duration = Duration::from_mins(2);
+const SETTLE_ROUNDS: u32 = 64;
+
+/// Time between two looks at a claim that another request holds.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+
+/// What became of a claimed call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", tag = "state")]
+pub enum ClaimOutcome {
+    /// The call ran and this was its answer; a long body isn't kept.
+    Answered {
+        /// The body as text, if it was short enough.
+        body: Option<String>,
+        /// Type of the body.
+        content_type: Option<String>,
+        /// HTTP status.
+        status: u16,
+    },
+    /// The call provably didn't run; the key may be used again.
+    NotRun,
+    /// The call is under way, or its daemon was lost.
+    Pending,
+    /// The call was sent and its answer was lost.
+    Unknown,
+}
+
+/// A claim as the store keeps it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ClaimRecord {
+    /// Hash of method, path and body.
+    pub call: u64,
+    /// The daemon that made the claim.
+    pub daemon: DaemonName,
+    /// What became of the call.
+    pub outcome: ClaimOutcome,
+    /// The request that made the claim.
+    pub request_id: RequestId,
+    /// Id of the write, unique over all writes.
+    pub write_id: String,
+}
+
+/// A claim that this daemon holds.
+#[derive(Debug)]
+pub struct ClaimTicket {
+    key: String,
+    record: ClaimRecord,
+    revision: StoreRevision,
+}
+
+/// Result of an attempt to claim.
+#[derive(Debug)]
+pub enum ClaimAttempt {
+    /// The call may be sent.
+    Claimed(ClaimTicket),
+    /// An earlier send of the call has this outcome.
+    Earlier(ClaimOutcome),
+}
+
+/// Makes and settles claims.
+#[derive(Clone, Debug)]
+pub struct ClaimStore<S> {
+    daemon: DaemonName,
+    store: S,
+}
+
+impl<S: KeyValueStore> ClaimStore<S> {
+    /// Creates claims for `daemon` in `store`.
+    pub fn new(daemon: DaemonName, store: S) -> Self {
+        Self { daemon, store }
+    }
+
+    /// Claims a call before it is sent, or finds what became of an earlier send.
+    ///
+    /// Waits until `deadline` for an earlier send that is under way.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the store can't take the claim, or when the key belongs to another call.
+    pub async fn claim(
+        &self,
+        workspace: &WorkspaceName,
+        key: &IdempotencyKey,
+        id: &RequestId,
+        call: u64,
+        deadline: Instant,
+    ) -> Result<ClaimAttempt, PathProblem> {
+        let key = format!("{CLAIM_PREFIX}{workspace}/{key}");
+        let record = ClaimRecord {
+            call,
+            daemon: self.daemon.clone(),
+            outcome: ClaimOutcome::Pending,
+            request_id: id.clone(),
+            write_id: format!("{}/{:016x}", id, rand::random::<u64>()),
+        };
+        let mut expected = None;
+        loop {
+            let outcome = self
+                .write(&key, &record, expected, write_limit(deadline))
+                .await;
+            let earlier = match outcome {
+                SwapOutcome::Applied(revision) => {
+                    return Ok(ClaimAttempt::Claimed(ClaimTicket {
+                        key,
+                        record,
+                        revision,
+                    }));
+                }
+                SwapOutcome::Conflict(Some(earlier)) => earlier,
+                SwapOutcome::Conflict(None) => {
+                    expected = None;
+                    continue;
+                }
+                SwapOutcome::Failed(error) | SwapOutcome::Unknown(error) => {
+                    let detail = format!("the platform's store doesn't take the claim: {error}");
+                    return Err(PathProblem::not_run(ProblemCode::ClaimUnavailable, detail));
+                }
+            };
+            let found = read(&earlier)?;
+            if found.call != call {
+                let detail =
+                    "the idempotency key was used for a call with another method, path or body";
+                return Err(PathProblem::not_run(ProblemCode::KeyReused, detail));
+            }
+            match found.outcome {
+                ClaimOutcome::NotRun => expected = Some(earlier.revision),
+                ClaimOutcome::Pending if Instant::now() + POLL_PAUSE < deadline => {
+                    time::sleep(POLL_PAUSE).await;
+                }
+                outcome => return Ok(ClaimAttempt::Earlier(outcome)),
+            }
+        }
+    }
+
+    /// Writes what became of a claimed call, for as long as the store may be out of reach.
+    ///
+    /// The task goes on in the background, so that the caller's answer doesn't wait for the store.
+    pub fn settle(&self, ticket: ClaimTicket, outcome: ClaimOutcome) {
+        let claims = self.clone();
+        tokio::spawn(async move {
+            let ClaimTicket {
+                key,
+                mut record,
+                revision,
+            } = ticket;
+            record.outcome = outcome;
+            record.write_id.push_str("/settled");
+            let limit = SettleLimit {
+                deadline: Instant::now() + SETTLE_DEADLINE,
+                pause: WRITE_PAUSE,
+                rounds_max: SETTLE_ROUNDS,
+            };
+            claims.write(&key, &record, Some(revision), limit).await
+        });
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        record: &ClaimRecord,
+        expected: Option<StoreRevision>,
+        limit: SettleLimit,
+    ) -> SwapOutcome {
+        let write = SwapWrite {
+            expected,
+            key: key.to_owned(),
+            lease: None,
+            value: serde_json::to_string(record).ok(),
+        };
+        let evidence = |current: &StoredValue| match read(current) {
+            Ok(found) if found.write_id == record.write_id => WriteEvidence::Applied,
+            // Only the claim's holder writes over it, so a foreign value shows that it came first.
+            Ok(_) => WriteEvidence::NotApplied,
+            Err(_) => WriteEvidence::Unclear,
+        };
+        write_then_settle(&self.store, &write, evidence, limit).await
+    }
+}
+
+impl ClaimOutcome {
+    /// Creates the outcome of an answered call.
+    #[must_use]
+    pub fn answered(status: u16, content_type: Option<String>, body: &[u8]) -> Self {
+        let body = std::str::from_utf8(body)
+            .ok()
+            .filter(|body| body.len() <= BODY_MAX);
+        Self::Answered {
+            body: body.map(ToOwned::to_owned),
+            content_type,
+            status,
+        }
+    }
+}
+
+fn read(value: &StoredValue) -> Result<ClaimRecord, PathProblem> {
+    serde_json::from_str(&value.value).map_err(|error| {
+        PathProblem::not_run(
+            ProblemCode::ClaimUnavailable,
+            format!("the claim can't be read: {error}"),
+        )
+    })
+}
+
+fn write_limit(deadline: Instant) -> SettleLimit {
+    SettleLimit {
+        deadline: deadline.min(Instant::now() + WRITE_DEADLINE),
+        pause: WRITE_PAUSE,
+        rounds_max: WRITE_ROUNDS,
+    }
+}
--- a/crates/poplargapd/src/path/identify.rs
+++ b/crates/poplargapd/src/path/identify.rs
@@ -6,7 +6,7 @@
         catalogue::{CatalogueSnapshot, ClassEntry, KeyDigest, PoolEntry, PoolKind},
         finding::nearest_word,
         instant::MonotonicInstant,
-        name::PoolName,
+        name::{PoolName, WorkspaceName},
     },
     std::sync::Arc,
 };
@@ -37,35 +37,61 @@
         let key = request.bearer.as_deref().unwrap_or_default();
         let workspace = catalogue
             .workspace_of_key(&KeyDigest::of_key(key))
-            .ok_or_else(|| PathProblem::not_run(ProblemCode::UnknownKey, "no workspace has this bearer key"))?;
+            .ok_or_else(|| {
+                PathProblem::not_run(ProblemCode::UnknownKey, "no workspace has this bearer key")
+            })?;
         let pool = find_pool(catalogue, pool, kind)?;
-        let mut classes = catalogue.classes_of(&workspace.name, &pool.name);
-        let class = match &request.class {
-            Some(name) => classes.find(|class| class.name == *name).ok_or_else(|| {
-                let detail = format!("the workspace has no class `{name}` for `{}`", pool.name);
-                PathProblem::not_run(ProblemCode::UnknownClass, detail)
-            })?,
-            None => only_class(classes, &pool.name)?,
-        };
-        let class = Arc::clone(class);
-        let time = request.deadline.map_or(class.deadline(), |deadline| deadline.min(class.deadline()));
+        let class = find_class(request, catalogue, &workspace.name, &pool.name)?;
+        let time = request
+            .deadline
+            .map_or(class.deadline(), |deadline| deadline.min(class.deadline()));
         let deadline = request.accepted + time;
-        Ok(Self { class, deadline, pool })
+        Ok(Self {
+            class,
+            deadline,
+            pool,
+        })
     }
 }
 
-fn find_pool(catalogue: &CatalogueSnapshot, name: &str, kind: PoolKind) -> Result<Arc<PoolEntry>, PathProblem> {
+fn find_pool(
+    catalogue: &CatalogueSnapshot,
+    name: &str,
+    kind: PoolKind,
+) -> Result<Arc<PoolEntry>, PathProblem> {
     let unknown = || {
         let known = catalogue.pools.values().filter(|pool| pool.kind == kind);
         let near = nearest_word(name, known.map(|pool| pool.name.as_str()));
-        let hint = near.map(|near| format!("; the nearest is `{near}`")).unwrap_or_default();
-        PathProblem::not_run(ProblemCode::UnknownPool, format!("no {kind} is called `{name}`{hint}"))
+        let hint = near
+            .map(|near| format!("; the nearest is `{near}`"))
+            .unwrap_or_default();
+        PathProblem::not_run(
+            ProblemCode::UnknownPool,
+            format!("no {kind} is called `{name}`{hint}"),
+        )
     };
     let name = PoolName::try_from(name).map_err(|_source| unknown())?;
     let pool = catalogue.pools.get(&name).filter(|pool| pool.kind == kind);
     pool.cloned().ok_or_else(unknown)
 }
 
+fn find_class(
+    request: &CallerRequest,
+    catalogue: &CatalogueSnapshot,
+    workspace: &WorkspaceName,
+    pool: &PoolName,
+) -> Result<Arc<ClassEntry>, PathProblem> {
+    let mut classes = catalogue.classes_of(workspace, pool);
+    let class = match &request.class {
+        Some(name) => classes.find(|class| class.name == *name).ok_or_else(|| {
+            let detail = format!("the workspace has no class `{name}` for `{pool}`");
+            PathProblem::not_run(ProblemCode::UnknownClass, detail)
+        })?,
+        None => only_class(classes, pool)?,
+    };
+    Ok(Arc::clone(class))
+}
+
 fn only_class<'a>(
     mut classes: impl Iterator<Item = &'a Arc<ClassEntry>>,
     pool: &PoolName,
@@ -75,7 +101,8 @@
         return Err(PathProblem::not_run(ProblemCode::UnknownClass, detail));
     };
     if classes.next().is_some() {
-        let detail = format!("the workspace has several classes for `{pool}`; name one in poplargap-class");
+        let detail =
+            format!("the workspace has several classes for `{pool}`; name one in poplargap-class");
         return Err(PathProblem::not_run(ProblemCode::ClassRequired, detail));
     }
     Ok(class)
--- a/crates/poplargapd/src/path/place.rs
+++ b/crates/poplargapd/src/path/place.rs
@@ -74,12 +74,17 @@
     key: &str,
     hint: Option<&RouteHint>,
 ) -> Vec<Placement> {
-    let mut remote: Vec<&DataCentre> = catalogue.data_centres_of(pool).filter(|name| *name != own).collect();
+    let mut remote: Vec<&DataCentre> = catalogue
+        .data_centres_of(pool)
+        .filter(|name| *name != own)
+        .collect();
     remote.sort_by_key(|name| std::cmp::Reverse(rendezvous::score(key, name.as_str())));
     let mut placements: Vec<Placement> = std::iter::once(own)
         .chain(remote)
         .flat_map(|data_centre| shard::preference(key, catalogue.shards_of(pool, data_centre)))
-        .map(|shard| Placement { shard: shard.id.clone() })
+        .map(|shard| Placement {
+            shard: shard.id.clone(),
+        })
         .collect();
     if let Some(shard) = hint.and_then(|hint| shard_of(catalogue, pool, hint)) {
         placements.sort_by_key(|placement| placement.shard != shard.id);
@@ -87,13 +92,29 @@
     placements
 }
 
-fn shard_of<'a>(catalogue: &'a CatalogueSnapshot, pool: &PoolName, hint: &RouteHint) -> Option<&'a PoolShard> {
-    let holds = |shard: &&PoolShard| shard.upstreams.iter().any(|upstream| upstream.name == hint.upstream);
-    catalogue.shards_of(pool, &hint.data_centre).iter().find(holds)
+fn shard_of<'a>(
+    catalogue: &'a CatalogueSnapshot,
+    pool: &PoolName,
+    hint: &RouteHint,
+) -> Option<&'a PoolShard> {
+    let holds = |shard: &&PoolShard| {
+        shard
+            .upstreams
+            .iter()
+            .any(|upstream| upstream.name == hint.upstream)
+    };
+    catalogue
+        .shards_of(pool, &hint.data_centre)
+        .iter()
+        .find(holds)
 }
 
 /// Returns the upstream that a hint names, if it belongs to `pool`.
-pub(super) fn hinted(catalogue: &CatalogueSnapshot, pool: &PoolName, hint: Option<&RouteHint>) -> Option<UpstreamName> {
+pub(super) fn hinted(
+    catalogue: &CatalogueSnapshot,
+    pool: &PoolName,
+    hint: Option<&RouteHint>,
+) -> Option<UpstreamName> {
     let hint = hint?;
     shard_of(catalogue, pool, hint).map(|_| hint.upstream.clone())
 }
--- a/crates/poplargapd/src/path/problem.rs
+++ b/crates/poplargapd/src/path/problem.rs
@@ -7,7 +7,10 @@
     strum::{Display, IntoStaticStr},
     warp::{
         Reply,
-        http::{HeaderValue, StatusCode, header::{CONTENT_TYPE, RETRY_AFTER}},
+        http::{
+            HeaderValue, StatusCode,
+            header::{CONTENT_TYPE, RETRY_AFTER},
+        },
         reply::Response,
     },
 };
@@ -125,7 +128,12 @@
     /// Creates a refusal of a request of which nothing ran.
     pub fn not_run(code: ProblemCode, detail: impl Into<String>) -> Self {
         let detail = detail.into();
-        Self { code, detail, ran: RunOutcome::NotRun, retry_after: None }
+        Self {
+            code,
+            detail,
+            ran: RunOutcome::NotRun,
+            retry_after: None,
+        }
     }
 
     /// Creates a refusal of a request that may have run.
@@ -157,7 +165,10 @@
         let mut response = self.to_json(id).into_response();
         *response.status_mut() = self.code.status();
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
         if let Ok(id) = HeaderValue::from_str(id.as_str()) {
             headers.insert(REQUEST_ID_HEADER, id);
         }
--- a/crates/poplargapd/src/path/request.rs
+++ b/crates/poplargapd/src/path/request.rs
@@ -126,7 +126,9 @@
     fn bearer(&self) -> Option<String> {
         let text = self.headers.get("authorization")?.to_str().ok()?;
         let (scheme, key) = text.split_once(' ')?;
-        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().to_owned())
+        scheme
+            .eq_ignore_ascii_case("bearer")
+            .then(|| key.trim().to_owned())
     }
 }
 
@@ -144,8 +146,13 @@
         accepted: MonotonicInstant,
         fresh_id: RequestId,
     ) -> Result<Self, (RequestId, Vec<String>)> {
-        let mut reader = HeaderReader { findings: Vec::new(), headers };
-        let id = reader.read(super::problem::REQUEST_ID_HEADER).unwrap_or(fresh_id);
+        let mut reader = HeaderReader {
+            findings: Vec::new(),
+            headers,
+        };
+        let id = reader
+            .read(super::problem::REQUEST_ID_HEADER)
+            .unwrap_or(fresh_id);
         let bearer = reader.bearer();
         let chat = reader.read(CHAT_HEADER);
         let class = reader.read(CLASS_HEADER);
@@ -155,6 +162,16 @@
             return Err((id, reader.findings));
         }
         let hint = reader.read(ROUTE_HEADER);
-        Ok(Self { accepted, bearer, chat, class, deadline, hint, id, idempotency_key, target })
+        Ok(Self {
+            accepted,
+            bearer,
+            chat,
+            class,
+            deadline,
+            hint,
+            id,
+            idempotency_key,
+            target,
+        })
     }
 }
--- /dev/null
+++ b/crates/poplargapd/src/path/service.rs
@@ -0,0 +1,443 @@
+//! Serves calls of plain services.
+
+use {
+    super::{
+        CallTarget, CallerRequest, ClaimOutcome, Identity, PathContext, PathProblem, Placement,
+        ProblemCode, RouteHint, Settlement, TraceStep,
+        chat::refuse,
+        claim::{ClaimAttempt, ClaimTicket},
+        place::{self, HomeLocation},
+        problem::REQUEST_ID_HEADER,
+        relay::{ATTEMPTS_MAX, ROUND_PAUSE, SEARCH_MAX},
+    },
+    crate::{
+        home::{ServiceAnswer, ServiceRequest, ServiceTask},
+        invariant::Invariant,
+    },
+    bytes::Bytes,
+    poplargap_core::{
+        catalogue::PoolKind,
+        home::PlaceRequest,
+        name::{IdempotencyKey, RequestId, UpstreamName},
+        outcome::RunOutcome,
+    },
+    poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
+    poplargap_platform::KeyValueStore,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{self, Instant},
+    warp::{
+        Reply,
+        http::{HeaderValue, StatusCode, header::CONTENT_TYPE},
+        reply::Response,
+    },
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// Header that marks the stored outcome of an earlier send.
+const REPLAYED_HEADER: &str = "poplargap-replayed";
+
+/// One call on its way through the fleet.
+#[derive(Debug)]
+struct ServiceWork {
+    body: Bytes,
+    content_type: Option<String>,
+    id: RequestId,
+    idempotency_key: Option<IdempotencyKey>,
+    identity: Identity,
+    method: String,
+    path: String,
+}
+
+/// Follows one call over all its attempts.
+#[derive(Debug)]
+struct ServiceRelay<S> {
+    attempts: u32,
+    avoid: Vec<UpstreamName>,
+    context: Arc<PathContext<S>>,
+    sent: u32,
+    work: ServiceWork,
+}
+
+/// Serves one call.
+pub(super) async fn serve<S: KeyValueStore>(
+    context: Arc<PathContext<S>>,
+    request: CallerRequest,
+    body: Bytes,
+    mut settlement: Settlement<S>,
+) -> Response {
+    let id = request.id.clone();
+    let work = match prepare(&context, request, body, &mut settlement) {
+        Ok(work) => work,
+        Err(problem) => return refuse(problem, &id, settlement),
+    };
+    // A task of its own, so that a caller that goes away doesn't stop a call half way.
+    let handle = tokio::spawn(run(context, work, settlement));
+    handle
+        .await
+        .unwrap_or_else(|_panicked| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
+
+fn prepare<S>(
+    context: &Arc<PathContext<S>>,
+    request: CallerRequest,
+    body: Bytes,
+    settlement: &mut Settlement<S>,
+) -> Result<ServiceWork, PathProblem> {
+    let CallTarget::Service {
+        content_type,
+        method,
+        path,
+        pool,
+    } = request.target.clone()
+    else {
+        return Err(PathProblem::not_run(
+            ProblemCode::MalformedRequest,
+            "the request calls no service",
+        ));
+    };
+    let catalogue = Arc::clone(&context.catalogue.borrow());
+    let identity = Identity::find(&request, &catalogue, pool.as_str(), PoolKind::Service)?;
+    settlement.identify(identity.class.name.as_str());
+    let CallerRequest {
+        id,
+        idempotency_key,
+        ..
+    } = request;
+    Ok(ServiceWork {
+        body,
+        content_type,
+        id,
+        idempotency_key,
+        identity,
+        method,
+        path,
+    })
+}
+
+async fn run<S: KeyValueStore>(
+    context: Arc<PathContext<S>>,
+    work: ServiceWork,
+    mut settlement: Settlement<S>,
+) -> Response {
+    let id = work.id.clone();
+    let ticket = match claim(&context, &work).await {
+        Ok(Claim::Held(ticket)) => Some(ticket),
+        Ok(Claim::NotNeeded) => None,
+        Ok(Claim::Earlier(outcome)) => return replay(outcome, &id, settlement),
+        Err(problem) => return refuse(problem, &id, settlement),
+    };
+    let mut relay = ServiceRelay {
+        attempts: 0,
+        avoid: Vec::new(),
+        context: Arc::clone(&context),
+        sent: 0,
+        work,
+    };
+    let result = relay.run(&mut settlement).await;
+    if let Some(ticket) = ticket {
+        context.claims.settle(ticket, outcome_of(&result));
+    }
+    match result {
+        Ok((answer, route)) => {
+            settlement.close("complete");
+            respond(answer, Some(&route), &id)
+        }
+        Err(problem) => refuse(problem, &id, settlement),
+    }
+}
+
+enum Claim {
+    Earlier(ClaimOutcome),
+    Held(ClaimTicket),
+    NotNeeded,
+}
+
+async fn claim<S: KeyValueStore>(
+    context: &PathContext<S>,
+    work: &ServiceWork,
+) -> Result<Claim, PathProblem> {
+    let class = &work.identity.class;
+    let Some(key) = work.idempotency_key.as_ref().filter(|_| !class.repeatable) else {
+        return Ok(Claim::NotNeeded);
+    };
+    let left = work.identity.deadline.since(context.clock.now());
+    let deadline = Instant::now() + left;
+    let attempt = context
+        .claims
+        .claim(&class.owner, key, &work.id, call_digest(work), deadline)
+        .await?;
+    Ok(match attempt {
+        ClaimAttempt::Claimed(ticket) => Claim::Held(ticket),
+        ClaimAttempt::Earlier(outcome) => Claim::Earlier(outcome),
+    })
+}
+
+/// Hashes what must be the same in every send of one call.
+fn call_digest(work: &ServiceWork) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(work.method.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(work.path.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(work.identity.pool.name.as_str().as_bytes());
+    hasher.update(b"\n");
+    hasher.update(&work.body);
+    hasher.digest()
+}
+
+fn outcome_of(result: &Result<(ServiceAnswer, RouteHint), PathProblem>) -> ClaimOutcome {
+    match result {
+        Ok((answer, _)) => {
+            ClaimOutcome::answered(answer.status, answer.content_type.clone(), &answer.body)
+        }
+        Err(problem) if problem.ran == RunOutcome::NotRun => ClaimOutcome::NotRun,
+        Err(_) => ClaimOutcome::Unknown,
+    }
+}
+
+fn replay<S>(outcome: ClaimOutcome, id: &RequestId, settlement: Settlement<S>) -> Response {
+    match outcome {
+        ClaimOutcome::Answered {
+            body: Some(body),
+            content_type,
+            status,
+        } => {
+            settlement.close("replayed");
+            let mut response = body.into_response();
+            *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+            finish(&mut response, content_type.as_deref(), None, id);
+            response
+                .headers_mut()
+                .insert(REPLAYED_HEADER, HeaderValue::from_static("yes"));
+            response
+        }
+        ClaimOutcome::Answered { body: None, .. } => {
+            let mut problem = PathProblem::unknown(
+                ProblemCode::OutcomeUnknown,
+                "the call ran; its answer was too long to be kept",
+            );
+            problem.ran = RunOutcome::Ran;
+            refuse(problem, id, settlement)
+        }
+        ClaimOutcome::NotRun | ClaimOutcome::Pending | ClaimOutcome::Unknown => {
+            let detail = "an earlier send of the call may have run; it isn't run again";
+            refuse(
+                PathProblem::unknown(ProblemCode::OutcomeUnknown, detail),
+                id,
+                settlement,
+            )
+        }
+    }
+}
+
+fn respond(answer: ServiceAnswer, route: Option<&RouteHint>, id: &RequestId) -> Response {
+    let mut response = Response::new(answer.body.into());
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    finish(&mut response, answer.content_type.as_deref(), route, id);
+    response
+}
+
+fn finish(
+    response: &mut Response,
+    content_type: Option<&str>,
+    route: Option<&RouteHint>,
+    id: &RequestId,
+) {
+    let headers = response.headers_mut();
+    headers.remove(CONTENT_TYPE);
+    if let Some(content_type) = content_type.and_then(|text| HeaderValue::from_str(text).ok()) {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    if let Ok(id) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    if let Some(route) = route.and_then(|route| HeaderValue::from_str(&route.to_string()).ok()) {
+        headers.insert(super::request::ROUTE_HEADER, route);
+    }
+}
+
+impl<S: KeyValueStore> ServiceRelay<S> {
+    /// Tries homes until one answers, the deadline passes, or the call may have run and can't be repeated.
+    async fn run(
+        &mut self,
+        settlement: &mut Settlement<S>,
+    ) -> Result<(ServiceAnswer, RouteHint), PathProblem> {
+        let search_end = self.context.clock.now() + SEARCH_MAX;
+        loop {
+            let refusal = match self.run_round(settlement).await? {
+                RoundEnd::Answered(answer, route) => return Ok((answer, route)),
+                RoundEnd::Refused(refusal) => refusal,
+            };
+            let now = self.context.clock.now();
+            if now >= self.work.identity.deadline || refusal.reason == RefusalReason::Expired {
+                return Err(self.problem(
+                    ProblemCode::DeadlineExceeded,
+                    "the wait would pass the deadline",
+                ));
+            }
+            if refusal.reason == RefusalReason::QueueFull {
+                let mut problem =
+                    self.problem(ProblemCode::QueueFull, "the queue of the pool is full");
+                problem.retry_after = refusal.retry_after_ms.map(Duration::from_millis);
+                return Err(problem);
+            }
+            if now >= search_end || self.attempts >= ATTEMPTS_MAX {
+                return Err(self.problem(ProblemCode::NoUpstream, refusal.reason.to_string()));
+            }
+            self.avoid.clear();
+            time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    async fn run_round(&mut self, settlement: &mut Settlement<S>) -> Result<RoundEnd, PathProblem> {
+        let catalogue = Arc::clone(&self.context.catalogue.borrow());
+        let pool = &self.work.identity.pool.name;
+        let key = self.work.id.as_str();
+        let placements = place::candidates(&catalogue, &self.context.data_centre, pool, key, None);
+        let mut full: Option<Placement> = None;
+        let mut last = RelayRefusal::not_run(RefusalReason::NoUpstream);
+        for placement in placements {
+            match self.try_home(&placement, false, settlement).await? {
+                RoundEnd::Refused(refusal) => {
+                    if refusal.reason == RefusalReason::Full {
+                        full.get_or_insert(placement);
+                    }
+                    last = refusal;
+                }
+                answered @ RoundEnd::Answered(..) => return Ok(answered),
+            }
+        }
+        match full {
+            Some(placement) => self.try_home(&placement, true, settlement).await,
+            None => Ok(RoundEnd::Refused(last)),
+        }
+    }
+
+    async fn try_home(
+        &mut self,
+        placement: &Placement,
+        wait: bool,
+        settlement: &mut Settlement<S>,
+    ) -> Result<RoundEnd, PathProblem> {
+        let repeatable = self.work.identity.class.repeatable;
+        self.context
+            .invariants
+            .check(Invariant::AtMostOnce, repeatable || self.sent == 0, || {
+                format!("request {} was sent {} times", self.work.id, self.sent)
+            });
+        let call = ServiceRequest {
+            body: self.work.body.clone(),
+            envelope: self.envelope(placement, wait),
+        };
+        let result = match self.context.locate(&placement.shard).await {
+            HomeLocation::Local => ServiceTask::new(self.context.task.clone()).run(&call).await,
+            HomeLocation::Remote(home) => self.context.relays.call(home, &call).await,
+            HomeLocation::Unknown => Err(RelayRefusal::not_run(RefusalReason::Unreachable)),
+        };
+        let shard = placement.shard.to_string();
+        match result {
+            Ok(answer) => {
+                self.context
+                    .metrics
+                    .attempts
+                    .with_label_values(&["answering"])
+                    .inc();
+                let upstream = answer.upstream.clone();
+                settlement.note(TraceStep::Placed {
+                    shard,
+                    upstream: upstream.clone(),
+                });
+                let data_centre = placement.shard.data_centre.clone();
+                Ok(RoundEnd::Answered(
+                    answer,
+                    RouteHint {
+                        data_centre,
+                        upstream,
+                    },
+                ))
+            }
+            Err(refusal) => {
+                let reason: &str = refusal.reason.into();
+                self.context
+                    .metrics
+                    .attempts
+                    .with_label_values(&[reason])
+                    .inc();
+                settlement.note(TraceStep::Refused {
+                    reason: refusal.reason,
+                    shard,
+                });
+                self.note_refusal(placement, &refusal)?;
+                Ok(RoundEnd::Refused(refusal))
+            }
+        }
+    }
+
+    fn note_refusal(
+        &mut self,
+        placement: &Placement,
+        refusal: &RelayRefusal,
+    ) -> Result<(), PathProblem> {
+        match (refusal.reason, refusal.home) {
+            (RefusalReason::Moved, Some(home)) => self.context.routes.learn(&placement.shard, home),
+            (RefusalReason::Moved | RefusalReason::Unreachable, _) => {
+                self.context.routes.forget(&placement.shard);
+            }
+            _ => {}
+        }
+        if let Some(upstream) = &refusal.upstream {
+            self.attempts += 1;
+            self.avoid.push(upstream.clone());
+        }
+        if refusal.ran == RunOutcome::NotRun {
+            return Ok(());
+        }
+        self.sent += 1;
+        if self.work.identity.class.repeatable {
+            return Ok(());
+        }
+        let detail = "the call was sent and its answer was lost; it may not be repeated";
+        Err(PathProblem::unknown(ProblemCode::UpstreamLost, detail))
+    }
+
+    fn envelope(&self, placement: &Placement, wait: bool) -> RelayEnvelope {
+        let class = &self.work.identity.class;
+        let now = self.context.clock.now();
+        let left = self.work.identity.deadline.since(now);
+        RelayEnvelope {
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            hops: 0,
+            place: PlaceRequest {
+                avoid: self.avoid.clone(),
+                hint: None,
+                key: self.work.id.to_string(),
+            },
+            priority: class.priority,
+            repeatable: class.repeatable,
+            request_id: self.work.id.clone(),
+            shard: placement.shard.clone(),
+            wait,
+            work: RelayWork::Service {
+                content_type: self.work.content_type.clone(),
+                idempotency_key: self.work.idempotency_key.clone(),
+                method: self.work.method.clone(),
+                path: self.work.path.clone(),
+            },
+            workspace: class.owner.clone(),
+        }
+    }
+
+    fn problem(&self, code: ProblemCode, detail: impl Into<String>) -> PathProblem {
+        if self.sent > 0 {
+            PathProblem::unknown(code, detail)
+        } else {
+            PathProblem::not_run(code, detail)
+        }
+    }
+}
+
+/// How one round over the homes ended.
+enum RoundEnd {
+    Answered(ServiceAnswer, RouteHint),
+    Refused(RelayRefusal),
+}
--- a/crates/poplargapd/src/path/settle.rs
+++ b/crates/poplargapd/src/path/settle.rs
@@ -21,7 +21,12 @@
 
 impl<S> Settlement<S> {
     /// Starts accounting for a request that was let in.
-    pub fn new(context: Arc<PathContext<S>>, accepted: MonotonicInstant, pass: AdmitPass, trace: RequestTrace) -> Self {
+    pub fn new(
+        context: Arc<PathContext<S>>,
+        accepted: MonotonicInstant,
+        pass: AdmitPass,
+        trace: RequestTrace,
+    ) -> Self {
         context.metrics.requests_in_flight.inc();
         Self {
             accepted,
@@ -38,7 +43,9 @@
     /// Notes the request's class.
     pub fn identify(&mut self, class: &str) {
         class.clone_into(&mut self.class);
-        self.note(TraceStep::Identified { class: class.to_owned() });
+        self.note(TraceStep::Identified {
+            class: class.to_owned(),
+        });
     }
 
     /// Adds a step to the request's trace.
@@ -51,7 +58,9 @@
         if !self.first_token {
             self.first_token = true;
             let seconds = self.context.clock.now().since(self.accepted).as_secs_f64();
-            self.context.metrics.observe_first_token(&self.class, seconds);
+            self.context
+                .metrics
+                .observe_first_token(&self.class, seconds);
         }
     }
 
@@ -74,12 +83,19 @@
         metrics.requests_in_flight.dec();
         if let Some(usage) = self.usage {
             metrics.observe_tokens(&self.class, "prompt", usage.prompt_tokens);
-            metrics.observe_tokens(&self.class, "cached", usage.prompt_tokens_details.cached_tokens);
+            metrics.observe_tokens(
+                &self.class,
+                "cached",
+                usage.prompt_tokens_details.cached_tokens,
+            );
             metrics.observe_tokens(&self.class, "completion", usage.completion_tokens);
         }
         let outcome = std::mem::take(&mut self.outcome);
         self.trace.note(TraceStep::Settled { outcome });
-        let trace = RequestTrace { id: self.trace.id.clone(), steps: std::mem::take(&mut self.trace.steps) };
+        let trace = RequestTrace {
+            id: self.trace.id.clone(),
+            steps: std::mem::take(&mut self.trace.steps),
+        };
         self.context.traces.push(trace);
         if let Some(pass) = self.pass.take() {
             pass.close();
--- a/crates/poplargapd/src/path/trace.rs
+++ b/crates/poplargapd/src/path/trace.rs
@@ -87,7 +87,10 @@
     /// Creates the trace of a request without steps.
     #[must_use]
     pub fn new(id: RequestId) -> Self {
-        Self { id, steps: Vec::new() }
+        Self {
+            id,
+            steps: Vec::new(),
+        }
     }
 
     /// Adds a step, unless the request has too many already.
--- a/crates/poplargapd/src/relay/relay_client.rs
+++ b/crates/poplargapd/src/relay/relay_client.rs
@@ -12,7 +12,8 @@
     },
     poplargap_link::{
         envelope::{
-            ENVELOPE_HEADER, PROOF_HEADER, RELAY_PATH, RefusalReason, RelayEnvelope, RelayRefusal, UPSTREAM_HEADER,
+            ENVELOPE_HEADER, PROOF_HEADER, RELAY_PATH, RefusalReason, RelayEnvelope, RelayRefusal,
+            UPSTREAM_HEADER,
         },
         proof::FleetProof,
     },
@@ -46,14 +47,24 @@
     pub fn new(connect: Duration, proof: FleetProof) -> Result<Self, reqwest::Error> {
         let fresh = crate::home::build_client(connect, 0)?;
         let pooled = Arc::new(Mutex::new(HashMap::new()));
-        Ok(Self { connect, fresh, pooled, proof })
+        Ok(Self {
+            connect,
+            fresh,
+            pooled,
+            proof,
+        })
     }
 
     /// Sends a chat to its home and returns the frames of its answer.
     ///
     /// Dropping the receiver cancels the request.
     #[must_use]
-    pub fn start_chat(&self, home: SocketAddr, envelope: RelayEnvelope, body: Bytes) -> mpsc::Receiver<HomeFrame> {
+    pub fn start_chat(
+        &self,
+        home: SocketAddr,
+        envelope: RelayEnvelope,
+        body: Bytes,
+    ) -> mpsc::Receiver<HomeFrame> {
         let (frames, receiver) = mpsc::channel(FRAMES_MAX);
         let client = self.clone();
         tokio::spawn(async move {
@@ -70,7 +81,11 @@
     /// # Errors
     ///
     /// Returns the refusal with what is known of the call's effects.
-    pub async fn call(&self, home: SocketAddr, call: &ServiceRequest) -> Result<ServiceAnswer, RelayRefusal> {
+    pub async fn call(
+        &self,
+        home: SocketAddr,
+        call: &ServiceRequest,
+    ) -> Result<ServiceAnswer, RelayRefusal> {
         let wait = Duration::from_millis(call.envelope.deadline_ms);
         let request = self.request(home, &call.envelope, call.body.clone())?;
         let Ok(sent) = time::timeout(wait, request.send()).await else {
@@ -117,7 +132,11 @@
             return Err(read_refusal(response).await);
         }
         let mut reader = FrameReader::new(response);
-        while let Some(chunk) = reader.next_chunk().await.inspect_err(|_refusal| self.drop_pool(home))? {
+        while let Some(chunk) = reader
+            .next_chunk()
+            .await
+            .inspect_err(|_refusal| self.drop_pool(home))?
+        {
             for frame in reader.frames(chunk)? {
                 if frames.send(frame).await.is_err() {
                     return Ok(());
@@ -127,10 +146,19 @@
         Ok(())
     }
 
-    fn request(&self, home: SocketAddr, envelope: &RelayEnvelope, body: Bytes) -> Result<RequestBuilder, RelayRefusal> {
+    fn request(
+        &self,
+        home: SocketAddr,
+        envelope: &RelayEnvelope,
+        body: Bytes,
+    ) -> Result<RequestBuilder, RelayRefusal> {
         let unreadable = |_source| RelayRefusal::not_run(RefusalReason::Unreadable);
         let text = serde_json::to_string(envelope).map_err(unreadable)?;
-        let client = if envelope.repeatable { self.pooled(home) } else { self.fresh.clone() };
+        let client = if envelope.repeatable {
+            self.pooled(home)
+        } else {
+            self.fresh.clone()
+        };
         Ok(client
             .post(format!("http://{home}{RELAY_PATH}"))
             .header(PROOF_HEADER, self.proof.as_str())
@@ -179,7 +207,12 @@
 }
 
 async fn read_answer(response: Response) -> Result<ServiceAnswer, RelayRefusal> {
-    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let header = |name: &str| {
+        response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
     let status = header(STATUS_HEADER).and_then(|text| text.parse().ok());
     let upstream = header(UPSTREAM_HEADER).and_then(|text| UpstreamName::try_from(text).ok());
     let content_type = header(CONTENT_TYPE.as_str()).map(ToOwned::to_owned);
@@ -187,7 +220,12 @@
         return Err(lost());
     };
     let body = response.bytes().await.map_err(|_source| lost())?;
-    Ok(ServiceAnswer { body, content_type, status, upstream })
+    Ok(ServiceAnswer {
+        body,
+        content_type,
+        status,
+        upstream,
+    })
 }
 
 /// Reads the first event of a home's stream, which names the upstream or refuses; the rest is passed on.
@@ -200,7 +238,11 @@
 impl FrameReader {
     fn new(response: Response) -> Self {
         let splitter = EventSplitter::default();
-        Self { response, splitter, started: false }
+        Self {
+            response,
+            splitter,
+            started: false,
+        }
     }
 
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, RelayRefusal> {
--- a/crates/poplargapd/src/relay/relay_server.rs
+++ b/crates/poplargapd/src/relay/relay_server.rs
@@ -10,7 +10,10 @@
     bytes::Bytes,
     futures::{Stream, stream},
     poplargap_link::{
-        envelope::{ENVELOPE_HEADER, PROOF_HEADER, RefusalReason, RelayEnvelope, RelayRefusal, RelayWork, UPSTREAM_HEADER},
+        envelope::{
+            ENVELOPE_HEADER, PROOF_HEADER, RefusalReason, RelayEnvelope, RelayRefusal, RelayWork,
+            UPSTREAM_HEADER,
+        },
         proof::FleetProof,
     },
     std::{io, sync::Arc, time::Duration},
@@ -64,9 +67,18 @@
     }
 }
 
-async fn serve(settings: RelaySettings, proof: Option<String>, envelope: Option<String>, body: Bytes) -> Response {
+async fn serve(
+    settings: RelaySettings,
+    proof: Option<String>,
+    envelope: Option<String>,
+    body: Bytes,
+) -> Response {
     if !proof.is_some_and(|proof| settings.proof.matches(&proof)) {
-        settings.metrics.peers_refused.with_label_values(&["relay"]).inc();
+        settings
+            .metrics
+            .peers_refused
+            .with_label_values(&["relay"])
+            .inc();
         return StatusCode::UNAUTHORIZED.into_response();
     }
     let envelope = envelope.unwrap_or_default();
@@ -92,14 +104,17 @@
         Ok(answer) => answer,
         Err(refusal) => return refuse(&refusal),
     };
-    let mut response = answer.body.into_response();
+    let mut response = Response::new(answer.body.into());
     let headers = response.headers_mut();
     headers.insert(STATUS_HEADER, HeaderValue::from(answer.status));
     if let Ok(upstream) = HeaderValue::from_str(answer.upstream.as_str()) {
         headers.insert(UPSTREAM_HEADER, upstream);
     }
     headers.remove(CONTENT_TYPE);
-    if let Some(content_type) = answer.content_type.and_then(|text| HeaderValue::from_str(&text).ok()) {
+    if let Some(content_type) = answer
+        .content_type
+        .and_then(|text| HeaderValue::from_str(&text).ok())
+    {
         headers.insert(CONTENT_TYPE, content_type);
     }
     response
@@ -123,23 +138,33 @@
 }
 
 /// Writes frames as an event stream; a broken answer ends the stream with an error.
-fn encode(frames: mpsc::Receiver<HomeFrame>) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + Sync {
-    let state = EncodeState { at_boundary: true, frames };
+fn encode(
+    frames: mpsc::Receiver<HomeFrame>,
+) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + Sync {
+    let state = EncodeState {
+        at_boundary: true,
+        frames,
+    };
     stream::unfold(Some(state), |state| async move {
         let mut state = state?;
         loop {
             match time::timeout(KEEP_ALIVE, state.frames.recv()).await {
                 Err(_elapsed) if !state.at_boundary => {}
-                Err(_elapsed) => return Some((Ok(Bytes::from_static(KEEP_ALIVE_COMMENT)), Some(state))),
+                Err(_elapsed) => {
+                    return Some((Ok(Bytes::from_static(KEEP_ALIVE_COMMENT)), Some(state)));
+                }
                 Ok(Some(HomeFrame::Chunk(chunk))) => {
                     state.at_boundary = chunk.ends_with(b"\n\n");
                     return Some((Ok(chunk), Some(state)));
                 }
                 Ok(Some(HomeFrame::Upstream(upstream))) => {
-                    let comment = [UPSTREAM_COMMENT, upstream.as_str().as_bytes(), b"\n\n"].concat();
+                    let comment =
+                        [UPSTREAM_COMMENT, upstream.as_str().as_bytes(), b"\n\n"].concat();
                     return Some((Ok(Bytes::from(comment)), Some(state)));
                 }
-                Ok(Some(HomeFrame::Refused(refusal))) => return Some((encode_refusal(&refusal, &state), None)),
+                Ok(Some(HomeFrame::Refused(refusal))) => {
+                    return Some((encode_refusal(&refusal, &state), None));
+                }
                 Ok(Some(HomeFrame::Ended)) => return None,
                 Ok(None) => return Some((Err(io::ErrorKind::ConnectionAborted.into()), None)),
             }
@@ -152,4 +177,3 @@
     let start: &[u8] = if state.at_boundary { b"" } else { b"\n\n" };
     Ok(Bytes::from([start, REFUSAL_EVENT, &text, b"\n\n"].concat()))
 }
-
--- /dev/null
+++ b/crates/poplargapd/src/rpc_server.rs
@@ -0,0 +1,107 @@
+//! Answers calls of other daemons.
+
+use {
+    crate::{feed::CatalogueReader, members::MemberView, metrics::DaemonMetrics},
+    jsonrpsee::{
+        core::async_trait,
+        server::{ServerBuilder, ServerConfig, ServerHandle},
+        types::ErrorObjectOwned,
+    },
+    poplargap_core::shard::ShardId,
+    poplargap_link::{
+        proof::FleetProof,
+        rpc::{CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply},
+    },
+    std::{io, net::TcpListener as StdListener, sync::Arc},
+    tokio::{net::TcpListener, sync::watch},
+};
+
+const CONNECTIONS_MAX: u32 = 1_024;
+const REQUEST_LEN_MAX: u32 = 64 * 1024;
+
+/// What the calls' answers come from.
+#[derive(Clone, Debug)]
+pub struct RpcSources {
+    /// The catalogue in force.
+    pub catalogue: CatalogueReader,
+    /// The members of the own data centre.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// What callers have to prove.
+    pub proof: FleetProof,
+}
+
+/// The running RPC listener.
+#[derive(Debug)]
+pub struct RpcServer(ServerHandle);
+
+impl RpcServer {
+    /// Starts answering on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the listener can't be used.
+    pub fn start(sources: RpcSources, listener: TcpListener) -> io::Result<Self> {
+        let config = ServerConfig::builder()
+            .http_only()
+            .max_connections(CONNECTIONS_MAX)
+            .max_request_body_size(REQUEST_LEN_MAX)
+            .build();
+        let listener: StdListener = listener.into_std()?;
+        let server = ServerBuilder::with_config(config).build_from_tcp(listener)?;
+        Ok(Self(server.start(sources.into_rpc())))
+    }
+
+    /// Stops answering.
+    pub fn close(self) {
+        // A server that has stopped already is what is wanted.
+        let stopped = self.0.stop();
+        debug_assert!(stopped.is_ok(), "the server is stopped once");
+    }
+}
+
+impl RpcSources {
+    fn check(&self, proof: &FleetProof) -> Result<(), ErrorObjectOwned> {
+        if self.proof.matches(proof.as_str()) {
+            return Ok(());
+        }
+        self.metrics.peers_refused.with_label_values(&["rpc"]).inc();
+        Err(ErrorObjectOwned::owned(
+            CODE_PROOF,
+            "the call carries no proof of the fleet",
+            None::<()>,
+        ))
+    }
+}
+
+#[async_trait]
+impl FleetRpcServer for RpcSources {
+    async fn catalogue_since(
+        &self,
+        proof: FleetProof,
+        revision: u64,
+        after: Option<String>,
+    ) -> Result<CatalogueDelta, ErrorObjectOwned> {
+        self.check(&proof)?;
+        let delta = self.catalogue.since(revision, after.as_deref());
+        let len: usize = delta.buckets.iter().map(|bucket| bucket.value.len()).sum();
+        let sent = u64::try_from(len).unwrap_or_default();
+        self.metrics
+            .control_sent
+            .with_label_values(&["catalogue"])
+            .inc_by(sent);
+        Ok(delta)
+    }
+
+    async fn home_of(
+        &self,
+        proof: FleetProof,
+        shard: ShardId,
+    ) -> Result<HomeReply, ErrorObjectOwned> {
+        self.check(&proof)?;
+        let members = self.members.borrow();
+        let relay = members.home_of(&shard).map(|member| member.relay);
+        Ok(HomeReply { relay })
+    }
+}
--- a/crates/poplargapd/src/server.rs
+++ b/crates/poplargapd/src/server.rs
@@ -1,14 +1,14 @@
 //! HTTP listeners that end without cutting off a request.
 
 use {
-    std::{future::Future, io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     tokio::{
         net::{TcpListener, TcpSocket},
         sync::oneshot,
         task::JoinHandle,
         time,
     },
-    warp::{Filter, Reply, reject::IsReject},
+    warp::{Filter, Rejection, Reply},
 };
 
 const BACKLOG: u32 = 1_024;
@@ -19,7 +19,11 @@
 ///
 /// Returns an error when the address is taken or not the VM's own.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
     socket.set_reuseaddr(true)?;
     // Accepted connections inherit the option from their listener.
     socket.set_nodelay(true)?;
@@ -38,12 +42,14 @@
     /// Starts serving `route` on `listener`.
     pub fn start<F>(route: F, listener: TcpListener) -> Self
     where
-        F: Filter + Clone + Send + Sync + 'static,
+        F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
         F::Extract: Reply,
-        F::Error: IsReject,
     {
         let (stop, stopped) = oneshot::channel();
-        let serving = warp::serve(route).incoming(listener).graceful(wait(stopped)).run();
+        let serving = warp::serve(route)
+            .incoming(listener)
+            .graceful(wait(stopped))
+            .run();
         let handle = tokio::spawn(serving);
         Self { handle, stop }
     }
@@ -60,8 +66,6 @@
     }
 }
 
-fn wait(stopped: oneshot::Receiver<()>) -> impl Future<Output = ()> + Send + 'static {
-    async move {
-        drop(stopped.await);
-    }
+async fn wait(stopped: oneshot::Receiver<()>) {
+    drop(stopped.await);
 }
