Add the store stand-in and the link relay

Cause: the store's client had nothing to run against, and no fault could be switched on. Ruled out: dropping an answer by a failing body, since the caller would still see the status; refusing connections by accepting and resetting, since the caller could no longer tell that nothing was sent.

--- /dev/null
+++ b/crates/poplargap-testbed/src/relay/chunk_pump.rs
@@ -0,0 +1,83 @@
+//! One direction of a relayed connection.
+
+use {
+    super::LinkFaults,
+    bytes::Bytes,
+    rand::Rng,
+    rand_chacha::ChaCha8Rng,
+    std::io,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::tcp::{ReadHalf, WriteHalf},
+        sync::{mpsc, watch},
+        time::{Instant, sleep_until},
+    },
+};
+
+const CHUNK_BYTES: usize = 16 * 1024;
+const CHUNKS_IN_FLIGHT_MAX: usize = 64;
+
+#[derive(Debug)]
+struct DelayedChunk {
+    bytes: Bytes,
+    due_at: Instant,
+}
+
+/// Passes bytes on until the sender closes its side, then closes the receiver's.
+pub(super) async fn pump(
+    reader: ReadHalf<'_>,
+    writer: WriteHalf<'_>,
+    faults: watch::Receiver<LinkFaults>,
+    rng: ChaCha8Rng,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT_MAX);
+    tokio::try_join!(
+        read_chunks(reader, sender, faults, rng),
+        write_chunks(receiver, writer)
+    )?;
+    Ok(())
+}
+
+async fn read_chunks(
+    mut reader: ReadHalf<'_>,
+    sender: mpsc::Sender<DelayedChunk>,
+    faults: watch::Receiver<LinkFaults>,
+    mut rng: ChaCha8Rng,
+) -> io::Result<()> {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    let mut last_due_at = Instant::now();
+    loop {
+        let len = reader.read(&mut buffer).await?;
+        if len == 0 {
+            return Ok(());
+        }
+        let due_at = due_at(*faults.borrow(), &mut rng).max(last_due_at);
+        last_due_at = due_at;
+        let bytes = Bytes::copy_from_slice(&buffer[..len]);
+        if sender.send(DelayedChunk { bytes, due_at }).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+fn due_at(faults: LinkFaults, rng: &mut ChaCha8Rng) -> Instant {
+    let due_at = Instant::now() + faults.delay();
+    if rng.random_range(0..100) < faults.stall_percent {
+        due_at + faults.stall()
+    } else {
+        due_at
+    }
+}
+
+async fn write_chunks(
+    mut receiver: mpsc::Receiver<DelayedChunk>,
+    mut writer: WriteHalf<'_>,
+) -> io::Result<()> {
+    while let Some(chunk) = receiver.recv().await {
+        if chunk.due_at > Instant::now() {
+            sleep_until(chunk.due_at).await;
+        }
+        writer.write_all(&chunk.bytes).await?;
+    }
+    writer.shutdown().await
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/relay/relay_task.rs
@@ -0,0 +1,158 @@
+//! The task that owns a relay's listener and connections.
+
+use {
+    super::{
+        LinkFaults,
+        held_port::HeldPort,
+        relay_connection::{ConnectionOrder, RelayConnection},
+        relay_message::RelayMessage,
+    },
+    poplargap_core::collections::{HashMap, HashMapExt},
+    std::{future::pending, io, net::SocketAddr},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{
+            mpsc::{Receiver, Sender},
+            watch,
+        },
+        task::JoinSet,
+    },
+};
+
+#[derive(Debug)]
+struct OpenConnection {
+    local: Option<SocketAddr>,
+    order: watch::Sender<ConnectionOrder>,
+}
+
+/// Owner of a relay's listener and connections.
+#[derive(Debug)]
+pub(super) struct RelayTask {
+    connections: HashMap<u64, OpenConnection>,
+    faults: watch::Sender<LinkFaults>,
+    listener: Option<TcpListener>,
+    next_id: u64,
+    port: HeldPort,
+    sender: Sender<RelayMessage>,
+    tasks: JoinSet<u64>,
+    upstream: SocketAddr,
+}
+
+impl RelayTask {
+    pub(super) fn new(
+        port: HeldPort,
+        upstream: SocketAddr,
+        sender: Sender<RelayMessage>,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            connections: HashMap::new(),
+            faults: watch::Sender::new(LinkFaults::default()),
+            listener: Some(port.listen()?),
+            next_id: 0,
+            port,
+            sender,
+            tasks: JoinSet::new(),
+            upstream,
+        })
+    }
+
+    /// Serves until told to close.
+    pub(super) async fn run(mut self, mut messages: Receiver<RelayMessage>) {
+        loop {
+            tokio::select! {
+                biased;
+                message = messages.recv() => match message {
+                    None | Some(RelayMessage::Close) => break,
+                    Some(message) => self.handle(message),
+                },
+                Some(ended) = self.tasks.join_next() => {
+                    if let Ok(id) = ended {
+                        self.connections.remove(&id);
+                    }
+                }
+                client = accept(self.listener.as_ref()) => self.open(client),
+            }
+        }
+        self.close(messages).await;
+    }
+
+    fn handle(&mut self, message: RelayMessage) {
+        match message {
+            RelayMessage::Close => {}
+            RelayMessage::Connected { id, local } => {
+                if let Some(connection) = self.connections.get_mut(&id) {
+                    connection.local = Some(local);
+                }
+            }
+            RelayMessage::Reset { done, local } => {
+                self.order(ConnectionOrder::Reset, |known| known == Some(local));
+                let _ = done.send(());
+            }
+            RelayMessage::SetFaults { done, faults } => {
+                self.set_faults(faults);
+                let _ = done.send(());
+            }
+            RelayMessage::Silence { done, except } => {
+                self.order(ConnectionOrder::Silence, |known| {
+                    except.is_none() || known != except
+                });
+                let _ = done.send(());
+            }
+        }
+    }
+
+    fn open(&mut self, client: TcpStream) {
+        let id = self.next_id;
+        self.next_id += 1;
+        let order = watch::Sender::new(ConnectionOrder::Pass);
+        let connection = RelayConnection {
+            client,
+            faults: self.faults.subscribe(),
+            id,
+            messages: self.sender.clone(),
+            orders: order.subscribe(),
+            upstream: self.upstream,
+        };
+        self.connections
+            .insert(id, OpenConnection { local: None, order });
+        self.tasks.spawn(connection.run());
+    }
+
+    fn order(&self, order: ConnectionOrder, chosen: impl Fn(Option<SocketAddr>) -> bool) {
+        self.connections
+            .values()
+            .filter(|connection| chosen(connection.local))
+            .for_each(|connection| {
+                connection.order.send_replace(order);
+            });
+    }
+
+    fn set_faults(&mut self, faults: LinkFaults) {
+        self.faults.send_replace(faults);
+        if faults.cut {
+            self.listener = None;
+            self.order(ConnectionOrder::Reset, |_| true);
+        } else if self.listener.is_none() {
+            self.listener = self.port.listen().ok();
+        }
+    }
+
+    async fn close(mut self, mut messages: Receiver<RelayMessage>) {
+        self.listener = None;
+        messages.close();
+        self.order(ConnectionOrder::Reset, |_| true);
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+async fn accept(listener: Option<&TcpListener>) -> TcpStream {
+    let Some(listener) = listener else {
+        return pending().await;
+    };
+    loop {
+        if let Ok((client, _)) = listener.accept().await {
+            return client;
+        }
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/store/store_handle.rs
@@ -0,0 +1,28 @@
+//! The way to the task that owns the store.
+
+use {
+    super::store_message::{ReplySender, StoreMessage},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// The way to the task that owns the store.
+#[derive(Clone, Debug)]
+pub(super) struct StoreHandle {
+    messages: mpsc::Sender<StoreMessage>,
+}
+
+impl StoreHandle {
+    pub(super) fn new(messages: mpsc::Sender<StoreMessage>) -> Self {
+        Self { messages }
+    }
+
+    /// Asks the task; `None` when it is gone.
+    pub(super) async fn ask<T>(
+        &self,
+        message: impl FnOnce(ReplySender<T>) -> StoreMessage,
+    ) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.messages.send(message(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/store/store_message.rs
@@ -0,0 +1,36 @@
+//! Messages to the task that owns the store.
+
+use {
+    super::{CallCounts, StoreFaults, call_fate::CallFate, store_state::SwapAnswer},
+    poplargap_platform::{
+        CallKind, LeaseGrant, LeaseId, StoredValue, SwapWrite, ValuePage, VmEntry, WatchBatch,
+        wire::{CompactionNotice, ListQuery, WatchQuery},
+    },
+    std::time::Duration,
+    tokio::sync::oneshot,
+};
+
+/// Where an answer goes.
+pub(super) type ReplySender<T> = oneshot::Sender<T>;
+
+/// A message to the task that owns the store.
+#[derive(Debug)]
+pub(super) enum StoreMessage {
+    Begin(CallKind, ReplySender<CallFate>),
+    Compact(ReplySender<()>),
+    Counts(ReplySender<CallCounts>),
+    Faults(ReplySender<StoreFaults>),
+    Get(String, ReplySender<Option<StoredValue>>),
+    GrantLease(Duration, ReplySender<LeaseGrant>),
+    List(ListQuery, ReplySender<ValuePage>),
+    PutVms(Vec<VmEntry>, ReplySender<()>),
+    RenewLease(LeaseId, ReplySender<bool>),
+    RevokeLease(LeaseId, ReplySender<bool>),
+    SetFaults(StoreFaults, ReplySender<()>),
+    Swap(SwapWrite, ReplySender<SwapAnswer>),
+    Vms(ReplySender<Vec<VmEntry>>),
+    Watch(
+        WatchQuery,
+        ReplySender<Result<WatchBatch, CompactionNotice>>,
+    ),
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/store/store_state.rs
@@ -0,0 +1,173 @@
+//! The store's content, without sockets and clocks.
+
+use {
+    super::{change_history::ChangeHistory, lease_table::LeaseTable},
+    poplargap_platform::{
+        LeaseGrant, LeaseId, StoreRevision, StoredValue, SwapWrite, ValuePage, WatchBatch,
+        wire::{CompactionNotice, ListQuery},
+    },
+    std::{
+        collections::BTreeMap,
+        ops::Bound::{Excluded, Included, Unbounded},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Longest value in bytes.
+pub const VALUE_BYTES_MAX: usize = 1_000_000;
+
+const PAGE_BYTES_MAX: usize = 4 * 1024 * 1024;
+const PAGE_VALUES_MAX: usize = 1000;
+
+/// What a compare-and-swap did.
+#[derive(Debug)]
+pub(super) enum SwapAnswer {
+    Applied(StoreRevision),
+    Conflict(Option<StoredValue>),
+    NoLease,
+    TooLong,
+}
+
+#[derive(Debug)]
+struct ValueState {
+    lease: Option<LeaseId>,
+    revision: StoreRevision,
+    value: String,
+}
+
+impl ValueState {
+    fn stored(&self, key: &str) -> StoredValue {
+        StoredValue {
+            key: key.to_owned(),
+            revision: self.revision,
+            value: self.value.clone(),
+        }
+    }
+}
+
+/// The store's values, leases and history.
+#[derive(Debug, Default)]
+pub(super) struct StoreState {
+    history: ChangeHistory,
+    leases: LeaseTable,
+    values: BTreeMap<String, ValueState>,
+}
+
+impl StoreState {
+    pub(super) fn changes(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+    ) -> Result<WatchBatch, CompactionNotice> {
+        self.history.after(prefix, after)
+    }
+
+    pub(super) fn compact(&mut self) {
+        self.history.compact();
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(super) fn end_leases(&mut self, now: Instant) {
+        let ended = self.leases.remove_ended(now);
+        if !ended.is_empty() {
+            self.remove_bound(&ended);
+        }
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<StoredValue> {
+        self.values.get(key).map(|value| value.stored(key))
+    }
+
+    pub(super) fn grant_lease(&mut self, ttl: Duration, now: Instant) -> LeaseGrant {
+        self.leases.grant(ttl, now)
+    }
+
+    pub(super) fn list(&self, query: &ListQuery) -> ValuePage {
+        let limit = query
+            .limit
+            .unwrap_or(PAGE_VALUES_MAX)
+            .clamp(1, PAGE_VALUES_MAX);
+        let start = match &query.after {
+            Some(after) if *after >= query.prefix => Excluded(after.as_str()),
+            _ => Included(query.prefix.as_str()),
+        };
+        let mut bytes = 0;
+        let mut next = None;
+        let mut values: Vec<StoredValue> = Vec::new();
+        let matching = self
+            .values
+            .range::<str, _>((start, Unbounded))
+            .take_while(|(key, _)| key.starts_with(&query.prefix));
+        for (key, value) in matching {
+            bytes += value.value.len();
+            if values.len() == limit || (bytes > PAGE_BYTES_MAX && !values.is_empty()) {
+                next = values.last().map(|last| last.key.clone());
+                break;
+            }
+            values.push(value.stored(key));
+        }
+        ValuePage {
+            next,
+            revision: self.revision(),
+            values,
+        }
+    }
+
+    pub(super) fn next_lease_end(&self) -> Option<Instant> {
+        self.leases.next_end()
+    }
+
+    pub(super) fn renew_lease(&mut self, id: LeaseId, now: Instant) -> bool {
+        self.leases.renew(id, now)
+    }
+
+    pub(super) fn revision(&self) -> StoreRevision {
+        self.history.revision()
+    }
+
+    pub(super) fn revoke_lease(&mut self, id: LeaseId) -> bool {
+        let held = self.leases.revoke(id);
+        if held {
+            self.remove_bound(&[id]);
+        }
+        held
+    }
+
+    pub(super) fn swap(&mut self, write: SwapWrite) -> SwapAnswer {
+        if write.lease.is_some_and(|id| !self.leases.holds(id)) {
+            return SwapAnswer::NoLease;
+        }
+        if write.value.as_ref().map_or(0, String::len) > VALUE_BYTES_MAX {
+            return SwapAnswer::TooLong;
+        }
+        let current = self.values.get(&write.key);
+        if current.map(|current| current.revision) != write.expected {
+            return SwapAnswer::Conflict(self.get(&write.key));
+        }
+        let revision = self.history.push(&write.key, write.value.as_deref());
+        match write.value {
+            None => {
+                self.values.remove(&write.key);
+            }
+            Some(value) => {
+                let lease = write.lease;
+                let value = ValueState {
+                    lease,
+                    revision,
+                    value,
+                };
+                self.values.insert(write.key, value);
+            }
+        }
+        SwapAnswer::Applied(revision)
+    }
+
+    fn remove_bound(&mut self, leases: &[LeaseId]) {
+        let bound = |value: &ValueState| value.lease.is_some_and(|id| leases.contains(&id));
+        let removed = self.values.extract_if(.., |_, value| bound(value));
+        for (key, _) in removed {
+            self.history.push(&key, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/tests/relay.rs
@@ -0,0 +1,137 @@
+//! The link relay under its faults.
+
+use {
+    poplargap_testbed::relay::{LinkFaults, LinkRelay},
+    std::{
+        io::{self, ErrorKind},
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::{Instant, timeout},
+    },
+};
+
+const SILENCE: Duration = Duration::from_millis(100);
+
+async fn start_echo() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut reader, mut writer) = stream.split();
+                tokio::io::copy(&mut reader, &mut writer).await
+            });
+        }
+    });
+    address
+}
+
+async fn start_relay() -> LinkRelay {
+    LinkRelay::start(start_echo().await).await.unwrap()
+}
+
+async fn echo(stream: &mut TcpStream) -> io::Result<u8> {
+    stream.write_all(&[7]).await?;
+    stream.read_u8().await
+}
+
+#[tokio::test]
+async fn bytes_pass_both_ways_and_closing_is_passed_on() {
+    let relay = start_relay().await;
+    let sent: Vec<u8> = (0..200_000_u32).map(|number| number as u8).collect();
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    let (mut reader, mut writer) = stream.split();
+    let write = async {
+        writer.write_all(&sent).await?;
+        writer.shutdown().await
+    };
+    let mut received = Vec::new();
+    let read = reader.read_to_end(&mut received);
+    tokio::try_join!(write, read).unwrap();
+    assert!(received == sent);
+    relay.close().await;
+}
+
+#[tokio::test]
+async fn cut_resets_and_refuses_until_healed() {
+    let relay = start_relay().await;
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    let cut = LinkFaults {
+        cut: true,
+        ..LinkFaults::default()
+    };
+    relay.set_faults(cut).await;
+    assert_eq!(
+        stream.read_u8().await.unwrap_err().kind(),
+        ErrorKind::ConnectionReset
+    );
+    let refused = TcpStream::connect(relay.address()).await.unwrap_err();
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    relay.set_faults(LinkFaults::default()).await;
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    relay.close().await;
+}
+
+#[tokio::test]
+async fn delay_applies_each_way() {
+    let relay = start_relay().await;
+    let delayed = LinkFaults {
+        delay_ms: 40,
+        ..LinkFaults::default()
+    };
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    relay.set_faults(delayed).await;
+    let started_at = Instant::now();
+    echo(&mut stream).await.unwrap();
+    assert!(started_at.elapsed() >= Duration::from_millis(80));
+    relay.close().await;
+}
+
+#[tokio::test]
+async fn share_of_chunks_stalls() {
+    let relay = start_relay().await;
+    let stalled = LinkFaults {
+        seed: 1,
+        stall_ms: 30,
+        stall_percent: 20,
+        ..LinkFaults::default()
+    };
+    relay.set_faults(stalled).await;
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    let mut slow = 0;
+    for _ in 0..40 {
+        let started_at = Instant::now();
+        echo(&mut stream).await.unwrap();
+        slow += u32::from(started_at.elapsed() >= Duration::from_millis(30));
+    }
+    assert!((4..=30).contains(&slow), "{slow} of 40 stalled");
+    relay.close().await;
+}
+
+#[tokio::test]
+async fn silence_holds_open_connections_only() {
+    let relay = start_relay().await;
+    let mut old = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(echo(&mut old).await.unwrap(), 7);
+    relay.silence().await;
+    timeout(SILENCE, echo(&mut old)).await.unwrap_err();
+    let mut new = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(echo(&mut new).await.unwrap(), 7);
+    timeout(SILENCE, old.read_u8()).await.unwrap_err();
+    relay.close().await;
+    old.read_u8().await.unwrap_err();
+}
+
+#[tokio::test]
+async fn taken_port_is_an_error() {
+    let relay = start_relay().await;
+    let second = LinkRelay::start_at(relay.address(), relay.address()).await;
+    assert_eq!(second.unwrap_err().kind(), ErrorKind::AddrInUse);
+    relay.close().await;
+}
