Add engine and desk stand-ins and a caller that checks answers

Cause: routes, retries and limits can only be judged against upstreams whose work is recorded and whose answers a caller can compute. Ruled out: a random answer kept by the engine (no other engine could resume it); faults inside handlers alone (a silent or refused connection lies below HTTP, so the stand-ins own their listening sockets). Change: engine (continuous batching, priorities, prefix cache, resume, cancel, orders, late load and cache events, ledger), desk (ledger, no deduplication), faults over HTTP on the work address and on a control address that knows no connection faults, caller with typed verdicts; examples `engine` and `desk`. hyper-util joins the workspace for the stand-ins' own accept loop.

--- /dev/null
+++ b/crates/poplargap-testbed/src/engine/chat_stream.rs
@@ -0,0 +1,92 @@
+//! Answers as server-sent events.
+
+use {
+    super::{ChatChunk, engine_context::SubmittedRun, run_request::RunEvent},
+    crate::fault::ConnectionHandle,
+    bytes::Bytes,
+    futures::{Stream, stream},
+    std::{collections::VecDeque, io, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Event that ends a whole stream.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// Time that events get to leave before a connection is cut.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
+
+/// An answer that is being streamed.
+#[derive(Debug)]
+struct ChatStream {
+    connection: ConnectionHandle,
+    ended: bool,
+    events_left: Option<u64>,
+    queued: VecDeque<Bytes>,
+    run: SubmittedRun,
+}
+
+/// Streams the events of a run; `stop_after` cuts the connection after that many tokens.
+pub(super) fn chat_stream(
+    run: SubmittedRun,
+    connection: ConnectionHandle,
+    stop_after: Option<u64>,
+) -> impl Stream<Item = Result<Bytes, io::Error>> + Send + Sync + 'static {
+    let state = ChatStream {
+        connection,
+        ended: false,
+        events_left: stop_after,
+        queued: VecDeque::new(),
+        run,
+    };
+    stream::unfold(state, async |mut state| {
+        let item = state.next().await?;
+        Some((item, state))
+    })
+}
+
+impl ChatStream {
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        if let Some(bytes) = self.queued.pop_front() {
+            return Some(Ok(bytes));
+        }
+        if self.ended {
+            return None;
+        }
+        if self.events_left == Some(0) {
+            return Some(Err(self.cut().await));
+        }
+        match self.run.events.recv().await {
+            Some(RunEvent::Token { index }) => {
+                self.events_left = self.events_left.map(|left| left - 1);
+                Some(Ok(self.token(index)))
+            }
+            Some(RunEvent::Finished { usage }) => {
+                self.ended = true;
+                self.queued.push_back(Bytes::from_static(DONE.as_bytes()));
+                let chunk = ChatChunk::usage(&self.run.request_id, usage);
+                Some(Ok(Bytes::from(format!("data: {}\n\n", to_json(&chunk)))))
+            }
+            Some(RunEvent::Refused { .. } | RunEvent::Started { .. }) | None => {
+                Some(Err(self.cut().await))
+            }
+        }
+    }
+
+    async fn cut(&mut self) -> io::Error {
+        self.ended = true;
+        sleep(FLUSH_TIME).await;
+        self.connection.cut();
+        io::ErrorKind::ConnectionReset.into()
+    }
+
+    fn token(&self, index: usize) -> Bytes {
+        let script = self.run.script;
+        let last = index + 1 == script.len();
+        let chunk = ChatChunk::token(&self.run.request_id, index, script.token(index), last);
+        Bytes::from(format!("id: {index}\ndata: {}\n\n", to_json(&chunk)))
+    }
+}
+
+fn to_json(chunk: &ChatChunk) -> String {
+    serde_json::to_string(chunk).expect("a chunk has only serialisable fields")
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/engine/engine_task.rs
@@ -0,0 +1,117 @@
+//! The task that owns an engine's state.
+
+use {
+    super::{
+        CacheEvents, EngineOrder, EngineSettings, LedgerRecord, LoadRecord, OrderRecord,
+        PeakRecord,
+        batch_state::BatchState,
+        run_request::{RunNumber, RunRequest},
+    },
+    crate::fault::FaultSettings,
+    displaydoc::Display,
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Why an engine's task gave no answer.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum EngineGone {
+    /// the engine is closed
+    Closed,
+}
+
+impl std::error::Error for EngineGone {}
+
+/// A message to the engine's task.
+#[derive(Debug)]
+pub(super) enum EngineMessage {
+    CacheEvents {
+        after: u64,
+        reply: oneshot::Sender<CacheEvents>,
+    },
+    Cancel {
+        number: RunNumber,
+    },
+    CancelNamed {
+        reply: oneshot::Sender<bool>,
+        request_id: String,
+    },
+    Drain {
+        draining: bool,
+        reply: oneshot::Sender<()>,
+    },
+    Ledger {
+        reply: oneshot::Sender<LedgerRecord>,
+    },
+    Load {
+        reply: oneshot::Sender<LoadRecord>,
+    },
+    Order {
+        order: EngineOrder,
+        reply: oneshot::Sender<OrderRecord>,
+    },
+    Peak {
+        reply: oneshot::Sender<PeakRecord>,
+        reset: bool,
+    },
+    Submit {
+        request: RunRequest,
+    },
+}
+
+/// Runs an engine until all senders of messages are gone.
+pub(super) async fn run(
+    settings: EngineSettings,
+    faults: watch::Receiver<FaultSettings>,
+    mut messages: mpsc::UnboundedReceiver<EngineMessage>,
+) {
+    let mut state = BatchState::new(settings);
+    loop {
+        let next_step = state.next_step();
+        let step = async {
+            match next_step {
+                Some(at) => sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(message) = message else { return };
+                handle(&mut state, message, faults.borrow().gap);
+            }
+            () = step => state.step(faults.borrow().gap, Instant::now()),
+        }
+    }
+}
+
+fn handle(state: &mut BatchState, message: EngineMessage, gap: bool) {
+    let now = Instant::now();
+    match message {
+        EngineMessage::CacheEvents { after, reply } => {
+            let _sent = reply.send(state.cache_log.after(after, now));
+        }
+        EngineMessage::Cancel { number } => state.cancel(number, gap, now),
+        EngineMessage::CancelNamed { reply, request_id } => {
+            let _sent = reply.send(state.cancel_named(&request_id, gap, now));
+        }
+        EngineMessage::Drain { draining, reply } => {
+            state.draining = draining;
+            let _sent = reply.send(());
+        }
+        EngineMessage::Ledger { reply } => {
+            let _sent = reply.send(state.ledger());
+        }
+        EngineMessage::Load { reply } => {
+            let _sent = reply.send(state.reported_load(now));
+        }
+        EngineMessage::Order { order, reply } => {
+            let _sent = reply.send(state.orders.push(order));
+        }
+        EngineMessage::Peak { reply, reset } => {
+            let _sent = reply.send(state.peak(reset));
+        }
+        EngineMessage::Submit { request } => state.submit(request, now),
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/fault.rs
@@ -0,0 +1,17 @@
+//! Faults of the upstream stand-ins, switched on and off over HTTP.
+
+mod connection_gate;
+mod connection_handle;
+mod fault_routes;
+mod fault_settings;
+mod gated_stream;
+mod ran_header;
+
+pub use {
+    connection_gate::{BoundGate, ConnectionGate, GateOrder},
+    connection_handle::ConnectionHandle,
+    fault_routes::fault_routes,
+    fault_settings::FaultSettings,
+    gated_stream::GatedStream,
+    ran_header::{NOT_RUN, RAN_HEADER, not_run_reply},
+};
--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Stand-ins for the platform and the upstreams, and a load tool.
+
+pub mod caller;
+pub mod desk;
+pub mod engine;
+pub mod fault;
