Add the operators' command line

Cause: operators drive the fleet only by changing catalogue entries, at the same moment as others, and with a store that may lose answers.

Change: binary `poplargap` with check, diff, apply, get, history, rollback, drain, status and explain. An edit is a compare-and-swap on its bucket, based on the version that the operator saw. The version that an edit replaces goes into the entry's history before the edit is written. Answers of daemons are types of `poplargap_core::report`; findings serialise.

Ruled out: writing the history after the edit. A crash in between would lose the replaced version, and a writer whose lost answer is followed by two later versions couldn't tell whether its own version was among them; with the history written first it reads the answer there.

--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod entry_kind;
 mod entry_set;
+mod history;
 mod key_digest;
 mod load_multiple;
 mod snapshot;
@@ -16,8 +17,9 @@
         CatalogueEntry, ClassEntry, DataCentreEntry, FencingCheck, LimitSet, PoolEntry, PoolKind,
         PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
     },
-    entry_kind::{EntryKind, EntryRef},
+    entry_kind::{EntryKind, EntryRef, EntryRefError},
     entry_set::EntrySet,
+    history::{HISTORY_LEN_MAX, HISTORY_PREFIX, HistoryRecord, history_key},
     key_digest::{DigestError, KeyDigest},
     load_multiple::{LoadMultiple, MultipleError},
     snapshot::CatalogueSnapshot,
--- a/crates/poplargap-core/src/catalogue/entry_kind.rs
+++ b/crates/poplargap-core/src/catalogue/entry_kind.rs
@@ -2,7 +2,10 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::fmt::{self, Formatter},
+    std::{
+        fmt::{self, Formatter},
+        str::FromStr,
+    },
     strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames},
 };
 
@@ -54,3 +57,31 @@
         write!(f, "{} {}", self.kind, self.name)
     }
 }
+
+/// A text that is no reference to an entry.
+#[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq)]
+pub enum EntryRefError {
+    /// `{text}` is no kind and name of an entry
+    Malformed {
+        /// The text given.
+        text: String,
+    },
+}
+
+impl std::error::Error for EntryRefError {}
+
+impl FromStr for EntryRef {
+    type Err = EntryRefError;
+
+    fn from_str(text: &str) -> Result<Self, EntryRefError> {
+        let malformed = || EntryRefError::Malformed {
+            text: text.to_owned(),
+        };
+        let (kind, name) = text.split_once(' ').ok_or_else(malformed)?;
+        let Ok(kind) = kind.parse() else {
+            return Err(malformed());
+        };
+        let name = name.to_owned();
+        Ok(Self { kind, name })
+    }
+}
--- a/crates/poplargap-core/src/finding.rs
+++ b/crates/poplargap-core/src/finding.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::name::NAME_LEN_MAX,
+    serde::Serialize,
     std::fmt::{self, Display, Formatter},
 };
 
 /// One fault in a file, with the section and the key where it was found.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct InputFinding {
     /// The file's path as the operator gave it.
     pub file: String,
@@ -32,7 +34,8 @@
 }
 
 /// All faults found in one reading, reported together.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
 pub struct InputFindings(Vec<InputFinding>);
 
 impl InputFindings {
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod instant;
 pub mod name;
 pub mod rendezvous;
+pub mod report;
 pub mod settings;
--- /dev/null
+++ b/crates/poplargap/src/command_options.rs
@@ -0,0 +1,130 @@
+//! Options that all commands share, and the environment.
+
+use {
+    crate::{CatalogueStore, CommandError},
+    pico_args::Arguments,
+    poplargap_core::input::parse_duration,
+    poplargap_platform::HttpStore,
+    std::{env, net::SocketAddr, time::Duration},
+};
+
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
+const STORE_VARIABLE: &str = "POPLARGAP_STORE";
+const TIMEOUT: Duration = Duration::from_secs(2);
+const TOKEN_VARIABLE: &str = "POPLARGAP_OPERATOR_TOKEN";
+
+/// What the program takes from its environment.
+#[derive(Clone, Default)]
+pub struct Environment {
+    /// The operators' token for daemons.
+    pub operator_token: Option<String>,
+    /// Address of the store.
+    pub store: Option<String>,
+}
+
+impl std::fmt::Debug for Environment {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Environment")
+            .field("store", &self.store)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Environment {
+    /// Reads the environment of this process.
+    #[must_use]
+    pub fn of_process() -> Self {
+        Self {
+            operator_token: env::var(TOKEN_VARIABLE).ok(),
+            store: env::var(STORE_VARIABLE).ok(),
+        }
+    }
+}
+
+/// Options that all commands share.
+#[derive(Clone, Debug)]
+pub struct CommandOptions {
+    /// The environment.
+    pub environment: Environment,
+    /// Whether output is JSON.
+    pub json: bool,
+    /// Longest time in which a lost answer is resolved.
+    pub settle_timeout: Duration,
+    /// Address of the store.
+    pub store: Option<SocketAddr>,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+}
+
+impl CommandOptions {
+    /// Takes the shared options out of the arguments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a value that can't be read.
+    pub fn take(arguments: &mut Arguments, environment: Environment) -> Result<Self, CommandError> {
+        let json = arguments.contains("--json");
+        let settle_timeout = take_duration(arguments, "--settle")?;
+        let store = arguments
+            .opt_value_from_str::<_, String>("--store")
+            .map_err(|error| CommandError::Arguments(error.to_string()))?;
+        let timeout = take_duration(arguments, "--timeout")?;
+        let store = match (store, &environment.store) {
+            (Some(text), _) => Some(parse_address("--store", &text)?),
+            (None, Some(text)) => Some(parse_address(STORE_VARIABLE, text)?),
+            (None, None) => None,
+        };
+        Ok(Self {
+            environment,
+            json,
+            settle_timeout: settle_timeout.unwrap_or(SETTLE_TIMEOUT),
+            store,
+            timeout: timeout.unwrap_or(TIMEOUT),
+        })
+    }
+
+    /// Opens the catalogue in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no store is named.
+    pub fn open_store(&self) -> Result<CatalogueStore<HttpStore>, CommandError> {
+        let Some(address) = self.store else {
+            let message =
+                format!("no store is named; give `--store ADDRESS` or set {STORE_VARIABLE}");
+            return Err(CommandError::Arguments(message));
+        };
+        let store = HttpStore::new(address, self.timeout)
+            .map_err(|error| CommandError::ClientUnusable(error.to_string()))?;
+        Ok(CatalogueStore::new(store, self.settle_timeout))
+    }
+
+    /// Returns the operators' token for daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the environment holds none.
+    pub fn operator_token(&self) -> Result<&str, CommandError> {
+        self.environment.operator_token.as_deref().ok_or_else(|| {
+            CommandError::Arguments(format!("no operators' token is set in {TOKEN_VARIABLE}"))
+        })
+    }
+}
+
+/// Reads an address given as an option or variable.
+pub(crate) fn parse_address(name: &str, text: &str) -> Result<SocketAddr, CommandError> {
+    text.parse().map_err(|_error| {
+        CommandError::Arguments(format!(
+            "{name}: `{text}` is no IP address with a port, such as `10.0.0.2:2379`"
+        ))
+    })
+}
+
+fn take_duration(
+    arguments: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<Duration>, CommandError> {
+    arguments
+        .opt_value_from_fn(name, parse_duration)
+        .map_err(|error| CommandError::Arguments(format!("{name}: {error}")))
+}
--- a/crates/poplargap/src/main.rs
+++ b/crates/poplargap/src/main.rs
@@ -1,3 +1,10 @@
 //! Entry point.
 
-fn main() {}
+use {mimalloc::MiMalloc, std::process::ExitCode};
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    poplargap::main()
+}
--- /dev/null
+++ b/crates/poplargap/src/subcommand/explain.rs
@@ -0,0 +1,101 @@
+//! `explain`: shows what daemons did with a request.
+
+use {
+    super::{status::take_daemons, take_exactly},
+    crate::{CommandError, CommandOptions, CommandOutput, daemon_client::DaemonClient},
+    pico_args::Arguments,
+    poplargap_core::{
+        name::RequestId,
+        report::{RequestReport, RequestStep},
+    },
+    serde::Serialize,
+    std::{
+        fmt::{self, Display, Formatter},
+        io::Write,
+        net::SocketAddr,
+    },
+};
+
+pub(super) const HELP: &str = "\
+Shows what daemons did with a request: why it was placed where it was, or refused.
+
+Usage: poplargap explain --daemon ADDRESS [--daemon ADDRESS]… REQUEST-ID
+
+ADDRESS is a daemon's operators' listener; the operators' token is taken from the variable
+POPLARGAP_OPERATOR_TOKEN. A request may have passed through several daemons: name them all.
+
+Exit codes: 0 shown, 1 no daemon that answered knows the request, 2 faults.
+
+Example:
+  poplargap explain --daemon 10.0.0.7:8081 --daemon 10.0.0.8:8081 5f0c6c1e
+";
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ExplainLine(RequestReport);
+
+impl Display for ExplainLine {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let RequestReport {
+            daemon,
+            request,
+            steps,
+        } = &self.0;
+        write!(f, "{request} on {daemon}:")?;
+        for step in steps {
+            let RequestStep {
+                at_ms,
+                decision,
+                filter,
+            } = step;
+            write!(f, "\n  after {at_ms} ms, {filter}: {decision}")?;
+        }
+        Ok(())
+    }
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct SilentLine {
+    address: SocketAddr,
+    error: String,
+}
+
+impl Display for SilentLine {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "no answer from {}: {}", self.address, self.error)
+    }
+}
+
+pub(super) async fn run<W: Write>(
+    mut arguments: Arguments,
+    options: &CommandOptions,
+    output: &mut CommandOutput<'_, W>,
+) -> Result<(), CommandError> {
+    let daemons = take_daemons(&mut arguments)?;
+    let usage = "poplargap explain --daemon ADDRESS… REQUEST-ID";
+    let [request] = take_exactly(arguments, usage)?;
+    let request =
+        RequestId::try_from(request).map_err(|error| CommandError::Arguments(error.to_string()))?;
+    let client = DaemonClient::new(options)?;
+    let path = format!("/v1/explain/{request}");
+    let mut known = false;
+    for answer in client.ask(&daemons, &path).await {
+        match answer.outcome {
+            Ok(Some(report)) => {
+                known = true;
+                output.line(&ExplainLine(report))?;
+            }
+            Ok(None) => {}
+            Err(error) => output.line(&SilentLine {
+                address: answer.address,
+                error,
+            })?,
+        }
+    }
+    if known {
+        Ok(())
+    } else {
+        Err(CommandError::NoRequest(request.to_string()))
+    }
+}
