--- a/crates/poplargap-core/src/catalogue/entry.rs
+++ b/crates/poplargap-core/src/catalogue/entry.rs
@@ -208,7 +208,7 @@
 
 /// One entry of the catalogue.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(rename_all = "kebab-case", tag = "entry-kind")]
 pub enum CatalogueEntry {
     /// A class of work.
     Class(ClassEntry),
--- a/crates/poplargap-core/tests/declaration_properties.rs
+++ b/crates/poplargap-core/tests/declaration_properties.rs
@@ -3,9 +3,9 @@
 use {
     poplargap_core::{
         catalogue::{
-            CatalogueEntry, ClassEntry, DataCentreEntry, EntryRef, EntrySet, FencingCheck,
-            KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind, PriorityClass, UpstreamEntry,
-            UpstreamState, WorkspaceEntry,
+            CatalogueEntry, ClassEntry, DataCentreEntry, EntryRecord, EntryRef, EntrySet,
+            FencingCheck, KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind, PriorityClass,
+            UpstreamEntry, UpstreamState, WorkspaceEntry,
             declaration::{CatalogueDeclaration, EntryChange, SourceText, diff, render},
         },
         finding::InputFindings,
@@ -172,6 +172,17 @@
         prop_assert_eq!(declaration.merge(&EntrySet::default()), entries);
     }
 
+    #[test]
+    fn records_read_back_from_json(entry in entry(), version in any::<u64>(), removed: bool) {
+        let record = EntryRecord {
+            entry: (!removed).then_some(entry),
+            version,
+            write_id: "0123".to_owned(),
+        };
+        let json = serde_json::to_string(&record).expect("a record is JSON");
+        prop_assert_eq!(serde_json::from_str::<EntryRecord>(&json).expect("a record is read"), record);
+    }
+
     #[test]
     fn changes_lead_from_before_to_after(
         before in prop::collection::vec(entry(), 0..6),
--- /dev/null
+++ b/crates/poplargap/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What several tests need.
+
+pub mod faulty_store;
