--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod outcome;
 pub mod queue;
 pub mod rendezvous;
+pub mod report;
 pub mod settings;
 pub mod shard;
