Add sites and the quickstart example

Cause: the thin path has to be shown from end to end. Change: testbed sites (embedded daemons, or daemons as processes), declarations and settings written from a plan; the quickstart runs chats, bookings and an engine's end.

--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 pub mod fault;
 pub mod relay;
+pub mod site;
 pub mod store;
--- /dev/null
+++ b/crates/poplargap-testbed/src/site.rs
@@ -0,0 +1,20 @@
+//! Whole sites on loopback: stand-ins of the platform and the upstreams, and daemons before them.
+
+mod declarations;
+mod embedded_site;
+mod port_block;
+mod process_site;
+mod settings_text;
+mod site_error;
+mod site_plan;
+mod site_upstreams;
+mod status_client;
+
+pub use {
+    embedded_site::EmbeddedSite,
+    process_site::{DaemonProcess, ProcessSite},
+    site_error::SiteError,
+    site_plan::{ClassPlan, PoolPlan, SitePlan, WorkspacePlan},
+    site_upstreams::SiteUpstreams,
+    status_client::StatusClient,
+};
--- /dev/null
+++ b/crates/poplargap-testbed/src/site/site_upstreams.rs
@@ -0,0 +1,116 @@
+//! The stand-ins of a site's upstreams.
+
+use {
+    super::{PoolPlan, SiteError, SitePlan},
+    crate::{
+        desk::{DeskSettings, DeskStandIn},
+        engine::{EngineSettings, EngineStandIn},
+    },
+    std::net::{Ipv4Addr, SocketAddr},
+};
+
+/// Where one upstream stands.
+#[derive(Clone, Debug)]
+pub(super) struct UpstreamPlace {
+    pub(super) address: SocketAddr,
+    pub(super) data_centre: String,
+    pub(super) name: String,
+    pub(super) pool: String,
+}
+
+/// Engines and desks in this process.
+#[derive(Debug)]
+pub struct SiteUpstreams {
+    /// The desks, by number.
+    pub desks: Vec<DeskStandIn>,
+    /// The engines, by number; `None` while one is stopped.
+    pub engines: Vec<Option<EngineStandIn>>,
+    settings: EngineSettings,
+}
+
+fn name_of(plan: &SitePlan, pool: &PoolPlan, number: usize) -> String {
+    format!("{}-{}-{number:02}", pool.name, plan.data_centre_of(number))
+}
+
+impl SiteUpstreams {
+    /// Starts all engines and desks of a plan.
+    pub(super) async fn start(plan: &SitePlan) -> Result<(Self, Vec<UpstreamPlace>), SiteError> {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut places = Vec::new();
+        let mut engines = Vec::new();
+        for number in 0..plan.engines.upstreams {
+            let settings = EngineSettings {
+                listen: free,
+                ..plan.engine.clone()
+            };
+            let engine = EngineStandIn::start(settings).await?;
+            places.push(place(plan, &plan.engines, number, engine.address()));
+            engines.push(Some(engine));
+        }
+        let mut desks = Vec::new();
+        for number in 0..plan.desks.upstreams {
+            let settings = DeskSettings {
+                listen: free,
+                ..plan.desk.clone()
+            };
+            let desk = DeskStandIn::start(settings).await?;
+            places.push(place(plan, &plan.desks, number, desk.address()));
+            desks.push(desk);
+        }
+        let settings = plan.engine.clone();
+        Ok((
+            Self {
+                desks,
+                engines,
+                settings,
+            },
+            places,
+        ))
+    }
+
+    /// Ends an engine with everything that it runs; returns where it stood.
+    pub async fn stop_engine(&mut self, number: usize) -> Option<SocketAddr> {
+        let engine = self.engines.get_mut(number)?.take()?;
+        let address = engine.address();
+        engine.close().await;
+        Some(address)
+    }
+
+    /// Starts a stopped engine again, with an empty cache.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address was taken meanwhile.
+    pub async fn restart_engine(
+        &mut self,
+        number: usize,
+        listen: SocketAddr,
+    ) -> Result<(), SiteError> {
+        let engine = EngineStandIn::start(EngineSettings {
+            listen,
+            ..self.settings.clone()
+        })
+        .await?;
+        self.engines[number] = Some(engine);
+        Ok(())
+    }
+
+    /// Ends all engines and desks.
+    pub async fn close(self) {
+        for engine in self.engines.into_iter().flatten() {
+            engine.close().await;
+        }
+        for desk in self.desks {
+            desk.close().await;
+        }
+    }
+}
+
+fn place(plan: &SitePlan, pool: &PoolPlan, number: usize, address: SocketAddr) -> UpstreamPlace {
+    UpstreamPlace {
+        address,
+        data_centre: plan.data_centre_of(number).to_owned(),
+        name: name_of(plan, pool, number),
+        pool: pool.name.clone(),
+    }
+}
