Add the datagram relay and relay control over HTTP; steady the tests

Cause: links that lose datagrams and relays in other processes couldn't be had; under four runs at once, 14 of 40 runs of tests/store.rs failed in listing_continues_after_full_page, whose 4 MB page didn't always come within the 250 ms that the client of every test had. Ruled out: a fault of the listing; only the deadline was missed.

--- a/crates/poplargap-testbed/src/relay.rs
+++ b/crates/poplargap-testbed/src/relay.rs
@@ -1,6 +1,9 @@
-//! A loopback relay that stands in for a link between data centres.
+//! Loopback relays that stand in for links between data centres.
 
 mod chunk_pump;
+mod control_server;
+mod datagram_relay;
+mod datagram_task;
 mod held_port;
 mod link_faults;
 mod link_relay;
@@ -9,4 +12,7 @@
 mod relay_message;
 mod relay_task;
 
-pub use {link_faults::LinkFaults, link_relay::LinkRelay, relay_control::RelayControl};
+pub use {
+    control_server::ControlServer, datagram_relay::DatagramRelay, link_faults::LinkFaults,
+    link_relay::LinkRelay, relay_control::RelayControl,
+};
--- a/crates/poplargap-testbed/src/relay/chunk_pump.rs
+++ b/crates/poplargap-testbed/src/relay/chunk_pump.rs
@@ -3,7 +3,6 @@
 use {
     super::LinkFaults,
     bytes::Bytes,
-    rand::Rng,
     rand_chacha::ChaCha8Rng,
     std::io,
     tokio::{
@@ -62,7 +61,7 @@
 
 fn due_at(faults: LinkFaults, rng: &mut ChaCha8Rng) -> Instant {
     let due_at = Instant::now() + faults.delay();
-    if rng.random_range(0..100) < faults.stall_percent {
+    if faults.draw_loss(rng) {
         due_at + faults.stall()
     } else {
         due_at
--- a/crates/poplargap-testbed/src/relay/link_faults.rs
+++ b/crates/poplargap-testbed/src/relay/link_faults.rs
@@ -1,6 +1,7 @@
 //! Faults of a link.
 
 use {
+    rand::Rng,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -9,16 +10,16 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LinkFaults {
-    /// Whether open connections are reset and new ones refused.
+    /// Whether open connections are reset and new ones refused, and datagrams dropped.
     pub cut: bool,
     /// Delay each way, in milliseconds.
     pub delay_ms: u64,
-    /// Seed of the choice of stalled chunks, for connections accepted from now on.
+    /// Share of losses, in percent: datagrams are dropped, chunks of a connection stall.
+    pub loss_percent: u8,
+    /// Seed of the losses, for connections and senders that are new from now on.
     pub seed: u64,
-    /// Further delay of a stalled chunk, in milliseconds.
+    /// Further delay of a stalled chunk, in milliseconds, as for its retransmission.
     pub stall_ms: u64,
-    /// Share of chunks that stall, in percent, as lost packets make TCP do.
-    pub stall_percent: u8,
 }
 
 impl LinkFaults {
@@ -26,6 +27,10 @@
         Duration::from_millis(self.delay_ms)
     }
 
+    pub(super) fn draw_loss(&self, rng: &mut impl Rng) -> bool {
+        rng.random_range(0..100) < self.loss_percent
+    }
+
     pub(super) fn stall(&self) -> Duration {
         Duration::from_millis(self.stall_ms)
     }
--- a/crates/poplargap-testbed/src/store.rs
+++ b/crates/poplargap-testbed/src/store.rs
@@ -9,6 +9,8 @@
 mod call_fate;
 mod change_history;
 mod lease_table;
+mod route_answer;
+mod route_context;
 mod store_faults;
 mod store_handle;
 mod store_message;
--- /dev/null
+++ b/crates/poplargap-testbed/src/store/route_context.rs
@@ -0,0 +1,72 @@
+//! What every route of the stand-in needs.
+
+use {
+    super::{
+        StoreFaults, call_counts::is_write, call_fate::CallFate, route_answer::answer,
+        store_handle::StoreHandle, store_message::StoreMessage,
+    },
+    crate::relay::RelayControl,
+    poplargap_platform::CallKind,
+    std::{convert::Infallible, future::pending, net::SocketAddr},
+    tokio::time::sleep,
+    warp::{Reply, http::StatusCode, reply::Response},
+};
+
+/// What every route needs.
+#[derive(Clone, Debug)]
+pub(super) struct RouteContext {
+    pub(super) relay: RelayControl,
+    pub(super) remote: Option<SocketAddr>,
+    pub(super) store: StoreHandle,
+}
+
+impl RouteContext {
+    /// Serves one call of the platform's interface under the faults in force.
+    pub(super) async fn serve(
+        self,
+        kind: CallKind,
+        work: impl Future<Output = Response> + Send + 'static,
+    ) -> Result<Response, Infallible> {
+        let fate = self
+            .store
+            .ask(|reply| StoreMessage::Begin(kind, reply))
+            .await;
+        let Some(CallFate::Apply { delay, drop_answer }) = fate else {
+            return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        };
+        let work = async move {
+            sleep(delay).await;
+            work.await
+        };
+        let response = if is_write(kind) {
+            run_detached(work).await
+        } else {
+            work.await
+        };
+        if drop_answer && let Some(remote) = self.remote {
+            self.relay.reset(remote).await;
+            return pending().await;
+        }
+        Ok(response)
+    }
+
+    /// Replaces the faults, and silences connections when they say so.
+    pub(super) async fn set_faults(self, faults: StoreFaults) -> Result<Response, Infallible> {
+        let set = |reply| StoreMessage::SetFaults(faults, reply);
+        let done = self.store.ask(set).await;
+        if faults.silent {
+            match self.remote {
+                Some(remote) => self.relay.silence_except(remote).await,
+                None => self.relay.silence().await,
+            }
+        }
+        Ok(answer(done))
+    }
+}
+
+/// Runs a write to its end even when its caller goes away.
+async fn run_detached(work: impl Future<Output = Response> + Send + 'static) -> Response {
+    tokio::spawn(work)
+        .await
+        .unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
--- a/crates/poplargap-testbed/src/store/store_routes.rs
+++ b/crates/poplargap-testbed/src/store/store_routes.rs
@@ -2,85 +2,29 @@
 
 use {
     super::{
-        StoreFaults, call_counts::is_write, call_fate::CallFate, store_handle::StoreHandle,
-        store_message::StoreMessage, store_state::SwapAnswer,
+        StoreFaults,
+        route_answer::{answer, lease_answer, swap_answer},
+        route_context::RouteContext,
+        store_handle::StoreHandle,
+        store_message::StoreMessage,
     },
     crate::relay::RelayControl,
     poplargap_platform::{
         CallKind, LeaseId, SwapWrite, VmEntry,
-        wire::{KeyQuery, LeaseRequest, ListQuery, SwapReceipt, WatchQuery},
+        wire::{KeyQuery, LeaseRequest, ListQuery, WatchQuery},
     },
-    serde::Serialize,
-    std::{convert::Infallible, future::pending, net::SocketAddr, time::Duration},
-    tokio::time::sleep,
+    serde::de::DeserializeOwned,
+    std::{convert::Infallible, time::Duration},
     warp::{
         Filter, Rejection, Reply,
         http::StatusCode,
-        reply::{Response, json, with_status},
+        reply::{json, with_status},
     },
 };
 
 /// Longest request body; JSON may escape a value of the longest length.
 const BODY_BYTES_MAX: u64 = 8 * 1024 * 1024;
 
-/// What every route needs.
-#[derive(Clone, Debug)]
-pub(super) struct RouteContext {
-    pub(super) relay: RelayControl,
-    pub(super) remote: Option<SocketAddr>,
-    pub(super) store: StoreHandle,
-}
-
-impl RouteContext {
-    /// Serves one call of the platform's interface under the faults in force.
-    async fn serve(
-        self,
-        kind: CallKind,
-        work: impl Future<Output = Response> + Send + 'static,
-    ) -> Result<Response, Infallible> {
-        let fate = self
-            .store
-            .ask(|reply| StoreMessage::Begin(kind, reply))
-            .await;
-        let Some(CallFate::Apply { delay, drop_answer }) = fate else {
-            return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
-        };
-        let work = async move {
-            sleep(delay).await;
-            work.await
-        };
-        let response = if is_write(kind) {
-            run_detached(work).await
-        } else {
-            work.await
-        };
-        if drop_answer && let Some(remote) = self.remote {
-            self.relay.reset(remote).await;
-            return pending().await;
-        }
-        Ok(response)
-    }
-
-    async fn set_faults(self, faults: StoreFaults) -> Result<Response, Infallible> {
-        let set = |reply| StoreMessage::SetFaults(faults, reply);
-        let done = self.store.ask(set).await;
-        if faults.silent {
-            match self.remote {
-                Some(remote) => self.relay.silence_except(remote).await,
-                None => self.relay.silence().await,
-            }
-        }
-        Ok(answer(done))
-    }
-}
-
-/// Runs a write to its end even when its caller goes away.
-async fn run_detached(work: impl Future<Output = Response> + Send + 'static) -> Response {
-    tokio::spawn(work)
-        .await
-        .unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
-}
-
 /// Returns all routes.
 pub(super) fn routes(
     store: StoreHandle,
@@ -249,33 +193,7 @@
     clear.or(compact).or(counters).or(faults).or(set)
 }
 
-fn json_body<T: serde::de::DeserializeOwned + Send>()
--> impl Filter<Extract = (T,), Error = Rejection> + Clone {
+fn json_body<T: DeserializeOwned + Send>() -> impl Filter<Extract = (T,), Error = Rejection> + Clone
+{
     warp::body::content_length_limit(BODY_BYTES_MAX).and(warp::body::json())
 }
-
-fn answer<T: Serialize>(answer: Option<T>) -> Response {
-    match answer {
-        Some(answer) => json(&answer).into_response(),
-        None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
-    }
-}
-
-fn lease_answer(held: Option<bool>) -> Response {
-    match held {
-        Some(false) => StatusCode::NOT_FOUND.into_response(),
-        held => answer(held.map(|_| ())),
-    }
-}
-
-fn swap_answer(swapped: Option<SwapAnswer>) -> Response {
-    match swapped {
-        None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Some(SwapAnswer::Applied(revision)) => json(&SwapReceipt { revision }).into_response(),
-        Some(SwapAnswer::Conflict(current)) => {
-            with_status(json(&current), StatusCode::CONFLICT).into_response()
-        }
-        Some(SwapAnswer::NoLease) => StatusCode::NOT_FOUND.into_response(),
-        Some(SwapAnswer::TooLong) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
-    }
-}
--- a/crates/poplargap-testbed/tests/relay.rs
+++ b/crates/poplargap-testbed/tests/relay.rs
@@ -1,7 +1,8 @@
 //! The link relay under its faults.
 
 use {
-    poplargap_testbed::relay::{LinkFaults, LinkRelay},
+    poplargap_testbed::relay::{ControlServer, DatagramRelay, LinkFaults, LinkRelay},
+    reqwest::Client,
     std::{
         io::{self, ErrorKind},
         net::{Ipv4Addr, SocketAddr},
@@ -9,7 +10,7 @@
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpStream, UdpSocket},
         time::{Instant, timeout},
     },
 };
@@ -99,7 +100,7 @@
     let stalled = LinkFaults {
         seed: 1,
         stall_ms: 30,
-        stall_percent: 20,
+        loss_percent: 20,
         ..LinkFaults::default()
     };
     relay.set_faults(stalled).await;
@@ -135,3 +136,70 @@
     assert_eq!(second.unwrap_err().kind(), ErrorKind::AddrInUse);
     relay.close().await;
 }
+
+#[tokio::test]
+async fn faults_are_set_over_http() {
+    let relay = start_relay().await;
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let server = ControlServer::start(any_port, relay.control())
+        .await
+        .unwrap();
+    let url = format!("http://{}/faults", server.address());
+    let http = Client::builder().no_proxy().build().unwrap();
+    let cut = LinkFaults {
+        cut: true,
+        ..LinkFaults::default()
+    };
+    let set = http.post(&url).json(&cut).send().await.unwrap();
+    assert!(set.status().is_success());
+    TcpStream::connect(relay.address()).await.unwrap_err();
+    http.delete(&url).send().await.unwrap();
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    relay.close().await;
+    server.close().await;
+}
+
+#[tokio::test]
+async fn datagrams_are_lost_and_silenced() {
+    let echo = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let relay = DatagramRelay::start(echo.local_addr().unwrap())
+        .await
+        .unwrap();
+    tokio::spawn(async move {
+        let mut buffer = [0; 8];
+        while let Ok((len, sender)) = echo.recv_from(&mut buffer).await {
+            echo.send_to(&buffer[..len], sender).await.unwrap();
+        }
+    });
+    let old = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    assert_eq!(count_echoes(&old, relay.address(), 20).await, 20);
+    let lossy = LinkFaults {
+        loss_percent: 30,
+        ..LinkFaults::default()
+    };
+    relay.set_faults(lossy).await;
+    let echoes = count_echoes(&old, relay.address(), 100).await;
+    assert!((25..=75).contains(&echoes), "{echoes} of 100 came back");
+    relay.set_faults(LinkFaults::default()).await;
+    relay.silence().await;
+    assert_eq!(count_echoes(&old, relay.address(), 5).await, 0);
+    let new = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    assert_eq!(count_echoes(&new, relay.address(), 5).await, 5);
+    relay.close().await;
+}
+
+async fn count_echoes(socket: &UdpSocket, relay: SocketAddr, sent: usize) -> usize {
+    for _ in 0..sent {
+        socket.send_to(&[7], relay).await.unwrap();
+    }
+    let mut count = 0;
+    while count < sent
+        && timeout(SILENCE, socket.recv_from(&mut [0; 8]))
+            .await
+            .is_ok()
+    {
+        count += 1;
+    }
+    count
+}
--- a/crates/poplargap-testbed/tests/store.rs
+++ b/crates/poplargap-testbed/tests/store.rs
@@ -1,112 +1,20 @@
 //! The store's client against its stand-in.
 
 use {
+    fixture::{Fixture, KEY, WAIT, create, replace},
     poplargap_platform::{
-        CallKind, CallOutcome, HttpStore, HttpVmList, KeyValueStore, LeaseId, SettleLimit,
-        StoreError, StoreRevision, StoredValue, SwapOutcome, SwapWrite, VmEntry, VmList, VmRole,
-        VmState, WriteEvidence, write_then_settle,
-    },
-    poplargap_testbed::store::{CallCounts, StoreFaults, StoreStandIn, VALUE_BYTES_MAX},
-    reqwest::Client,
-    serde::Serialize,
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        time::Duration,
+        CallKind, CallOutcome, HttpVmList, KeyValueStore, LeaseId, StoreError, StoreRevision,
+        SwapOutcome, SwapWrite, VmEntry, VmList, VmRole, VmState,
     },
+    poplargap_testbed::store::{CallCounts, StoreFaults, VALUE_BYTES_MAX},
+    std::time::Duration,
     tokio::{
         task::JoinSet,
         time::{Instant, sleep},
     },
 };
 
-const KEY: &str = "test/key";
-const TIMEOUT: Duration = Duration::from_millis(250);
-const WAIT: Duration = Duration::from_secs(3);
-
-struct Fixture {
-    http: Client,
-    stand_in: StoreStandIn,
-    store: HttpStore,
-}
-
-impl Fixture {
-    async fn start() -> Self {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let stand_in = StoreStandIn::start(address).await.unwrap();
-        Self {
-            http: Client::builder().no_proxy().build().unwrap(),
-            store: HttpStore::new(stand_in.address(), TIMEOUT).unwrap(),
-            stand_in,
-        }
-    }
-
-    fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.stand_in.address())
-    }
-
-    async fn counts(&self) -> CallCounts {
-        let answer = self.http.get(self.url("/counters")).send().await.unwrap();
-        answer.json().await.unwrap()
-    }
-
-    async fn post(&self, path: &str, body: &impl Serialize) {
-        let request = self.http.post(self.url(path)).json(body);
-        let answer = request.send().await.unwrap();
-        assert!(answer.status().is_success());
-    }
-
-    async fn set_faults(&self, faults: StoreFaults) {
-        self.post("/faults", &faults).await;
-    }
-
-    async fn put(&self, key: &str, value: &str) -> StoreRevision {
-        let write = SwapWrite {
-            key: key.to_owned(),
-            ..create(value)
-        };
-        let SwapOutcome::Applied(revision) = self.store.swap(&write).await else {
-            panic!("write of {key} was not applied");
-        };
-        revision
-    }
-
-    async fn value(&self) -> Option<StoredValue> {
-        self.store.get(KEY).await.unwrap()
-    }
-
-    async fn settle(&self, write: &SwapWrite) -> SwapOutcome {
-        let limit = SettleLimit {
-            deadline: Instant::now() + WAIT,
-            pause: Duration::from_millis(10),
-            rounds_max: 8,
-        };
-        let own = write.value.as_deref();
-        let evidence = |current: &StoredValue| {
-            if Some(current.value.as_str()) == own {
-                WriteEvidence::Applied
-            } else {
-                WriteEvidence::NotApplied
-            }
-        };
-        write_then_settle(&self.store, write, evidence, limit).await
-    }
-}
-
-fn create(value: &str) -> SwapWrite {
-    SwapWrite {
-        expected: None,
-        key: KEY.to_owned(),
-        lease: None,
-        value: Some(value.to_owned()),
-    }
-}
-
-fn replace(expected: StoreRevision, value: &str) -> SwapWrite {
-    SwapWrite {
-        expected: Some(expected),
-        ..create(value)
-    }
-}
+mod fixture;
 
 #[tokio::test]
 async fn race_of_swaps_has_one_winner() {
@@ -173,67 +81,11 @@
     fixture.stand_in.close().await;
 }
 
-#[tokio::test]
-async fn lost_answer_is_resolved_by_write_id() {
-    let fixture = Fixture::start().await;
-    let faults = StoreFaults {
-        drop_next_answers: 2,
-        ..StoreFaults::default()
-    };
-    fixture.set_faults(faults).await;
-    let lost = fixture.store.swap(&create("first")).await;
-    assert!(matches!(lost, SwapOutcome::Unknown(_)), "{lost:?}");
-    assert_eq!(fixture.counts().await.swap, 1);
-    let first = fixture.settle(&create("first")).await;
-    assert_eq!(first, SwapOutcome::Applied(StoreRevision(1)));
-    fixture.set_faults(faults).await;
-    let second = fixture.settle(&replace(StoreRevision(1), "second")).await;
-    assert_eq!(second, SwapOutcome::Applied(StoreRevision(2)));
-    fixture.stand_in.close().await;
-}
-
-#[tokio::test]
-async fn lost_answer_to_lost_race_is_conflict() {
-    let fixture = Fixture::start().await;
-    fixture.put(KEY, "other").await;
-    let faults = StoreFaults {
-        drop_next_answers: 1,
-        ..StoreFaults::default()
-    };
-    fixture.set_faults(faults).await;
-    let outcome = fixture.settle(&create("own")).await;
-    assert_eq!(outcome, SwapOutcome::Conflict(fixture.value().await));
-    fixture.stand_in.close().await;
-}
-
-#[tokio::test]
-async fn delayed_write_is_applied_once() {
-    let fixture = Fixture::start().await;
-    let first = fixture.put(KEY, "first").await;
-    let late = StoreFaults {
-        delay_ms: 600,
-        ..StoreFaults::default()
-    };
-    fixture.set_faults(late).await;
-    let write = replace(first, "second");
-    let lost = fixture.store.swap(&write).await;
-    assert!(matches!(lost, SwapOutcome::Unknown(_)), "{lost:?}");
-    fixture.set_faults(StoreFaults::default()).await;
-    assert_eq!(fixture.value().await.unwrap().value, "first");
-    let settled = fixture.settle(&write).await;
-    assert_eq!(settled, SwapOutcome::Applied(StoreRevision(2)));
-    let third = fixture.settle(&replace(StoreRevision(2), "third")).await;
-    sleep(Duration::from_millis(600)).await;
-    assert_eq!(third, SwapOutcome::Applied(StoreRevision(3)));
-    assert_eq!(fixture.value().await.unwrap().value, "third");
-    fixture.stand_in.close().await;
-}
-
 #[tokio::test]
 async fn lease_end_removes_bound_key() {
     let fixture = Fixture::start().await;
     let store = &fixture.store;
-    let ttl = Duration::from_millis(300);
+    let ttl = Duration::from_millis(800);
     let lease = store.grant_lease(ttl).await.unwrap();
     let second = store.grant_lease(ttl).await.unwrap();
     assert!(second.fence > lease.fence);
@@ -244,7 +96,7 @@
     let SwapOutcome::Applied(held) = store.swap(&write).await else {
         panic!("write was not applied");
     };
-    sleep(Duration::from_millis(150)).await;
+    sleep(Duration::from_millis(100)).await;
     store.renew_lease(lease.id).await.unwrap();
     let batch = store.watch(KEY, held, WAIT).await.unwrap();
     assert_eq!(batch.changes[0].value, None);
@@ -322,48 +174,6 @@
     fixture.stand_in.close().await;
 }
 
-#[tokio::test]
-async fn silent_connection_is_replaced_after_timeout() {
-    let fixture = Fixture::start().await;
-    let first = fixture.put(KEY, "first").await;
-    let faults = StoreFaults {
-        silent: true,
-        ..StoreFaults::default()
-    };
-    fixture.set_faults(faults).await;
-    let started_at = Instant::now();
-    let silent = fixture.store.swap(&replace(first, "second")).await;
-    assert!(matches!(
-        silent,
-        SwapOutcome::Unknown(StoreError::NoAnswer(_))
-    ));
-    assert!(started_at.elapsed() < TIMEOUT * 2);
-    assert_eq!(fixture.value().await.unwrap().value, "first");
-    assert!(started_at.elapsed() < TIMEOUT * 2);
-    assert_eq!(fixture.store.counters().pools_dropped(), 1);
-    fixture.stand_in.close().await;
-}
-
-#[tokio::test]
-async fn refusal_and_closed_port_are_told_apart() {
-    let fixture = Fixture::start().await;
-    let refuse = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    fixture.set_faults(refuse).await;
-    let write = create("value");
-    let refused = fixture.store.swap(&write).await;
-    assert_eq!(refused, SwapOutcome::Unknown(StoreError::Refused(503)));
-    let store = fixture.store.clone();
-    fixture.stand_in.close().await;
-    let closed = store.swap(&write).await;
-    assert!(
-        matches!(closed, SwapOutcome::Failed(StoreError::NotSent(_))),
-        "{closed:?}"
-    );
-}
-
 #[tokio::test]
 async fn calls_are_counted_on_both_sides() {
     let fixture = Fixture::start().await;
@@ -404,7 +214,7 @@
 async fn vm_list_shows_changes_late() {
     let fixture = Fixture::start().await;
     let lag = StoreFaults {
-        lag_ms: 200,
+        lag_ms: 500,
         ..StoreFaults::default()
     };
     fixture.set_faults(lag).await;
@@ -418,13 +228,13 @@
     let request = fixture.http.put(fixture.url("/v1/vms")).json(&vms);
     let put_at = Instant::now();
     assert!(request.send().await.unwrap().status().is_success());
-    let list = HttpVmList::new(fixture.stand_in.address(), TIMEOUT).unwrap();
+    let list = HttpVmList::new(fixture.stand_in.address(), WAIT).unwrap();
     assert_eq!(list.vms().await.unwrap(), []);
     while list.vms().await.unwrap().is_empty() {
         assert!(put_at.elapsed() < WAIT);
         sleep(Duration::from_millis(20)).await;
     }
-    assert!(put_at.elapsed() >= Duration::from_millis(200));
+    assert!(put_at.elapsed() >= Duration::from_millis(500));
     assert_eq!(list.vms().await.unwrap(), vms);
     fixture.stand_in.close().await;
 }
