--- a/crates/poplargap-testbed/examples/quickstart.rs
+++ b/crates/poplargap-testbed/examples/quickstart.rs
@@ -97,6 +97,12 @@
             let outcome = caller
                 .service(callers[(number + send) % callers.len()], &call)
                 .await;
+            if outcome.answer.is_none() {
+                println!(
+                    "booking not answered: {} {:?}",
+                    outcome.request_id, outcome.verdict
+                );
+            }
             answered += usize::from(outcome.answer.is_some());
         }
     }
--- a/crates/poplargapd/src/lib.rs
+++ b/crates/poplargapd/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod rpc_server;
 pub mod run;
 
+mod body;
 mod clock;
 mod server;
--- a/crates/poplargapd/src/path/accept.rs
+++ b/crates/poplargapd/src/path/accept.rs
@@ -5,12 +5,15 @@
         AdmitPass, CallTarget, CallerRequest, PathContext, PathProblem, ProblemCode, RequestTrace,
         Settlement, chat, service,
     },
-    crate::server::HttpServer,
-    bytes::{Buf, Bytes, BytesMut},
-    futures::{Stream, StreamExt},
+    crate::{
+        body::{self, BodyError},
+        server::HttpServer,
+    },
+    bytes::{Buf, Bytes},
+    futures::Stream,
     poplargap_core::name::{PoolName, RequestId},
     poplargap_platform::KeyValueStore,
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{net::TcpListener, time},
     warp::{
         Filter, Reply,
@@ -150,36 +153,19 @@
     if declared.is_some_and(|declared| declared > max) {
         return Err(too_large(max));
     }
-    let read = collect(body, max);
-    time::timeout(context.body_deadline, read)
-        .await
-        .unwrap_or_else(|_elapsed| {
-            let seconds = context.body_deadline.as_secs();
-            let detail = format!("the body didn't arrive within {seconds} s");
-            Err(PathProblem::not_run(ProblemCode::BodyTimeout, detail))
-        })
-}
-
-async fn collect<B, D, E>(body: B, max: u64) -> Result<Bytes, PathProblem>
-where
-    B: Stream<Item = Result<D, E>>,
-    D: Buf,
-{
-    let mut body = pin!(body);
-    let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        let chunk = chunk.map_err(|_source| {
-            PathProblem::not_run(
-                ProblemCode::MalformedRequest,
-                "the body broke off before its end",
-            )
-        })?;
-        if bytes.len().saturating_add(chunk.remaining()) as u64 > max {
-            return Err(too_large(max));
+    let read = time::timeout(context.body_deadline, body::collect(body, max)).await;
+    let Ok(read) = read else {
+        let seconds = context.body_deadline.as_secs();
+        let detail = format!("the body didn't arrive within {seconds} s");
+        return Err(PathProblem::not_run(ProblemCode::BodyTimeout, detail));
+    };
+    read.map_err(|error| match error {
+        BodyError::Broken => {
+            let detail = "the body broke off before its end";
+            PathProblem::not_run(ProblemCode::MalformedRequest, detail)
         }
-        bytes.extend_from_slice(chunk.chunk());
-    }
-    Ok(bytes.freeze())
+        BodyError::TooLarge => too_large(max),
+    })
 }
 
 fn too_large(max: u64) -> PathProblem {
--- a/crates/poplargapd/src/relay/relay_server.rs
+++ b/crates/poplargapd/src/relay/relay_server.rs
@@ -3,11 +3,12 @@
 use {
     super::{KEEP_ALIVE_COMMENT, REFUSAL_EVENT, SILENCE_MAX_MS, STATUS_HEADER, UPSTREAM_COMMENT},
     crate::{
+        body,
         home::{ChatTask, HomeFrame, ServiceRequest, ServiceTask},
         metrics::DaemonMetrics,
         server,
     },
-    bytes::Bytes,
+    bytes::{Buf, Bytes},
     futures::{Stream, stream},
     poplargap_link::{
         envelope::{
@@ -48,15 +49,13 @@
     /// Starts taking requests on `listener`.
     #[must_use]
     pub fn start(settings: RelaySettings, listener: TcpListener) -> Self {
-        let body_max = settings.body_max;
         let settings = warp::any().map(move || settings.clone());
         let route = warp::path!("v1" / "relay")
             .and(warp::post())
             .and(settings)
             .and(warp::header::optional(PROOF_HEADER))
             .and(warp::header::optional(ENVELOPE_HEADER))
-            .and(warp::body::content_length_limit(body_max))
-            .and(warp::body::bytes())
+            .and(warp::body::stream())
             .then(serve);
         Self(server::HttpServer::start(route, listener))
     }
@@ -67,12 +66,16 @@
     }
 }
 
-async fn serve(
+async fn serve<B, D, E>(
     settings: RelaySettings,
     proof: Option<String>,
     envelope: Option<String>,
-    body: Bytes,
-) -> Response {
+    body: B,
+) -> Response
+where
+    B: Stream<Item = Result<D, E>> + Send,
+    D: Buf,
+{
     if !proof.is_some_and(|proof| settings.proof.matches(&proof)) {
         settings
             .metrics
@@ -85,6 +88,9 @@
     let Ok(envelope) = serde_json::from_str::<RelayEnvelope>(&envelope) else {
         return refuse(&RelayRefusal::not_run(RefusalReason::Unreadable));
     };
+    let Ok(body) = body::collect(body, settings.body_max).await else {
+        return refuse(&RelayRefusal::not_run(RefusalReason::Unreadable));
+    };
     match envelope.work {
         RelayWork::Chat { .. } => stream_chat(settings.task.start(envelope, body)),
         RelayWork::Service { .. } => {
