--- a/crates/poplargap-testbed/examples/quickstart.rs
+++ b/crates/poplargap-testbed/examples/quickstart.rs
@@ -57,7 +57,7 @@
         deadline: None,
         max_tokens: 60,
         request_id: format!("chat-{chat}-turn-{number}"),
-        stream: chat % 4 != 0,
+        stream: !chat.is_multiple_of(4),
     }
 }
 
