Add the load tool

Cause: reuse, skew and latencies have to be measured against the same calls each time. Ruled out: closed-loop callers (they slow down with the fleet and hide waits); one random stream for all workspaces (a surge of one would move the calls of the others). Change: seeded schedule of returning chats and service calls, callers, histograms by kind and workspace, skew probe, reuse reference on the engines' own cache code, in-process engine fleet with restarts; example `load`. Engine and desk give their ledger on close and can keep their control address. Conclusion: the tool works against engines directly; no daemon was measured yet.

--- a/crates/poplargap-testbed/examples/desk.rs
+++ b/crates/poplargap-testbed/examples/desk.rs
@@ -10,6 +10,7 @@
 Runs a desk stand-in and prints its address for work, then its control address.
 
 Options:
+  --control-listen ADDRESS  address of the control paths
   --listen ADDRESS          address for work
   --service-time-ms TIME    time of each call
 ";
@@ -32,6 +33,9 @@
         return Ok(());
     }
     let mut settings = DeskSettings::default();
+    if let Some(address) = arguments.opt_value_from_str("--control-listen")? {
+        settings.control_listen = address;
+    }
     if let Some(address) = arguments.opt_value_from_str::<_, SocketAddr>("--listen")? {
         settings.listen = address;
     }
@@ -45,6 +49,7 @@
     println!("{}", desk.address());
     println!("{}", desk.control_address());
     tokio::signal::ctrl_c().await?;
-    desk.close().await;
+    let ledger = desk.close().await;
+    eprintln!("{} runs", ledger.runs.len());
     Ok(())
 }
--- a/crates/poplargap-testbed/examples/engine.rs
+++ b/crates/poplargap-testbed/examples/engine.rs
@@ -14,6 +14,7 @@
   --block-tokens COUNT           tokens of one cache block
   --cache-blocks COUNT           blocks that the prefix cache holds
   --cache-event-lag-ms TIME      delay of cache events
+  --control-listen ADDRESS       address of the control paths
   --decode-slope-us TIME         time that each further request adds to a decode step
   --decode-us-per-token TIME     time of a decode step with one request
   --fencing checked|ignored      whether old fencing numbers are refused
@@ -48,7 +49,8 @@
     println!("{}", engine.address());
     println!("{}", engine.control_address());
     tokio::signal::ctrl_c().await?;
-    engine.close().await;
+    let ledger = engine.close().await;
+    eprintln!("{} runs", ledger.runs.len());
     Ok(())
 }
 
@@ -80,6 +82,9 @@
     if let Some(count) = arguments.opt_value_from_str::<_, NonZeroUsize>("--cache-blocks")? {
         settings.cache_blocks = count;
     }
+    if let Some(address) = arguments.opt_value_from_str("--control-listen")? {
+        settings.control_listen = address;
+    }
     if let Some(fencing) = arguments.opt_value_from_str::<_, FencingCheck>("--fencing")? {
         settings.fencing = fencing;
     }
--- a/crates/poplargap-testbed/src/caller/answer_reader.rs
+++ b/crates/poplargap-testbed/src/caller/answer_reader.rs
@@ -102,6 +102,16 @@
     }
 }
 
+/// Judges a call whose answer did not begin.
+pub(super) fn verdict_of_error(error: &reqwest::Error) -> CallVerdict {
+    let detail = error_text(error);
+    if error.is_connect() {
+        CallVerdict::Unreachable { detail }
+    } else {
+        CallVerdict::Broken { detail }
+    }
+}
+
 /// Returns the library's error with its causes.
 pub(super) fn error_text(error: &reqwest::Error) -> String {
     let mut text = error.to_string();
--- a/crates/poplargap-testbed/src/caller/call_outcome.rs
+++ b/crates/poplargap-testbed/src/caller/call_outcome.rs
@@ -23,6 +23,11 @@
     },
     /// The call was refused, at once or in the middle of a stream.
     Refused(RefusalRecord),
+    /// No connection came about: nothing was sent.
+    Unreachable {
+        /// What was wrong.
+        detail: String,
+    },
 }
 
 impl CallVerdict {
--- a/crates/poplargap-testbed/src/caller/caller_client.rs
+++ b/crates/poplargap-testbed/src/caller/caller_client.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         CallVerdict, ChatOutcome, ChatSession, ChatTurn, ServiceCall, ServiceOutcome,
-        answer_reader::{AnswerReader, error_text, read_refusal},
+        answer_reader::{AnswerReader, error_text, read_refusal, verdict_of_error},
         call_header,
     },
     crate::{
@@ -112,7 +112,7 @@
                 }
                 answer.read(response, turn.stream).await
             }
-            Err(error) => CallVerdict::broken(error_text(&error)),
+            Err(error) => verdict_of_error(&error),
         };
         if verdict.is_complete() {
             session.messages = request.messages;
@@ -136,7 +136,7 @@
         let sent_at = Instant::now();
         let (answer, verdict) = match builder.send().await {
             Ok(response) => read_booking(response, call).await,
-            Err(error) => (None, CallVerdict::broken(error_text(&error))),
+            Err(error) => (None, verdict_of_error(&error)),
         };
         ServiceOutcome {
             answer,
--- a/crates/poplargap-testbed/src/desk/desk_stand_in.rs
+++ b/crates/poplargap-testbed/src/desk/desk_stand_in.rs
@@ -27,7 +27,7 @@
     ///
     /// Returns the error of the operating system when the address can't be bound.
     pub async fn start(settings: DeskSettings) -> io::Result<Self> {
-        let gate = BoundGate::bind(settings.listen).await?;
+        let gate = BoundGate::bind(settings.listen, settings.control_listen).await?;
         let (messages, message_rx) = mpsc::unbounded_channel();
         let context = DeskContext {
             faults: gate.faults(),
@@ -52,12 +52,19 @@
         self.gate.address()
     }
 
-    /// Closes the desk at once: connections are cut and what ran is forgotten.
-    pub async fn close(self) {
+    /// Closes the desk at once and returns all that ran.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a task of the desk ended before its time.
+    pub async fn close(self) -> DeskLedger {
         self.gate.close().await;
+        let ledger = self.context.ask(|reply| DeskMessage::Ledger { reply });
+        let ledger = ledger.await.expect("the desk's task runs until now");
         self.task.abort();
         // The task was aborted: its end holds nothing of interest.
         let _aborted = self.task.await;
+        ledger
     }
 
     /// Returns the address that serves the same paths and knows no connection faults.
--- a/crates/poplargap-testbed/src/engine/engine_settings.rs
+++ b/crates/poplargap-testbed/src/engine/engine_settings.rs
@@ -18,13 +18,15 @@
     pub cache_blocks: NonZeroUsize,
     /// Delay of cache events.
     pub cache_event_lag: Duration,
+    /// Address of the control paths that no connection fault touches.
+    pub control_listen: SocketAddr,
     /// Time of one decode step with one running request.
     pub decode_base: Duration,
     /// Time that each further running request adds to a decode step.
     pub decode_slope: Duration,
     /// Whether orders with an old fencing number are refused.
     pub fencing: FencingCheck,
-    /// Address to listen on.
+    /// Address for work.
     pub listen: SocketAddr,
     /// Age of the load that is reported.
     pub load_lag: Duration,
@@ -40,6 +42,7 @@
             block_tokens: NonZeroUsize::new(16).expect("16 is not zero"),
             cache_blocks: NonZeroUsize::new(8192).expect("8192 is not zero"),
             cache_event_lag: Duration::from_millis(50),
+            control_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             decode_base: Duration::from_millis(10),
             decode_slope: Duration::from_micros(200),
             fencing: FencingCheck::Checked,
--- a/crates/poplargap-testbed/src/engine/engine_stand_in.rs
+++ b/crates/poplargap-testbed/src/engine/engine_stand_in.rs
@@ -28,7 +28,7 @@
     ///
     /// Returns the error of the operating system when the address can't be bound.
     pub async fn start(settings: EngineSettings) -> io::Result<Self> {
-        let gate = BoundGate::bind(settings.listen).await?;
+        let gate = BoundGate::bind(settings.listen, settings.control_listen).await?;
         let (message_tx, message_rx) = mpsc::unbounded_channel();
         let context = EngineContext::new(settings.block_tokens, gate.faults(), message_tx);
         let task = tokio::spawn(engine_task::run(settings, gate.faults(), message_rx));
@@ -49,12 +49,21 @@
         self.gate.address()
     }
 
-    /// Closes the engine at once: connections are cut and what ran is forgotten.
-    pub async fn close(self) {
+    /// Closes the engine at once: connections are cut and what runs is cancelled.
+    ///
+    /// Returns all that ran.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a task of the engine ended before its time.
+    pub async fn close(self) -> LedgerRecord {
         self.gate.close().await;
+        let ledger = self.context.ask(|reply| EngineMessage::Ledger { reply });
+        let ledger = ledger.await.expect("the engine's task runs until now");
         self.task.abort();
         // The task was aborted: its end holds nothing of interest.
         let _aborted = self.task.await;
+        ledger
     }
 
     /// Returns the address that serves the same paths and knows no connection faults.
--- a/crates/poplargap-testbed/src/fault/connection_gate.rs
+++ b/crates/poplargap-testbed/src/fault/connection_gate.rs
@@ -58,15 +58,15 @@
 }
 
 impl BoundGate {
-    /// Binds the address for work and another one for control.
+    /// Binds the address for work and the one for control.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system when an address can't be bound.
-    pub async fn bind(listen: SocketAddr) -> io::Result<Self> {
+    pub async fn bind(listen: SocketAddr, control_listen: SocketAddr) -> io::Result<Self> {
         let reservation = reuse_socket(listen)?;
         let listener = reuse_socket(reservation.local_addr()?)?.listen(BACKLOG)?;
-        let control = TcpListener::bind(SocketAddr::new(listen.ip(), 0)).await?;
+        let control = TcpListener::bind(control_listen).await?;
         let (orders, order_rx) = mpsc::channel(ORDER_QUEUE_LEN);
         Ok(Self {
             control,
--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod desk;
 pub mod engine;
 pub mod fault;
+pub mod load;
--- /dev/null
+++ b/crates/poplargap-testbed/src/load/load_run.rs
@@ -0,0 +1,99 @@
+//! The run of a load: schedule, callers, tally and report.
+
+use {
+    super::{
+        CallRecord, EngineChurn, LoadFindings, LoadReport, LoadSchedule, LoadSettings,
+        ReuseReference, chat_caller::send_chat, desk_caller::send_desk_call,
+        load_context::LoadContext, load_tally::LoadTally, skew_probe::probe,
+    },
+    std::sync::Arc,
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::{Instant, Interval, interval_at},
+    },
+};
+
+/// What came of a load.
+#[derive(Debug)]
+pub struct LoadRun {
+    /// Each call, in the order in which they ended.
+    pub records: Vec<CallRecord>,
+    /// The report over all calls.
+    pub report: LoadReport,
+}
+
+/// Sends the load of `settings` and waits for all answers.
+///
+/// # Errors
+///
+/// Returns the faults of the settings, all together.
+///
+/// # Panics
+///
+/// Panics when the HTTP library can't be set up or a caller's task panics.
+pub async fn run_load<C: EngineChurn>(
+    settings: LoadSettings,
+    mut churn: C,
+) -> Result<LoadRun, LoadFindings> {
+    let schedule = LoadSchedule::try_from(&settings)?;
+    let reference = ReuseReference::of_schedule(&schedule, &settings);
+    let (stop_tx, stop_rx) = oneshot::channel();
+    let probe = tokio::spawn(probe(settings.engines.clone(), stop_rx));
+    let (record_tx, mut record_rx) = mpsc::unbounded_channel();
+    let mut churn_ticks = settings
+        .churn_interval
+        .map(|period| interval_at(Instant::now() + period, period));
+    let planned = schedule.len();
+    let tally_settings = settings.clone();
+    let context = LoadContext::new(settings, record_tx).expect("the HTTP library can be set up");
+    spawn_callers(schedule, context);
+    let mut tally = LoadTally::new();
+    let mut records = Vec::with_capacity(planned);
+    let mut restarts = 0;
+    loop {
+        tokio::select! {
+            record = record_rx.recv() => {
+                let Some(record) = record else { break };
+                tally.push(&record, &tally_settings);
+                records.push(record);
+            }
+            () = tick(churn_ticks.as_mut()) => {
+                churn.restart(restarts).await;
+                restarts += 1;
+            }
+        }
+    }
+    assert_eq!(records.len(), planned, "each planned call has one record");
+    // A probe that is told to stop answers with what it has.
+    let _stopped = stop_tx.send(());
+    let skew = probe.await.expect("the probe doesn't panic");
+    let report = tally.into_report(&tally_settings, &reference, skew);
+    Ok(LoadRun { records, report })
+}
+
+fn spawn_callers(schedule: LoadSchedule, context: LoadContext) {
+    let context = Arc::new(context);
+    for plan in schedule.chats {
+        tokio::spawn(send_chat(Arc::clone(&context), plan));
+    }
+    let Some(desk) = context.settings.desk.clone().map(Arc::new) else {
+        return;
+    };
+    for plan in schedule.desk_calls {
+        tokio::spawn(send_desk_call(
+            Arc::clone(&context),
+            Arc::clone(&desk),
+            plan,
+        ));
+    }
+}
+
+/// Waits for the next tick; without ticks, for ever.
+async fn tick(ticks: Option<&mut Interval>) {
+    match ticks {
+        Some(ticks) => {
+            ticks.tick().await;
+        }
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/load/load_settings.rs
@@ -0,0 +1,139 @@
+//! Settings of a load.
+
+use {
+    super::WorkspaceLoad,
+    std::{net::SocketAddr, num::NonZeroUsize, time::Duration},
+};
+
+/// What load to send, and where.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Limit of each whole call.
+    pub call_timeout: Duration,
+    /// Time between two restarts of an engine; `None` for no restarts.
+    pub churn_interval: Option<Duration>,
+    /// Addresses of the daemons.
+    pub daemons: Vec<SocketAddr>,
+    /// Calls of a plain service; `None` for none.
+    pub desk: Option<DeskLoadSettings>,
+    /// Time in which calls begin.
+    pub duration: Duration,
+    /// Addresses at which the engines tell their requests in flight; may be empty.
+    pub engines: Vec<SocketAddr>,
+    /// Name of the model.
+    pub model: String,
+    /// Share of the pauses that are long.
+    pub pause_long_share: f64,
+    /// Mean of the long pauses between a chat's turns.
+    pub pause_long: Duration,
+    /// Mean of the short pauses between a chat's turns.
+    pub pause_short: Duration,
+    /// Chat turns a second, over all workspaces.
+    pub rate: f64,
+    /// Engines of the reuse reference.
+    pub reference: ReferenceSettings,
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Surge of one workspace; `None` for none.
+    pub surge: Option<SurgeWindow>,
+    /// Mean number of turns of a chat.
+    pub turns_mean: f64,
+    /// Workspaces that send the load.
+    pub workspaces: Vec<WorkspaceLoad>,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_mins(1),
+            churn_interval: None,
+            daemons: Vec::new(),
+            desk: None,
+            duration: Duration::from_mins(1),
+            engines: Vec::new(),
+            model: "curve".to_owned(),
+            pause_long: Duration::from_mins(1),
+            pause_long_share: 0.2,
+            pause_short: Duration::from_secs(5),
+            rate: 20.0,
+            reference: ReferenceSettings::default(),
+            seed: 1,
+            surge: None,
+            turns_mean: 6.0,
+            workspaces: WorkspaceLoad::usual(),
+        }
+    }
+}
+
+/// Calls of a plain service.
+#[derive(Clone, Debug)]
+pub struct DeskLoadSettings {
+    /// Addresses to call; when empty, those of the daemons.
+    pub addresses: Vec<SocketAddr>,
+    /// Share of the calls that may not be repeated.
+    pub booking_share: f64,
+    /// Class of work of bookings, when the caller names one.
+    pub booking_class: Option<String>,
+    /// Class of work of lookups, when the caller names one.
+    pub lookup_class: Option<String>,
+    /// Calls a second, over all workspaces.
+    pub rate: f64,
+    /// Name of the service.
+    pub service: String,
+}
+
+impl Default for DeskLoadSettings {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            booking_class: None,
+            booking_share: 0.3,
+            lookup_class: None,
+            rate: 5.0,
+            service: "desk".to_owned(),
+        }
+    }
+}
+
+/// Engines of the reuse reference.
+#[derive(Clone, Copy, Debug)]
+pub struct ReferenceSettings {
+    /// Tokens of one cache block.
+    pub block_tokens: NonZeroUsize,
+    /// Blocks that one engine's cache holds.
+    pub cache_blocks: NonZeroUsize,
+    /// Number of engines.
+    pub engines: NonZeroUsize,
+}
+
+impl Default for ReferenceSettings {
+    fn default() -> Self {
+        Self {
+            block_tokens: NonZeroUsize::new(16).expect("16 is not zero"),
+            cache_blocks: NonZeroUsize::new(8192).expect("8192 is not zero"),
+            engines: NonZeroUsize::new(18).expect("18 is not zero"),
+        }
+    }
+}
+
+/// A time in which one workspace starts more chats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SurgeWindow {
+    /// Factor over the usual rate.
+    pub factor: f64,
+    /// Start of the surge, from the load's start.
+    pub from: Duration,
+    /// Length of the surge.
+    pub len: Duration,
+    /// Index of the workspace.
+    pub workspace: usize,
+}
+
+impl SurgeWindow {
+    /// Returns whether `seconds` after the load's start lie in the window.
+    #[must_use]
+    pub fn contains(&self, seconds: f64) -> bool {
+        let from = self.from.as_secs_f64();
+        (from..from + self.len.as_secs_f64()).contains(&seconds)
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/load/load_tally.rs
@@ -0,0 +1,101 @@
+//! All groups of a load's calls.
+
+use {
+    super::{
+        CallKind, CallRecord, GroupReport, LoadReport, LoadSettings, ReuseReference, SkewReport,
+        group_tally::GroupTally,
+    },
+    crate::caller::CallVerdict,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Delay from which a call counts as late.
+const LATE: Duration = Duration::from_millis(50);
+
+/// Problems that a report tells in words.
+const PROBLEMS_MAX: usize = 20;
+
+/// Counts of all calls, by kind and by workspace.
+#[derive(Debug)]
+pub(super) struct LoadTally {
+    all: GroupTally,
+    kinds: BTreeMap<CallKind, GroupTally>,
+    late: u64,
+    problems: Vec<String>,
+    workspaces: BTreeMap<usize, GroupTally>,
+}
+
+impl LoadTally {
+    pub(super) fn new() -> Self {
+        Self {
+            all: GroupTally::new("all".to_owned()),
+            kinds: BTreeMap::new(),
+            late: 0,
+            problems: Vec::new(),
+            workspaces: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn push(&mut self, record: &CallRecord, settings: &LoadSettings) {
+        self.all.push(record);
+        self.kinds
+            .entry(record.kind)
+            .or_insert_with(|| GroupTally::new(record.kind.name()))
+            .push(record);
+        self.workspaces
+            .entry(record.workspace)
+            .or_insert_with(|| GroupTally::new(settings.workspaces[record.workspace].name.clone()))
+            .push(record);
+        self.late += u64::from(record.late >= LATE);
+        if let Some(problem) = problem(record)
+            && self.problems.len() < PROBLEMS_MAX
+        {
+            self.problems.push(problem);
+        }
+    }
+
+    pub(super) fn into_report(
+        self,
+        settings: &LoadSettings,
+        reference: &ReuseReference,
+        skew: Option<SkewReport>,
+    ) -> LoadReport {
+        let total = reference.total();
+        let kind_reference = |kind: CallKind| match kind {
+            CallKind::Chat(profile) => reference.profiles.get(&profile),
+            CallKind::Desk(_) => None,
+        };
+        let classes: Vec<GroupReport> = self
+            .kinds
+            .into_iter()
+            .map(|(kind, tally)| tally.into_report(kind_reference(kind)))
+            .collect();
+        let workspaces = self
+            .workspaces
+            .into_iter()
+            .map(|(workspace, tally)| tally.into_report(reference.workspaces.get(&workspace)))
+            .collect();
+        LoadReport {
+            all: self.all.into_report(Some(&total)),
+            classes,
+            duration_ms: u64::try_from(settings.duration.as_millis()).unwrap_or(u64::MAX),
+            late: self.late,
+            problems: self.problems,
+            rate: settings.rate,
+            seed: settings.seed,
+            skew,
+            workspaces,
+        }
+    }
+}
+
+fn problem(record: &CallRecord) -> Option<String> {
+    let (kind, detail) = match &record.verdict {
+        CallVerdict::Broken { detail } => ("broken", detail.as_str()),
+        CallVerdict::Complete => return None,
+        CallVerdict::Foreign { detail } => ("foreign", detail.as_str()),
+        CallVerdict::Refused(refusal) => ("refused", refusal.code.as_str()),
+        CallVerdict::Unreachable { detail } => ("unreachable", detail.as_str()),
+    };
+    Some(format!("{}: {kind}: {detail}", record.request_id))
+}
