Check the caller's verdicts and report the load from the start

Cause: the caller's verdicts on foreign, broken and refused answers had no test, an engine reported zero slots before its first request, and the skew probe went on after the last arrival. Change: tests of the caller against a scripted daemon; the echoed request id is checked; the engine's load history starts with the empty engine; the probe ends with the arrivals; records drop their token gaps.

--- a/crates/poplargap-testbed/src/caller/answer_reader.rs
+++ b/crates/poplargap-testbed/src/caller/answer_reader.rs
@@ -4,6 +4,7 @@
     super::{
         CallVerdict, ChatOutcome, RanState, RefusalRecord,
         answer_check::{AnswerCheck, CheckStep},
+        call_header,
         event_reader::EventReader,
     },
     crate::{
@@ -22,6 +23,7 @@
 pub(super) struct AnswerReader<'a> {
     check: AnswerCheck<'a>,
     last_token_at: Option<Instant>,
+    request_id: &'a str,
     sent_at: Instant,
     time_to_first_token: Option<Duration>,
     token_gaps: Vec<Duration>,
@@ -32,6 +34,7 @@
         Self {
             check: AnswerCheck::new(request_id, script),
             last_token_at: None,
+            request_id,
             sent_at: Instant::now(),
             time_to_first_token: None,
             token_gaps: Vec::new(),
@@ -62,6 +65,9 @@
         if !response.status().is_success() {
             return read_refusal(response).await;
         }
+        if let Some(verdict) = foreign_echo(&response, self.request_id) {
+            return verdict;
+        }
         if stream {
             return self.read_stream(response).await;
         }
@@ -102,6 +108,13 @@
     }
 }
 
+/// Judges an answer whose header names another request.
+pub(super) fn foreign_echo(response: &Response, request_id: &str) -> Option<CallVerdict> {
+    let echo = response.headers().get(call_header::REQUEST_ID)?;
+    (echo != request_id)
+        .then(|| CallVerdict::foreign(format!("the answer's header names request {echo:?}")))
+}
+
 /// Judges a call whose answer did not begin.
 pub(super) fn verdict_of_error(error: &reqwest::Error) -> CallVerdict {
     let detail = error_text(error);
--- a/crates/poplargap-testbed/src/caller/caller_client.rs
+++ b/crates/poplargap-testbed/src/caller/caller_client.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         CallVerdict, ChatOutcome, ChatSession, ChatTurn, ServiceCall, ServiceOutcome,
-        answer_reader::{AnswerReader, error_text, read_refusal, verdict_of_error},
+        answer_reader::{AnswerReader, error_text, foreign_echo, read_refusal, verdict_of_error},
         call_header,
     },
     crate::{
@@ -170,6 +170,9 @@
     if !response.status().is_success() {
         return (None, read_refusal(response).await);
     }
+    if let Some(verdict) = foreign_echo(&response, &call.request_id) {
+        return (None, verdict);
+    }
     let answer = match response.json::<BookingAnswer>().await {
         Ok(answer) => answer,
         Err(error) => return (None, CallVerdict::broken(error_text(&error))),
--- a/crates/poplargap-testbed/src/engine.rs
+++ b/crates/poplargap-testbed/src/engine.rs
@@ -1,4 +1,19 @@
 //! A stand-in for a model engine, over HTTP.
+//!
+//! | request | answer |
+//! |---|---|
+//! | `POST /v1/chat/completions` | the answer, whole or as server-sent events |
+//! | `DELETE /v1/requests/{id}` | cancels a request |
+//! | `GET /load` | the load of a moment ago |
+//! | `GET /cache-events?after=SEQ&wait-ms=TIME` | changes of the prefix cache, late |
+//! | `POST /orders` | carries out an order, or 409 for an old fencing number |
+//! | `POST /drain`, `DELETE /drain` | refuses new work, or takes it again |
+//! | `GET /ledger` | all that ran |
+//! | `GET /peak?reset=true` | requests in flight now and at the highest |
+//! | `POST /faults`, `DELETE /faults` | switches faults on, or all of them off |
+//!
+//! A chat completion may carry `x-request-id` (needed), `x-priority`, `x-deadline-ms`,
+//! `x-resume-from` and `x-chat-id`; its answer carries `x-engine-load: RUNNING/WAITING`.
 
 mod answer_script;
 mod batch_state;
--- a/crates/poplargap-testbed/src/engine/batch_state.rs
+++ b/crates/poplargap-testbed/src/engine/batch_state.rs
@@ -41,12 +41,16 @@
 }
 
 impl BatchState {
-    pub(super) fn new(settings: EngineSettings) -> Self {
+    pub(super) fn new(settings: EngineSettings, now: Instant) -> Self {
+        let load = LoadRecord {
+            slots: settings.slots,
+            ..LoadRecord::default()
+        };
         Self {
             cache: PrefixCache::new(settings.cache_blocks),
             cache_log: CacheLog::new(settings.cache_event_lag),
             draining: false,
-            history: LoadHistory::new(settings.load_lag),
+            history: LoadHistory::new(settings.load_lag, load, now),
             lifetime_peak: 0,
             next_step: None,
             orders: OrderLedger::new(settings.fencing),
--- a/crates/poplargap-testbed/src/engine/engine_task.rs
+++ b/crates/poplargap-testbed/src/engine/engine_task.rs
@@ -67,7 +67,7 @@
     faults: watch::Receiver<FaultSettings>,
     mut messages: mpsc::UnboundedReceiver<EngineMessage>,
 ) {
-    let mut state = BatchState::new(settings);
+    let mut state = BatchState::new(settings, Instant::now());
     loop {
         let next_step = state.next_step();
         let step = async {
--- a/crates/poplargap-testbed/src/engine/load_record.rs
+++ b/crates/poplargap-testbed/src/engine/load_record.rs
@@ -48,33 +48,31 @@
 #[derive(Debug)]
 pub(super) struct LoadHistory {
     lag: Duration,
+    /// Loads and when they began; the first is the one that is reported.
     records: VecDeque<(Instant, LoadRecord)>,
 }
 
 impl LoadHistory {
-    pub(super) fn new(lag: Duration) -> Self {
+    pub(super) fn new(lag: Duration, record: LoadRecord, now: Instant) -> Self {
         Self {
             lag,
-            records: VecDeque::new(),
+            records: VecDeque::from([(now, record)]),
         }
     }
 
     pub(super) fn push(&mut self, record: LoadRecord, now: Instant) {
         self.drop_old(now);
-        self.records.push_back((now, record));
+        if self.records.back().is_none_or(|(_, last)| *last != record) {
+            self.records.push_back((now, record));
+        }
     }
 
-    /// Returns the load of one lag ago.
+    /// Returns the load of one lag ago, or the first one.
     pub(super) fn reported(&mut self, now: Instant) -> LoadRecord {
         self.drop_old(now);
-        match self.records.front() {
-            Some((at, record)) if *at + self.lag <= now => *record,
-            Some((_, record)) => LoadRecord {
-                slots: record.slots,
-                ..LoadRecord::default()
-            },
-            None => LoadRecord::default(),
-        }
+        self.records
+            .front()
+            .map_or_else(LoadRecord::default, |(_, record)| *record)
     }
 
     /// Keeps one record that is older than the lag.
--- a/crates/poplargap-testbed/src/load/load_run.rs
+++ b/crates/poplargap-testbed/src/load/load_run.rs
@@ -16,7 +16,7 @@
 /// What came of a load.
 #[derive(Debug)]
 pub struct LoadRun {
-    /// Each call, in the order in which they ended.
+    /// Each call without its token gaps, in the order in which they ended.
     pub records: Vec<CallRecord>,
     /// The report over all calls.
     pub report: LoadReport,
@@ -38,7 +38,7 @@
     let schedule = LoadSchedule::try_from(&settings)?;
     let reference = ReuseReference::of_schedule(&schedule, &settings);
     let (stop_tx, stop_rx) = oneshot::channel();
-    let probe = tokio::spawn(probe(settings.engines.clone(), stop_rx));
+    let probe = tokio::spawn(probe(settings.engines.clone(), settings.duration, stop_rx));
     let (record_tx, mut record_rx) = mpsc::unbounded_channel();
     let mut churn_ticks = settings
         .churn_interval
@@ -53,8 +53,10 @@
     loop {
         tokio::select! {
             record = record_rx.recv() => {
-                let Some(record) = record else { break };
+                let Some(mut record) = record else { break };
                 tally.push(&record, &tally_settings);
+                // Long runs would fill the memory with them.
+                record.token_gaps = Vec::new();
                 records.push(record);
             }
             () = tick(churn_ticks.as_mut()) => {
--- a/crates/poplargap-testbed/src/load/skew_probe.rs
+++ b/crates/poplargap-testbed/src/load/skew_probe.rs
@@ -12,7 +12,7 @@
     },
     tokio::{
         sync::oneshot,
-        time::{MissedTickBehavior, interval},
+        time::{Instant, MissedTickBehavior, interval},
     },
 };
 
@@ -57,25 +57,28 @@
     mean: f64,
 }
 
-/// Samples the engines until `stop_rx` is told or dropped.
+/// Samples the engines for `duration`, or until `stop_rx` is told or dropped.
 pub(super) async fn probe(
     engines: Vec<SocketAddr>,
+    duration: Duration,
     mut stop_rx: oneshot::Receiver<()>,
 ) -> Option<SkewReport> {
     let client = Client::builder().no_proxy().build();
     let client = client.expect("the HTTP library can be set up");
+    let deadline = Instant::now() + duration;
     let mut samples = Vec::new();
     let mut ticks = interval(SAMPLE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
+    while Instant::now() < deadline {
         tokio::select! {
-            _ = &mut stop_rx => return report(&samples),
+            _ = &mut stop_rx => break,
             _ = ticks.tick() => {}
         }
         let asked = engines.iter().map(|engine| in_flight(&client, *engine));
         let loads: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
         samples.extend(sample(&loads));
     }
+    report(&samples)
 }
 
 async fn in_flight(client: &Client, engine: SocketAddr) -> Option<usize> {
--- a/crates/poplargap-testbed/tests/desk.rs
+++ b/crates/poplargap-testbed/tests/desk.rs
@@ -189,3 +189,17 @@
     );
     desk.close().await;
 }
+
+#[tokio::test]
+async fn a_delay_holds_up_each_call() {
+    let desk = start().await;
+    let faults = FaultSettings {
+        delay_ms: 60,
+        ..FaultSettings::default()
+    };
+    desk.set_faults(faults).await;
+    let outcome = caller().service(desk.address(), &booking("r1")).await;
+    assert_eq!(outcome.verdict, CallVerdict::Complete);
+    assert!(outcome.time >= Duration::from_millis(60));
+    desk.close().await;
+}
