Keep service times out of the workspaces' chat latencies

Cause: a workspace's row mixed short service calls with chats, which hid the chats' waits. Change: rows of workspaces and of all calls time chats only; the JSON has a group for each workspace and kind.

--- a/crates/poplargap-testbed/src/load/group_tally.rs
+++ b/crates/poplargap-testbed/src/load/group_tally.rs
@@ -38,7 +38,16 @@
         }
     }
 
+    /// Adds a call and its times.
     pub(super) fn push(&mut self, record: &CallRecord) {
+        self.push_count(record);
+        if record.verdict.is_complete() {
+            self.push_times(record);
+        }
+    }
+
+    /// Adds a call without its times.
+    pub(super) fn push_count(&mut self, record: &CallRecord) {
         let report = &mut self.report;
         report.count += 1;
         report.resent += u64::from(record.sends > 1);
@@ -53,9 +62,9 @@
             },
             CallVerdict::Unreachable { .. } => report.unreachable += 1,
         }
-        if !record.verdict.is_complete() {
-            return;
-        }
+    }
+
+    fn push_times(&mut self, record: &CallRecord) {
         if let Some(time) = record.time_to_first_token {
             self.first_token.saturating_record(micros(time));
         }
--- a/crates/poplargap-testbed/src/load/load_report.rs
+++ b/crates/poplargap-testbed/src/load/load_report.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct LoadReport {
-    /// All calls.
+    /// All calls; the times are those of chats.
     pub all: GroupReport,
     /// Calls by kind.
     pub classes: Vec<GroupReport>,
@@ -72,7 +72,9 @@
     pub seed: u64,
     /// Skew of load over the engines, when they were asked.
     pub skew: Option<SkewReport>,
-    /// Calls by workspace.
+    /// Calls by workspace and kind; only the JSON has them.
+    pub workspace_classes: Vec<GroupReport>,
+    /// Calls by workspace; the times are those of chats.
     pub workspaces: Vec<GroupReport>,
 }
 
--- a/crates/poplargap-testbed/src/load/load_tally.rs
+++ b/crates/poplargap-testbed/src/load/load_tally.rs
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub(super) struct LoadTally {
     all: GroupTally,
+    cells: BTreeMap<(usize, CallKind), GroupTally>,
     kinds: BTreeMap<CallKind, GroupTally>,
     late: u64,
     problems: Vec<String>,
@@ -29,6 +30,7 @@
     pub(super) fn new() -> Self {
         Self {
             all: GroupTally::new("all".to_owned()),
+            cells: BTreeMap::new(),
             kinds: BTreeMap::new(),
             late: 0,
             problems: Vec::new(),
@@ -37,15 +39,26 @@
     }
 
     pub(super) fn push(&mut self, record: &CallRecord, settings: &LoadSettings) {
-        self.all.push(record);
+        let workspace = &settings.workspaces[record.workspace].name;
+        let kind = record.kind.name();
+        self.cells
+            .entry((record.workspace, record.kind))
+            .or_insert_with(|| GroupTally::new(format!("{workspace} {kind}")))
+            .push(record);
         self.kinds
             .entry(record.kind)
-            .or_insert_with(|| GroupTally::new(record.kind.name()))
+            .or_insert_with(|| GroupTally::new(kind))
             .push(record);
-        self.workspaces
+        let tally = self
+            .workspaces
             .entry(record.workspace)
-            .or_insert_with(|| GroupTally::new(settings.workspaces[record.workspace].name.clone()))
-            .push(record);
+            .or_insert_with(|| GroupTally::new(workspace.clone()));
+        for tally in [tally, &mut self.all] {
+            match record.kind {
+                CallKind::Chat(_) => tally.push(record),
+                CallKind::Desk(_) => tally.push_count(record),
+            }
+        }
         self.late += u64::from(record.late >= LATE);
         if let Some(problem) = problem(record)
             && self.problems.len() < PROBLEMS_MAX
@@ -70,6 +83,11 @@
             .into_iter()
             .map(|(kind, tally)| tally.into_report(kind_reference(kind)))
             .collect();
+        let workspace_classes = self
+            .cells
+            .into_values()
+            .map(|tally| tally.into_report(None))
+            .collect();
         let workspaces = self
             .workspaces
             .into_iter()
@@ -84,6 +102,7 @@
             rate: settings.rate,
             seed: settings.seed,
             skew,
+            workspace_classes,
             workspaces,
         }
     }
--- a/crates/poplargap-testbed/tests/load.rs
+++ b/crates/poplargap-testbed/tests/load.rs
@@ -13,7 +13,7 @@
         },
     },
     std::{
-        collections::HashMap,
+        collections::BTreeMap,
         net::{Ipv4Addr, SocketAddr},
         num::NonZeroUsize,
         time::Duration,
@@ -177,7 +177,7 @@
     let caller = CallerClient::new("secret", Duration::from_secs(5));
     let caller = caller.expect("the client can be set up");
     let mut measured = ReuseCount::default();
-    let mut sessions = HashMap::new();
+    let mut sessions = BTreeMap::new();
     for (chat, index) in schedule.turns() {
         let plan = &schedule.chats[chat];
         let session = sessions.entry(chat).or_insert_with(|| {
