Cancel a run as soon as its stream is cut

Ruled out: a lost cancel message; the ledger rightly said that all tokens were produced. Change: the run is cancelled before the wait.

--- a/crates/poplargap-testbed/src/engine/chat_stream.rs
+++ b/crates/poplargap-testbed/src/engine/chat_stream.rs
@@ -74,6 +74,7 @@
 
     async fn cut(&mut self) -> io::Error {
         self.ended = true;
+        self.run.guard.cancel();
         sleep(FLUSH_TIME).await;
         self.connection.cut();
         io::ErrorKind::ConnectionReset.into()
--- a/crates/poplargap-testbed/src/engine/engine_context.rs
+++ b/crates/poplargap-testbed/src/engine/engine_context.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub(super) struct SubmittedRun {
     pub(super) events: mpsc::UnboundedReceiver<RunEvent>,
-    pub(super) _guard: CancelGuard,
+    pub(super) guard: CancelGuard,
     pub(super) request_id: String,
     pub(super) script: AnswerScript,
 }
@@ -97,7 +97,7 @@
         let _sent = self.messages.send(EngineMessage::Submit { request });
         SubmittedRun {
             events,
-            _guard: CancelGuard {
+            guard: CancelGuard {
                 messages: self.messages.clone(),
                 number,
             },
@@ -107,10 +107,17 @@
     }
 }
 
-impl Drop for CancelGuard {
-    fn drop(&mut self) {
+impl CancelGuard {
+    /// Cancels the run, unless it is over.
+    pub(super) fn cancel(&self) {
         let number = self.number;
         // Without a task there is nothing to cancel.
         let _sent = self.messages.send(EngineMessage::Cancel { number });
     }
 }
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        self.cancel();
+    }
+}
