Test the command line by transcripts; pace its calls to the store

Cause: an import of thousands of entries would take the store's writes from the daemons' claims.

Change: `--calls-per-second` (default 100, as many at once). Every command runs in tests as operators run it: against the stand-in of the store, a store that answers writes with 503, a closed port, and answers of daemons.

--- a/crates/poplargap/src/command_options.rs
+++ b/crates/poplargap/src/command_options.rs
@@ -4,10 +4,12 @@
     crate::{CatalogueStore, CommandError},
     pico_args::Arguments,
     poplargap_core::input::parse_duration,
-    poplargap_platform::HttpStore,
-    std::{env, net::SocketAddr, time::Duration},
+    poplargap_platform::{CallBucket, CallRate, HttpStore, PacedStore},
+    std::{env, net::SocketAddr, num::NonZeroU32, time::Duration},
 };
 
+const CALLS_PER_SECOND: NonZeroU32 = NonZeroU32::new(100).expect("the number isn't zero");
+
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
 const STORE_VARIABLE: &str = "POPLARGAP_STORE";
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -44,6 +46,8 @@
 /// Options that all commands share.
 #[derive(Clone, Debug)]
 pub struct CommandOptions {
+    /// Most calls to the store in any second, and as many at once.
+    pub calls_per_second: NonZeroU32,
     /// The environment.
     pub environment: Environment,
     /// Whether output is JSON.
@@ -63,11 +67,12 @@
     ///
     /// Returns an error for a value that can't be read.
     pub fn take(arguments: &mut Arguments, environment: Environment) -> Result<Self, CommandError> {
+        let calls_per_second = take_text(arguments, "--calls-per-second")?
+            .map(|text| parse_rate("--calls-per-second", &text))
+            .transpose()?;
         let json = arguments.contains("--json");
         let settle_timeout = take_duration(arguments, "--settle")?;
-        let store = arguments
-            .opt_value_from_str::<_, String>("--store")
-            .map_err(|error| CommandError::Arguments(error.to_string()))?;
+        let store = take_text(arguments, "--store")?;
         let timeout = take_duration(arguments, "--timeout")?;
         let store = match (store, &environment.store) {
             (Some(text), _) => Some(parse_address("--store", &text)?),
@@ -75,6 +80,7 @@
             (None, None) => None,
         };
         Ok(Self {
+            calls_per_second: calls_per_second.unwrap_or(CALLS_PER_SECOND),
             environment,
             json,
             settle_timeout: settle_timeout.unwrap_or(SETTLE_TIMEOUT),
@@ -88,7 +94,7 @@
     /// # Errors
     ///
     /// Returns an error when no store is named.
-    pub fn open_store(&self) -> Result<CatalogueStore<HttpStore>, CommandError> {
+    pub fn open_store(&self) -> Result<CatalogueStore<PacedStore<HttpStore>>, CommandError> {
         let Some(address) = self.store else {
             let message =
                 format!("no store is named; give `--store ADDRESS` or set {STORE_VARIABLE}");
@@ -96,6 +102,11 @@
         };
         let store = HttpStore::new(address, self.timeout)
             .map_err(|error| CommandError::ClientUnusable(error.to_string()))?;
+        let bucket = CallBucket::new(CallRate {
+            burst: self.calls_per_second,
+            per_second: self.calls_per_second,
+        });
+        let store = PacedStore::new(store, bucket);
         Ok(CatalogueStore::new(store, self.settle_timeout))
     }
 
@@ -120,11 +131,28 @@
     })
 }
 
+fn parse_rate(name: &str, text: &str) -> Result<NonZeroU32, CommandError> {
+    text.parse().map_err(|_error| {
+        CommandError::Arguments(format!("{name}: `{text}` is no whole number from 1"))
+    })
+}
+
 fn take_duration(
     arguments: &mut Arguments,
     name: &'static str,
 ) -> Result<Option<Duration>, CommandError> {
-    arguments
-        .opt_value_from_fn(name, parse_duration)
+    let text = take_text(arguments, name)?;
+    text.map(|text| parse_duration(&text))
+        .transpose()
         .map_err(|error| CommandError::Arguments(format!("{name}: {error}")))
 }
+
+/// Takes an option's value as text.
+pub(crate) fn take_text(
+    arguments: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<String>, CommandError> {
+    arguments
+        .opt_value_from_str(name)
+        .map_err(|error| CommandError::Arguments(error.to_string()))
+}
--- a/crates/poplargap/src/subcommand.rs
+++ b/crates/poplargap/src/subcommand.rs
@@ -40,6 +40,8 @@
   status    show the revision in force on every daemon, oldest first
 
 Options of all commands:
+  --calls-per-second NUMBER
+                      most calls to the store in any second (default 100)
   --json              write one JSON object a line
   --settle DURATION   longest time in which a lost answer is resolved (default 15s)
   --store ADDRESS     the platform's store (default: variable POPLARGAP_STORE)
--- a/crates/poplargap/src/subcommand/apply.rs
+++ b/crates/poplargap/src/subcommand/apply.rs
@@ -4,7 +4,7 @@
     super::take_files,
     crate::{
         CatalogueStore, CommandError, CommandOptions, CommandOutput, EditPlan, EditReceipt,
-        StoredCatalogue, VersionLock, source_files::SourceFiles,
+        StoredCatalogue, VersionLock, command_options::take_text, source_files::SourceFiles,
     },
     pico_args::Arguments,
     poplargap_core::catalogue::declaration::CatalogueDeclaration,
@@ -37,9 +37,7 @@
     options: &CommandOptions,
     output: &mut CommandOutput<'_, W>,
 ) -> Result<(), CommandError> {
-    let lock_file = arguments
-        .opt_value_from_str::<_, String>("--base")
-        .map_err(|error| CommandError::Arguments(error.to_string()))?;
+    let lock_file = take_text(&mut arguments, "--base")?;
     let files = take_files(arguments, "poplargap apply [--base LOCK] FILE…")?;
     let sources = SourceFiles::read(files)?;
     let lock = lock_file.map(read_lock).transpose()?;
--- /dev/null
+++ b/crates/poplargap/tests/servers.rs
@@ -0,0 +1,187 @@
+//! Commands against stores that fail and against daemons, run as operators run them.
+
+mod support;
+
+use {
+    serde_json::{Value, json},
+    std::net::SocketAddr,
+    support::console::{Console, open_whole},
+    tokio::{
+        net::{TcpListener, TcpSocket},
+        task::JoinHandle,
+    },
+    warp::{Filter, http::StatusCode},
+};
+
+#[tokio::test]
+async fn unreachable_store_is_a_failure() {
+    let closed = ClosedPort::hold();
+    let console = open_whole().await.with_store(Some(closed.address()));
+    console
+        .run("apply whole.ini")
+        .await
+        .status(1)
+        .stdout("")
+        .stderr_start("error: the store can't be read: nothing was sent: ");
+    let console = console.with_store(None);
+    console
+        .run("get")
+        .await
+        .status(2)
+        .stdout("")
+        .stderr("error: no store is named; give `--store ADDRESS` or set POPLARGAP_STORE\n");
+    console.close().await;
+}
+
+#[tokio::test]
+async fn outcome_that_stays_unknown_has_its_own_exit_code() {
+    let (address, server) = serve(silent_store()).await;
+    let console = Console::open().await.with_store(Some(address));
+    console.file("a.ini", "[data-centre bangor]\n[data-centre conwy]\n");
+    console
+        .run("apply --settle 200ms a.ini")
+        .await
+        .status(4)
+        .stdout("not tried `data-centre conwy`\n")
+        .stderr(
+            "error: it isn't known whether version 1 (write WRITE) of `data-centre bangor` took \
+             effect, and it may still do so: the store refused the call with status 503; \
+             `poplargap history data-centre bangor` shows it once it has\n",
+        );
+    server.abort();
+    console.close().await;
+}
+
+#[tokio::test]
+async fn status_lists_the_oldest_revision_first() {
+    let (new, new_server) = serve(daemon("entry-1", 12)).await;
+    let (old, old_server) = serve(daemon("entry-2", 9)).await;
+    let console = Console::open().await;
+    let asked = format!("status --daemon {new} --daemon {old}");
+    console
+        .run(&asked)
+        .await
+        .status(0)
+        .stderr("")
+        .stdout(&format!(
+            "revision 9, ready: entry-2 in bangor at {old}\n\
+         revision 12, ready: entry-1 in bangor at {new}\n"
+        ));
+    let closed = ClosedPort::hold();
+    let gone = closed.address();
+    let lines = console
+        .run(&format!("--json {asked} --daemon {gone}"))
+        .await
+        .status(1)
+        .stderr("{\"exit-code\":1,\"message\":\"1 of 3 daemons gave no status\"}\n")
+        .text();
+    let addresses: Vec<String> = lines
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).expect("each line is JSON"))
+        .map(|line| {
+            line["address"]
+                .as_str()
+                .expect("it has an address")
+                .to_owned()
+        })
+        .collect();
+    assert_eq!(
+        addresses,
+        [gone.to_string(), old.to_string(), new.to_string()]
+    );
+    old_server.abort();
+    new_server.abort();
+    console.close().await;
+}
+
+#[tokio::test]
+async fn explain_shows_what_daemons_did() {
+    let (one, one_server) = serve(daemon("entry-1", 12)).await;
+    let (two, two_server) = serve(daemon("entry-2", 9)).await;
+    let console = Console::open().await;
+    let daemons = format!("--daemon {one} --daemon {two}");
+    let steps = "  after 0 ms, admit: a credit was free\n  after 2 ms, place: curves-1 is home\n";
+    console
+        .run(&format!("explain {daemons} r1"))
+        .await
+        .status(0)
+        .stderr("")
+        .stdout(&format!("r1 on entry-1:\n{steps}r1 on entry-2:\n{steps}"));
+    console
+        .run(&format!("explain {daemons} r2"))
+        .await
+        .status(1)
+        .stdout("")
+        .stderr("error: no daemon that answered knows the request `r2`\n");
+    one_server.abort();
+    two_server.abort();
+    console.close().await;
+}
+
+/// A port that is held, so that nothing listens there.
+struct ClosedPort(TcpSocket);
+
+impl ClosedPort {
+    fn hold() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket can be made");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(address).expect("a port is free");
+        Self(socket)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("the port is known")
+    }
+}
+
+/// Answers like a daemon's operators' listener.
+fn daemon(
+    name: &'static str,
+    revision: u64,
+) -> impl Filter<Extract = (impl warp::Reply,), Error = warp::Rejection> + Clone + Send + 'static {
+    let authorised = warp::header::exact("authorization", "Bearer fedcba9876543210");
+    let status = warp::path!("v1" / "status").map(move || {
+        warp::reply::json(&json!({
+            "daemon": name, "data-centre": "bangor", "ready": true, "revision": revision,
+        }))
+    });
+    let explain = warp::path!("v1" / "explain" / "r1").map(move || {
+        warp::reply::json(&json!({
+            "daemon": name,
+            "request": "r1",
+            "steps": [
+                {"at-ms": 0, "decision": "a credit was free", "filter": "admit"},
+                {"at-ms": 2, "decision": "curves-1 is home", "filter": "place"},
+            ],
+        }))
+    });
+    authorised.and(status.or(explain))
+}
+
+async fn serve<F>(routes: F) -> (SocketAddr, JoinHandle<()>)
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+{
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("the port is known");
+    let server = warp::serve(routes).incoming(listener).run();
+    (address, tokio::spawn(server))
+}
+
+/// Answers like an empty store that takes no write and doesn't say so.
+fn silent_store()
+-> impl Filter<Extract = (impl warp::Reply,), Error = warp::Rejection> + Clone + Send + Sync + 'static
+{
+    let list = warp::path!("v1" / "list")
+        .map(|| warp::reply::json(&json!({"next": null, "revision": 0, "values": []})));
+    let get = warp::path!("v1" / "kv")
+        .and(warp::get())
+        .map(|| warp::reply::json(&Value::Null));
+    let put = warp::path!("v1" / "kv")
+        .and(warp::put())
+        .map(|| warp::reply::with_status("", StatusCode::SERVICE_UNAVAILABLE));
+    list.or(get).or(put)
+}
