Check the references of sections with other faults too

Cause: an unknown owner in a section whose deadline lacked its unit was reported only after the deadline was mended; all findings belong together.

Change: sections with findings of their own keep their keys, and the names among them are checked like those of whole entries. Durations of the command line are bounded, and a closed error output no longer ends the program by a panic. Two transcripts gained a line each for the finding that was missing.

Conclusion: one reading reports values and references of every section.

--- a/crates/poplargap-core/src/catalogue/declaration/catalogue_declaration.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/catalogue_declaration.rs
@@ -1,13 +1,18 @@
 //! What a set of declaration files says.
 
 use {
-    super::{entry_reading::read_entry, keys::CATALOGUE_KEYS, reference_check::ReferenceCheck},
+    super::{
+        entry_reading::read_entry,
+        keys::CATALOGUE_KEYS,
+        reference_check::{EntryTarget, ReferenceCheck, targets},
+    },
     crate::{
         catalogue::{CatalogueEntry, EntryKind, EntryRef, EntrySet},
         finding::{InputFinding, InputFindings, nearest_word},
         input::{IniSection, IniText, SectionReader},
+        name::PoolName,
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeMap,
     strum::VariantNames,
 };
 
@@ -47,11 +52,30 @@
     pub place: DeclarationPlace,
 }
 
+/// A section with findings of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct FaultySection {
+    pub(super) place: DeclarationPlace,
+    values: Vec<(String, String)>,
+}
+
+impl FaultySection {
+    /// Returns the entries that the section names by valid names.
+    pub(super) fn references(&self, kind: EntryKind) -> Vec<EntryTarget> {
+        let values = self.values.iter();
+        let valid = values.filter(|(_, value)| PoolName::try_from(value.as_str()).is_ok());
+        targets(
+            kind,
+            valid.map(|(key, value)| (key.as_str(), value.as_str())),
+        )
+    }
+}
+
 /// What a set of declaration files says; entries that they don't name stay as they are.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CatalogueDeclaration {
     entries: BTreeMap<EntryRef, DeclaredEntry>,
-    faulty: BTreeSet<EntryRef>,
+    faulty: BTreeMap<EntryRef, FaultySection>,
 }
 
 impl CatalogueDeclaration {
@@ -109,9 +133,14 @@
         declaration
     }
 
+    /// Returns the sections with findings of their own.
+    pub(super) fn faulty(&self) -> &BTreeMap<EntryRef, FaultySection> {
+        &self.faulty
+    }
+
     /// Returns whether a section names the entry but has findings of its own.
     pub(super) fn is_faulty(&self, entry: &EntryRef) -> bool {
-        self.faulty.contains(entry)
+        self.faulty.contains_key(entry)
     }
 
     fn read_section(
@@ -137,14 +166,15 @@
         let findings_before = findings.as_slice().len();
         let intent = read_intent(&entry, file, section, findings);
         let clean = findings.as_slice().len() == findings_before;
-        let Some(intent) = intent.filter(|_| clean) else {
-            self.faulty.insert(entry);
-            return;
-        };
         let place = DeclarationPlace {
             file: file.to_owned(),
             section: section.heading.clone(),
         };
+        let Some(intent) = intent.filter(|_| clean) else {
+            let values = section.values.clone();
+            self.faulty.insert(entry, FaultySection { place, values });
+            return;
+        };
         self.entries.insert(entry, DeclaredEntry { intent, place });
     }
 }
--- a/crates/poplargap-core/src/catalogue/declaration/reference_check.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/reference_check.rs
@@ -1,7 +1,7 @@
 //! Checks of names and addresses between entries.
 
 use {
-    super::{CatalogueDeclaration, DeclarationPlace, EntryIntent},
+    super::{CatalogueDeclaration, DeclarationPlace, EntryIntent, entry_values::entry_values},
     crate::{
         catalogue::{CatalogueEntry, EntryKind, EntryRef, EntrySet},
         finding::{InputFinding, InputFindings, nearest_word},
@@ -12,11 +12,10 @@
 /// Most entries that one finding lists by name.
 const LISTED_MAX: usize = 3;
 
-/// A name inside an entry that stands for another entry.
-struct EntryReference<'a> {
+/// A key whose value is the name of another entry.
+struct ReferenceKey {
     key: &'static str,
     kind: EntryKind,
-    name: &'a str,
 }
 
 /// Checks a declaration against the catalogue that follows from applying it.
@@ -39,10 +38,16 @@
     pub(super) fn run(mut self) -> InputFindings {
         for (entry, declared) in self.declaration.entries() {
             match &declared.intent {
-                EntryIntent::Put(content) => self.check_names(content, &declared.place),
+                EntryIntent::Put(content) => {
+                    self.check_names(&references(content), &declared.place);
+                }
                 EntryIntent::Remove => self.check_removal(entry, &declared.place),
             }
         }
+        for (entry, section) in self.declaration.faulty() {
+            let targets = section.references(entry.kind);
+            self.check_names(&targets, &section.place);
+        }
         self.check_unique("address", "the address", |entry| match entry {
             CatalogueEntry::Upstream(entry) => Some(entry.address.to_string()),
             _ => None,
@@ -63,19 +68,16 @@
         });
     }
 
-    fn check_names(&mut self, content: &CatalogueEntry, place: &DeclarationPlace) {
-        for EntryReference { key, kind, name } in references(content) {
-            let target = EntryRef {
-                kind,
-                name: name.to_owned(),
-            };
-            if self.merged.get(&target).is_some() || self.declaration.is_faulty(&target) {
+    fn check_names(&mut self, targets: &[EntryTarget], place: &DeclarationPlace) {
+        for EntryTarget { key, target } in targets {
+            let EntryRef { kind, name } = target;
+            if self.merged.get(target).is_some() || self.declaration.is_faulty(target) {
                 continue;
             }
-            let message = if let Some(removal) = self.declaration.entries().get(&target) {
+            let message = if let Some(removal) = self.declaration.entries().get(target) {
                 format!("the {kind} `{name}` is removed in `{}`", removal.place.file)
             } else {
-                let hint = nearest_word(name, self.merged.names(kind))
+                let hint = nearest_word(name, self.merged.names(*kind))
                     .map(|known| format!("; did you mean `{known}`?"))
                     .unwrap_or_default();
                 format!("the {kind} `{name}` is unknown{hint}")
@@ -91,9 +93,9 @@
             .filter(|(user, _)| !self.declaration.entries().contains_key(user))
             .filter(|(user, _)| !self.declaration.is_faulty(user))
             .filter(|(_, content)| {
-                references(content).iter().any(|reference| {
-                    reference.kind == removed.kind && reference.name == removed.name
-                })
+                references(content)
+                    .iter()
+                    .any(|reference| reference.target == *removed)
             })
             .map(|(user, _)| format!("`{user}`"))
             .collect();
@@ -141,23 +143,53 @@
     }
 }
 
-fn references(content: &CatalogueEntry) -> Vec<EntryReference<'_>> {
-    let reference = |key, kind, name| EntryReference { key, kind, name };
-    match content {
-        CatalogueEntry::Class(entry) => vec![
-            reference("owner", EntryKind::Workspace, entry.owner.as_str()),
-            reference("pool", EntryKind::Pool, entry.pool.as_str()),
-        ],
-        CatalogueEntry::DataCentre(_) | CatalogueEntry::Pool(_) | CatalogueEntry::Workspace(_) => {
-            Vec::new()
-        }
-        CatalogueEntry::Upstream(entry) => vec![
-            reference(
-                "data-centre",
-                EntryKind::DataCentre,
-                entry.data_centre.as_str(),
-            ),
-            reference("pool", EntryKind::Pool, entry.pool.as_str()),
-        ],
+/// Another entry that an entry names, and the key that names it.
+pub(super) struct EntryTarget {
+    key: &'static str,
+    target: EntryRef,
+}
+
+/// Returns the entries that an entry's keys and values name.
+pub(super) fn targets<'a>(
+    kind: EntryKind,
+    values: impl Iterator<Item = (&'a str, &'a str)>,
+) -> Vec<EntryTarget> {
+    let keys = reference_keys(kind);
+    values
+        .filter_map(|(key, name)| {
+            let reference = keys.iter().find(|reference| reference.key == key)?;
+            let target = EntryRef {
+                kind: reference.kind,
+                name: name.to_owned(),
+            };
+            let key = reference.key;
+            Some(EntryTarget { key, target })
+        })
+        .collect()
+}
+
+const fn reference_keys(kind: EntryKind) -> &'static [ReferenceKey] {
+    const DATA_CENTRE: ReferenceKey = ReferenceKey {
+        key: "data-centre",
+        kind: EntryKind::DataCentre,
+    };
+    const OWNER: ReferenceKey = ReferenceKey {
+        key: "owner",
+        kind: EntryKind::Workspace,
+    };
+    const POOL: ReferenceKey = ReferenceKey {
+        key: "pool",
+        kind: EntryKind::Pool,
+    };
+    match kind {
+        EntryKind::Class => &[OWNER, POOL],
+        EntryKind::DataCentre | EntryKind::Pool | EntryKind::Workspace => &[],
+        EntryKind::Upstream => &[DATA_CENTRE, POOL],
     }
 }
+
+fn references(content: &CatalogueEntry) -> Vec<EntryTarget> {
+    let values = entry_values(content);
+    let values = values.iter().map(|value| (value.key, value.text.as_str()));
+    targets(content.entry_ref().kind, values)
+}
--- a/crates/poplargap-core/tests/declaration.rs
+++ b/crates/poplargap-core/tests/declaration.rs
@@ -129,6 +129,7 @@
 b.ini: [class a b] pool: the key is missing; it takes: name
 b.ini: [class a b] priority: the key is missing; it takes: word
 b.ini: [class a b] repeatable: the key is missing; it takes: word
+b.ini: [class a b] owner: the workspace `x` is unknown
 ",
         );
 }
--- a/crates/poplargap/src/command_options.rs
+++ b/crates/poplargap/src/command_options.rs
@@ -3,7 +3,7 @@
 use {
     crate::{CatalogueStore, CommandError},
     pico_args::Arguments,
-    poplargap_core::input::parse_duration,
+    poplargap_core::input::{parse_duration, render_duration},
     poplargap_platform::{CallBucket, CallRate, HttpStore, PacedStore},
     std::{env, net::SocketAddr, num::NonZeroU32, time::Duration},
 };
@@ -13,6 +13,7 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
 const STORE_VARIABLE: &str = "POPLARGAP_STORE";
 const TIMEOUT: Duration = Duration::from_secs(2);
+const TIMEOUT_MAX: Duration = Duration::from_hours(1);
 const TOKEN_VARIABLE: &str = "POPLARGAP_OPERATOR_TOKEN";
 
 /// What the program takes from its environment.
@@ -141,10 +142,17 @@
     arguments: &mut Arguments,
     name: &'static str,
 ) -> Result<Option<Duration>, CommandError> {
-    let text = take_text(arguments, name)?;
-    text.map(|text| parse_duration(&text))
-        .transpose()
-        .map_err(|error| CommandError::Arguments(format!("{name}: {error}")))
+    let Some(text) = take_text(arguments, name)? else {
+        return Ok(None);
+    };
+    let duration = parse_duration(&text)
+        .map_err(|error| CommandError::Arguments(format!("{name}: {error}")))?;
+    if duration.is_zero() || duration > TIMEOUT_MAX {
+        let max = render_duration(TIMEOUT_MAX);
+        let message = format!("{name}: `{text}` is out of range; the range is 1ms to {max}");
+        return Err(CommandError::Arguments(message));
+    }
+    Ok(Some(duration))
 }
 
 /// Takes an option's value as text.
--- a/crates/poplargap/src/run.rs
+++ b/crates/poplargap/src/run.rs
@@ -23,7 +23,7 @@
     let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("error: the runtime can't be set up: {error}");
+            write_error(&format!("error: the runtime can't be set up: {error}"));
             return ExitStatus::Failed.into();
         }
     };
@@ -33,9 +33,9 @@
         Ok(()) => ExitStatus::Done.into(),
         Err(error) => {
             if json {
-                eprintln!("{}", error.to_json());
+                write_error(&error.to_json().to_string());
             } else {
-                eprintln!("error: {}", error.to_string().trim_end());
+                write_error(&format!("error: {}", error.to_string().trim_end()));
             }
             error.exit_status().into()
         }
@@ -76,3 +76,8 @@
     }
     name.run(arguments, &options, &mut output).await
 }
+
+/// Writes a line to the error output; when that is closed, the exit code alone tells.
+fn write_error(line: &str) {
+    let _written = writeln!(io::stderr(), "{line}");
+}
--- a/crates/poplargap/tests/command_line.rs
+++ b/crates/poplargap/tests/command_line.rs
@@ -41,6 +41,7 @@
 b.ini: [class x] pool: the key is missing; it takes: name
 b.ini: [class x] priority: the key is missing; it takes: word
 b.ini: [class x] repeatable: the key is missing; it takes: word
+b.ini: [class x] owner: the workspace `ty-back` is unknown; did you mean `ty-bach`?
 ",
         );
     console.run("--json check b.ini").await.status(2).stdout("");
@@ -339,6 +340,10 @@
             "get --calls-per-second 0",
             "--calls-per-second: `0` is no whole number from 1",
         ),
+        (
+            "get --settle 0s",
+            "--settle: `0s` is out of range; the range is 1ms to 1h",
+        ),
         (
             "get --store here",
             "--store: `here` is no IP address with a port, such as `10.0.0.2:2379`",
