--- a/crates/poplargap/tests/servers.rs
+++ b/crates/poplargap/tests/servers.rs
@@ -4,13 +4,14 @@
 
 use {
     serde_json::{Value, json},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     support::console::{Console, open_whole},
     tokio::{
         net::{TcpListener, TcpSocket},
+        sync::Mutex,
         task::JoinHandle,
     },
-    warp::{Filter, http::StatusCode},
+    warp::{Filter, Reply, http::StatusCode, hyper::body::Bytes, path::FullPath, reply::Response},
 };
 
 #[tokio::test]
@@ -52,6 +53,29 @@
     console.close().await;
 }
 
+#[tokio::test]
+async fn lost_answer_is_resolved_before_anything_is_said() {
+    for loss in [AnswerLoss::Applied, AnswerLoss::Delayed] {
+        let console = Console::open().await;
+        let (address, server) = serve(lossy_store(console.store_address(), loss)).await;
+        let console = console.with_store(Some(address));
+        console.file("a.ini", "[data-centre bangor]\n");
+        console
+            .run("apply a.ini")
+            .await
+            .status(0)
+            .stderr("")
+            .stdout("accepted `data-centre bangor` as version 1 (write WRITE) at revision 1\n");
+        console
+            .run("history data-centre bangor")
+            .await
+            .status(0)
+            .stdout("# version 1 (write WRITE)\n[data-centre bangor]\n\n");
+        server.abort();
+        console.close().await;
+    }
+}
+
 #[tokio::test]
 async fn status_lists_the_oldest_revision_first() {
     let (new, new_server) = serve(daemon("entry-1", 12)).await;
@@ -118,6 +142,71 @@
     console.close().await;
 }
 
+/// What becomes of the first write, whose answer is lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AnswerLoss {
+    /// The write takes effect at once.
+    Applied,
+    /// The write reaches the store after the next one.
+    Delayed,
+}
+
+/// Passes calls on to a store, and loses the answer to the first write.
+fn lossy_store(
+    store: SocketAddr,
+    loss: AnswerLoss,
+) -> impl Filter<Extract = (impl warp::Reply,), Error = warp::Rejection> + Clone + Send + Sync + 'static
+{
+    let writes: Arc<Mutex<Vec<Bytes>>> = Arc::default();
+    let read = warp::get()
+        .and(warp::path::full())
+        .and(warp::query::raw())
+        .then(move |path: FullPath, query: String| async move {
+            let url = format!("http://{store}{}?{query}", path.as_str());
+            let answer = reqwest::get(url).await.expect("the store answers");
+            pass_on(answer).await
+        });
+    let write = warp::put()
+        .and(warp::path!("v1" / "kv"))
+        .and(warp::body::bytes())
+        .then(move |body: Bytes| {
+            let writes = Arc::clone(&writes);
+            async move {
+                let mut writes = writes.lock().await;
+                writes.push(body.clone());
+                let first = writes.len() == 1;
+                if first && loss == AnswerLoss::Delayed {
+                    return StatusCode::SERVICE_UNAVAILABLE.into_response();
+                }
+                let answer = pass_on(put(store, body).await).await;
+                if first {
+                    return StatusCode::SERVICE_UNAVAILABLE.into_response();
+                }
+                if writes.len() == 2 && loss == AnswerLoss::Delayed {
+                    let late = put(store, writes[0].clone()).await;
+                    assert_eq!(late.status(), StatusCode::CONFLICT);
+                }
+                answer
+            }
+        });
+    read.or(write)
+}
+
+async fn pass_on(answer: reqwest::Response) -> Response {
+    let status = answer.status();
+    let body = answer.bytes().await.expect("the answer is whole");
+    warp::reply::with_status(body.to_vec(), status).into_response()
+}
+
+async fn put(store: SocketAddr, body: Bytes) -> reqwest::Response {
+    let url = format!("http://{store}/v1/kv");
+    let request = reqwest::Client::new()
+        .put(url)
+        .header("content-type", "application/json")
+        .body(body);
+    request.send().await.expect("the store answers")
+}
+
 /// A port that is held, so that nothing listens there.
 struct ClosedPort(TcpSocket);
 
--- a/crates/poplargap/tests/support/console.rs
+++ b/crates/poplargap/tests/support/console.rs
@@ -72,6 +72,11 @@
         self
     }
 
+    /// Returns where the stand-in of the store listens.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store.address()
+    }
+
     /// Uses another store, or none.
     pub fn with_store(mut self, address: Option<SocketAddr>) -> Self {
         self.store_address = address;
