Give the environment and stale versions files of their own

Cause: two files held a second type. Change: moved without change of behaviour. Run: `cargo test -p poplargap`: 22 passed, 0 failed. Conclusion: one type a file in the command line.

--- a/crates/poplargap/src/command_error.rs
+++ b/crates/poplargap/src/command_error.rs
@@ -1,13 +1,11 @@
 //! Everything that ends a command without success.
 
 use {
-    crate::{EditConflict, ExitStatus, UnknownEdit},
+    crate::{EditConflict, ExitStatus, StaleVersions, UnknownEdit},
     displaydoc::Display,
     poplargap_core::{catalogue::EntryRef, finding::InputFindings},
     poplargap_platform::StoreError,
-    serde::Serialize,
     serde_json::{Value, json},
-    std::fmt::Display as Shown,
 };
 
 /// Everything that ends a command without success.
@@ -68,20 +66,6 @@
     VersionsStale(StaleVersions),
 }
 
-/// Several conflicts that were seen before anything was written.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-#[serde(transparent)]
-pub struct StaleVersions(pub(crate) Vec<EditConflict>);
-
-impl Shown for StaleVersions {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for conflict in &self.0 {
-            writeln!(f, "{conflict}")?;
-        }
-        f.write_str("nothing was written")
-    }
-}
-
 impl std::error::Error for CommandError {}
 
 impl CommandError {
--- a/crates/poplargap/src/command_options.rs
+++ b/crates/poplargap/src/command_options.rs
@@ -1,48 +1,21 @@
-//! Options that all commands share, and the environment.
+//! Options that all commands share.
 
 use {
-    crate::{CatalogueStore, CommandError},
+    crate::{
+        CatalogueStore, CommandError, Environment,
+        environment::{STORE_VARIABLE, TOKEN_VARIABLE},
+    },
     pico_args::Arguments,
     poplargap_core::input::{parse_duration, render_duration},
     poplargap_platform::{CallBucket, CallRate, HttpStore, PacedStore},
-    std::{env, net::SocketAddr, num::NonZeroU32, time::Duration},
+    std::{net::SocketAddr, num::NonZeroU32, time::Duration},
 };
 
 const CALLS_PER_SECOND: NonZeroU32 = NonZeroU32::new(100).expect("the number isn't zero");
 
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
-const STORE_VARIABLE: &str = "POPLARGAP_STORE";
 const TIMEOUT: Duration = Duration::from_secs(2);
 const TIMEOUT_MAX: Duration = Duration::from_hours(1);
-const TOKEN_VARIABLE: &str = "POPLARGAP_OPERATOR_TOKEN";
-
-/// What the program takes from its environment.
-#[derive(Clone, Default)]
-pub struct Environment {
-    /// The operators' token for daemons.
-    pub operator_token: Option<String>,
-    /// Address of the store.
-    pub store: Option<String>,
-}
-
-impl std::fmt::Debug for Environment {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Environment")
-            .field("store", &self.store)
-            .finish_non_exhaustive()
-    }
-}
-
-impl Environment {
-    /// Reads the environment of this process.
-    #[must_use]
-    pub fn of_process() -> Self {
-        Self {
-            operator_token: env::var(TOKEN_VARIABLE).ok(),
-            store: env::var(STORE_VARIABLE).ok(),
-        }
-    }
-}
 
 /// Options that all commands share.
 #[derive(Clone, Debug)]
--- a/crates/poplargap/src/edit_plan.rs
+++ b/crates/poplargap/src/edit_plan.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CommandError, EditConflict, EditReceipt, EntryEdit, StoredCatalogue, VersionLock, WriteId,
-        command_error::StaleVersions,
+        CommandError, EditConflict, EditReceipt, EntryEdit, StaleVersions, StoredCatalogue,
+        VersionLock, WriteId,
     },
     poplargap_core::catalogue::{
         EntryKind, EntrySet,
--- a/crates/poplargap/src/lib.rs
+++ b/crates/poplargap/src/lib.rs
@@ -10,9 +10,11 @@
 mod edit_receipt;
 mod entry_edit;
 mod entry_version;
+mod environment;
 mod exit_status;
 mod run;
 mod source_files;
+mod stale_versions;
 mod stored_catalogue;
 mod subcommand;
 mod unknown_edit;
@@ -22,15 +24,17 @@
 pub use {
     catalogue_store::CatalogueStore,
     command_error::CommandError,
-    command_options::{CommandOptions, Environment},
+    command_options::CommandOptions,
     command_output::CommandOutput,
     edit_conflict::EditConflict,
     edit_plan::{EditPlan, PlannedEdit},
     edit_receipt::EditReceipt,
     entry_edit::EntryEdit,
     entry_version::EntryVersion,
+    environment::Environment,
     exit_status::ExitStatus,
     run::{main, run},
+    stale_versions::StaleVersions,
     stored_catalogue::StoredCatalogue,
     unknown_edit::UnknownEdit,
     version_lock::VersionLock,
