--- a/crates/poplargap-testbed/src/site/site_plan.rs
+++ b/crates/poplargap-testbed/src/site/site_plan.rs
@@ -89,7 +89,7 @@
     repeatable: bool,
 ) -> ClassPlan {
     ClassPlan {
-        deadline: Duration::from_secs(60),
+        deadline: Duration::from_mins(1),
         limits: LimitSet::default(),
         name: format!("{workspace}.{name}"),
         pool: pool.to_owned(),
