--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -3,6 +3,7 @@
 pub mod declaration;
 
 mod bucket;
+mod bucket_table;
 mod entry;
 mod entry_kind;
 mod entry_set;
@@ -13,6 +14,7 @@
 
 pub use {
     bucket::{BUCKET_COUNT, BUCKET_PREFIX, BucketRecord, EntryRecord, bucket_key},
+    bucket_table::{BucketError, BucketTable, VersionedBucket},
     entry::{
         CatalogueEntry, ClassEntry, DataCentreEntry, FencingCheck, LimitSet, PoolEntry, PoolKind,
         PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
