--- a/crates/poplargap-testbed/src/site.rs
+++ b/crates/poplargap-testbed/src/site.rs
@@ -15,6 +15,6 @@
     process_site::{DaemonProcess, ProcessSite},
     site_error::SiteError,
     site_plan::{ClassPlan, PoolPlan, SitePlan, WorkspacePlan},
-    site_upstreams::SiteUpstreams,
+    site_upstreams::{EngineAddresses, SiteUpstreams},
     status_client::StatusClient,
 };
--- a/crates/poplargap-testbed/src/site/site_plan.rs
+++ b/crates/poplargap-testbed/src/site/site_plan.rs
@@ -99,11 +99,12 @@
 }
 
 impl WorkspacePlan {
-    /// Creates a workspace with notes and reports of `model` and lookups and bookings of `service`.
+    /// Creates a workspace with chats of `model` and lookups and bookings of `service`.
     #[must_use]
     pub fn new(name: &str, model: &str, service: &str) -> Self {
         Self {
             classes: vec![
+                class(name, "checks", model, PriorityClass::Interactive, true),
                 class(name, "notes", model, PriorityClass::Interactive, true),
                 class(name, "reports", model, PriorityClass::Batch, true),
                 class(name, "lookups", service, PriorityClass::Interactive, true),
--- a/crates/poplargap-testbed/src/site/site_upstreams.rs
+++ b/crates/poplargap-testbed/src/site/site_upstreams.rs
@@ -5,8 +5,13 @@
     crate::{
         desk::{DeskSettings, DeskStandIn},
         engine::{EngineSettings, EngineStandIn},
+        load::EngineChurn,
     },
-    std::net::{Ipv4Addr, SocketAddr},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+    tokio::time,
 };
 
 /// Where one upstream stands.
@@ -18,6 +23,15 @@
     pub(super) pool: String,
 }
 
+/// Where one engine listens.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineAddresses {
+    /// For faults and ledgers.
+    pub control: SocketAddr,
+    /// For work.
+    pub work: SocketAddr,
+}
+
 /// Engines and desks in this process.
 #[derive(Debug)]
 pub struct SiteUpstreams {
@@ -69,32 +83,42 @@
     }
 
     /// Ends an engine with everything that it runs; returns where it stood.
-    pub async fn stop_engine(&mut self, number: usize) -> Option<SocketAddr> {
+    pub async fn stop_engine(&mut self, number: usize) -> Option<EngineAddresses> {
         let engine = self.engines.get_mut(number)?.take()?;
-        let address = engine.address();
+        let addresses = EngineAddresses {
+            control: engine.control_address(),
+            work: engine.address(),
+        };
         engine.close().await;
-        Some(address)
+        Some(addresses)
     }
 
     /// Starts a stopped engine again, with an empty cache.
     ///
     /// # Errors
     ///
-    /// Returns an error when the address was taken meanwhile.
+    /// Returns an error when an address was taken meanwhile.
     pub async fn restart_engine(
         &mut self,
         number: usize,
-        listen: SocketAddr,
+        addresses: EngineAddresses,
     ) -> Result<(), SiteError> {
-        let engine = EngineStandIn::start(EngineSettings {
-            listen,
+        let settings = EngineSettings {
+            control_listen: addresses.control,
+            listen: addresses.work,
             ..self.settings.clone()
-        })
-        .await?;
-        self.engines[number] = Some(engine);
+        };
+        self.engines[number] = Some(EngineStandIn::start(settings).await?);
         Ok(())
     }
 
+    /// Returns the engines' addresses that no connection fault touches.
+    #[must_use]
+    pub fn engine_controls(&self) -> Vec<SocketAddr> {
+        let engines = self.engines.iter().flatten();
+        engines.map(EngineStandIn::control_address).collect()
+    }
+
     /// Ends all engines and desks.
     pub async fn close(self) {
         for engine in self.engines.into_iter().flatten() {
@@ -114,3 +138,18 @@
         pool: pool.name.clone(),
     }
 }
+
+/// Time for which a churned engine is away.
+const CHURN_PAUSE: Duration = Duration::from_secs(1);
+
+impl EngineChurn for &mut SiteUpstreams {
+    async fn restart(&mut self, number: usize) {
+        let number = number % self.engines.len().max(1);
+        let Some(addresses) = self.stop_engine(number).await else {
+            return;
+        };
+        time::sleep(CHURN_PAUSE).await;
+        // An engine whose port is taken stays away, as a lost VM would.
+        drop(self.restart_engine(number, addresses).await);
+    }
+}
--- a/crates/poplargapd/src/path/identify.rs
+++ b/crates/poplargapd/src/path/identify.rs
@@ -6,7 +6,7 @@
         catalogue::{CatalogueSnapshot, ClassEntry, KeyDigest, PoolEntry, PoolKind},
         finding::nearest_word,
         instant::MonotonicInstant,
-        name::{PoolName, WorkspaceName},
+        name::{ClassName, PoolName, WorkspaceName},
     },
     std::sync::Arc,
 };
@@ -83,7 +83,7 @@
 ) -> Result<Arc<ClassEntry>, PathProblem> {
     let mut classes = catalogue.classes_of(workspace, pool);
     let class = match &request.class {
-        Some(name) => classes.find(|class| class.name == *name).ok_or_else(|| {
+        Some(name) => classes.find(|class| is_named(class, name)).ok_or_else(|| {
             let detail = format!("the workspace has no class `{name}` for `{pool}`");
             PathProblem::not_run(ProblemCode::UnknownClass, detail)
         })?,
@@ -92,6 +92,15 @@
     Ok(Arc::clone(class))
 }
 
+/// Returns whether `name` is the class's name, with or without its owner's name and a dot in front.
+fn is_named(class: &ClassEntry, name: &ClassName) -> bool {
+    let full = class.name.as_str();
+    let short = full
+        .strip_prefix(class.owner.as_str())
+        .and_then(|rest| rest.strip_prefix('.'));
+    full == name.as_str() || short == Some(name.as_str())
+}
+
 fn only_class<'a>(
     mut classes: impl Iterator<Item = &'a Arc<ClassEntry>>,
     pool: &PoolName,
