Share the daemons' reports with the command line

Cause: the daemon's answers and the types that the command line read had grown apart: `poplargap status` couldn't read a real daemon's answer, and `explain` neither. Tests with made-up answers hadn't seen it.

Change: `poplargap_link::report` holds `StatusReport`, `RequestTrace` and `TraceStep`; daemon and command line both use them. `poplargap_core::report` is gone. The transcripts of made-up daemons follow the daemon's answers.

--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -14,6 +14,5 @@
 pub mod outcome;
 pub mod queue;
 pub mod rendezvous;
-pub mod report;
 pub mod settings;
 pub mod shard;
--- a/crates/poplargap-link/src/lib.rs
+++ b/crates/poplargap-link/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod envelope;
 pub mod heartbeat;
 pub mod proof;
+pub mod report;
 pub mod rpc;
--- a/crates/poplargap/src/subcommand/explain.rs
+++ b/crates/poplargap/src/subcommand/explain.rs
@@ -4,10 +4,8 @@
     super::{status::take_daemons, take_exactly},
     crate::{CommandError, CommandOptions, CommandOutput, daemon_client::DaemonClient},
     pico_args::Arguments,
-    poplargap_core::{
-        name::RequestId,
-        report::{RequestReport, RequestStep},
-    },
+    poplargap_core::name::RequestId,
+    poplargap_link::report::RequestTrace,
     serde::Serialize,
     std::{
         fmt::{self, Display, Formatter},
@@ -32,23 +30,18 @@
 
 #[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
-struct ExplainLine(RequestReport);
+struct ExplainLine {
+    address: SocketAddr,
+    #[serde(flatten)]
+    trace: RequestTrace,
+}
 
 impl Display for ExplainLine {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let RequestReport {
-            daemon,
-            request,
-            steps,
-        } = &self.0;
-        write!(f, "{request} on {daemon}:")?;
+        let RequestTrace { id, steps } = &self.trace;
+        write!(f, "{id} at {}:", self.address)?;
         for step in steps {
-            let RequestStep {
-                at_ms,
-                decision,
-                filter,
-            } = step;
-            write!(f, "\n  after {at_ms} ms, {filter}: {decision}")?;
+            write!(f, "\n  {step}")?;
         }
         Ok(())
     }
@@ -81,16 +74,14 @@
     let path = format!("/v1/explain/{request}");
     let mut known = false;
     for answer in client.ask(&daemons, &path).await {
+        let address = answer.address;
         match answer.outcome {
-            Ok(Some(report)) => {
+            Ok(Some(trace)) => {
                 known = true;
-                output.line(&ExplainLine(report))?;
+                output.line(&ExplainLine { address, trace })?;
             }
             Ok(None) => {}
-            Err(error) => output.line(&SilentLine {
-                address: answer.address,
-                error,
-            })?,
+            Err(error) => output.line(&SilentLine { address, error })?,
         }
     }
     if known {
--- a/crates/poplargap/src/subcommand/status.rs
+++ b/crates/poplargap/src/subcommand/status.rs
@@ -8,7 +8,7 @@
         daemon_client::{DaemonAnswer, DaemonClient},
     },
     pico_args::Arguments,
-    poplargap_core::report::StatusReport,
+    poplargap_link::report::StatusReport,
     serde::Serialize,
     std::{
         fmt::{self, Display, Formatter},
@@ -67,13 +67,15 @@
         let StatusReport {
             daemon,
             data_centre,
-            ready,
+            requests_in_flight,
             revision,
+            state,
+            ..
         } = report;
-        let ready = if *ready { "ready" } else { "not ready" };
         write!(
             f,
-            "revision {revision}, {ready}: {daemon} in {data_centre} at {address}"
+            "revision {revision}, {state}, {requests_in_flight} in flight: \
+             {daemon} in {data_centre} at {address}"
         )
     }
 }
--- a/crates/poplargap/tests/servers.rs
+++ b/crates/poplargap/tests/servers.rs
@@ -88,8 +88,8 @@
         .status(0)
         .stderr("")
         .stdout(&format!(
-            "revision 9, ready: entry-2 in bangor at {old}\n\
-         revision 12, ready: entry-1 in bangor at {new}\n"
+            "revision 9, ready, 0 in flight: entry-2 in bangor at {old}\n\
+         revision 12, ready, 0 in flight: entry-1 in bangor at {new}\n"
         ));
     let closed = ClosedPort::hold();
     let gone = closed.address();
@@ -124,13 +124,17 @@
     let (two, two_server) = serve(daemon("entry-2", 9)).await;
     let console = Console::open().await;
     let daemons = format!("--daemon {one} --daemon {two}");
-    let steps = "  after 0 ms, admit: a credit was free\n  after 2 ms, place: curves-1 is home\n";
+    let steps = "  identified as class `bench-notes`
+  refused by the home of shard `curves/bangor/0`: every upstream of the shard is at its bound
+  placed on upstream `curves-1` of shard `curves/bangor/1`
+  settled: complete
+";
     console
         .run(&format!("explain {daemons} r1"))
         .await
         .status(0)
         .stderr("")
-        .stdout(&format!("r1 on entry-1:\n{steps}r1 on entry-2:\n{steps}"));
+        .stdout(&format!("r1 at {one}:\n{steps}r1 at {two}:\n{steps}"));
     console
         .run(&format!("explain {daemons} r2"))
         .await
@@ -231,16 +235,18 @@
     let authorised = warp::header::exact("authorization", "Bearer fedcba9876543210");
     let status = warp::path!("v1" / "status").map(move || {
         warp::reply::json(&json!({
-            "daemon": name, "data-centre": "bangor", "ready": true, "revision": revision,
+            "daemon": name, "data-centre": "bangor", "members-ready": [name],
+            "requests-in-flight": 0, "revision": revision, "state": "ready",
         }))
     });
     let explain = warp::path!("v1" / "explain" / "r1").map(move || {
         warp::reply::json(&json!({
-            "daemon": name,
-            "request": "r1",
+            "id": "r1",
             "steps": [
-                {"at-ms": 0, "decision": "a credit was free", "filter": "admit"},
-                {"at-ms": 2, "decision": "curves-1 is home", "filter": "place"},
+                {"step": "identified", "class": "bench-notes"},
+                {"step": "refused", "reason": "full", "shard": "curves/bangor/0"},
+                {"step": "placed", "shard": "curves/bangor/1", "upstream": "curves-1"},
+                {"step": "settled", "outcome": "complete"},
             ],
         }))
     });
--- a/crates/poplargap/tests/support/console.rs
+++ b/crates/poplargap/tests/support/console.rs
@@ -50,6 +50,7 @@
     directory: TempDir,
     store: StoreStandIn,
     store_address: Option<SocketAddr>,
+    token: String,
 }
 
 impl Console {
@@ -60,6 +61,7 @@
             directory: tempfile::tempdir().expect("a directory can be made"),
             store_address: Some(store.address()),
             store,
+            token: "fedcba9876543210".to_owned(),
         }
     }
 
@@ -83,6 +85,12 @@
         self
     }
 
+    /// Uses another token for daemons.
+    pub fn with_token(mut self, token: &str) -> Self {
+        token.clone_into(&mut self.token);
+        self
+    }
+
     /// Runs the program with arguments separated by spaces.
     pub async fn run(&self, arguments: &str) -> Transcript {
         let mut command = Command::new(env!("CARGO_BIN_EXE_poplargap"));
@@ -90,7 +98,7 @@
             .args(arguments.split_whitespace())
             .current_dir(self.directory.path())
             .env_clear()
-            .env("POPLARGAP_OPERATOR_TOKEN", "fedcba9876543210")
+            .env("POPLARGAP_OPERATOR_TOKEN", &self.token)
             .kill_on_drop(true);
         if let Some(address) = self.store_address {
             command.env("POPLARGAP_STORE", address.to_string());
--- a/crates/poplargapd/src/operators.rs
+++ b/crates/poplargapd/src/operators.rs
@@ -2,35 +2,13 @@
 
 use {
     crate::{members::MemberView, path::PathContext, server::HttpServer},
-    poplargap_core::{
-        membership::MemberState,
-        name::{DaemonName, DataCentre, RequestId},
-        settings::OperatorToken,
-    },
-    serde::Serialize,
+    poplargap_core::{membership::MemberState, name::RequestId, settings::OperatorToken},
+    poplargap_link::report::StatusReport,
     std::{sync::Arc, time::Duration},
     tokio::net::TcpListener,
     warp::{Filter, Reply, http::StatusCode, reply::Response},
 };
 
-/// A daemon's answer to `GET /v1/status`.
-#[derive(Clone, Debug, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct StatusReport {
-    /// The daemon's name.
-    pub daemon: DaemonName,
-    /// The daemon's data centre.
-    pub data_centre: DataCentre,
-    /// Ready daemons of the data centre, as this daemon sees them.
-    pub members_ready: Vec<DaemonName>,
-    /// Callers' requests in flight.
-    pub requests_in_flight: usize,
-    /// Revision of the catalogue in force.
-    pub revision: u64,
-    /// What the daemon says of itself.
-    pub state: MemberState,
-}
-
 /// The running listener for operators.
 #[derive(Debug)]
 pub struct OperatorServer(HttpServer);
--- a/crates/poplargapd/src/path.rs
+++ b/crates/poplargapd/src/path.rs
@@ -19,11 +19,12 @@
     claim::{ClaimOutcome, ClaimStore, ClaimTicket},
     identify::Identity,
     place::{Placement, RouteDirectory},
+    poplargap_link::report::{RequestTrace, TraceStep},
     problem::{PathProblem, ProblemCode},
     relay::AnswerRelay,
     request::{CallTarget, CallerRequest, RouteHint},
     settle::Settlement,
-    trace::{RequestTrace, TraceRing, TraceStep},
+    trace::TraceRing,
 };
 
 use {
