--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod desk;
 pub mod engine;
 pub mod fault;
+pub mod load;
 pub mod relay;
 pub mod site;
 pub mod store;
