Add limits over data centres as loans with a time to live

Cause: the limits of a class hold over all data centres, also while these are cut off from each other, and must serve a limit of 1 as well as one of 10,000.

Change: `limit::base_share` splits each limit over the data centres; `LimitHome` lends a data centre's share to daemons and, what is idle, to homes of other data centres; `LimitBorrower` admits under what it holds. A loan is an absolute amount (concurrency, requests and tokens for each window), so that lost, repeated and late messages do no harm; the borrower counts its end from before it asked, the lender adds a margin. Each borrower runs its own sliding window under its amount and reports its use, which its home counts for one window after the amount was lowered or lapsed. A new home waits out the longest loan and the windows, unless its predecessor handed over; meanwhile it confirms what borrowers hold.

Ruled out: credits for single uses that are granted with a time stamp (a window shortened by the credit's life, and a message for each use); one lease for each pair of daemons (a home that has moved for some classes would go on renewing loans that its successor doesn't know).

Found by the simulation and mended before this commit: - recent uses reported to a new home were taken as confirmed share (292 tokens of 281 in a minute); - what a home had lent on was taken as a right to borrow it again (574 of 544); - homes passed on each other's demand without end.

--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod collections;
 pub mod finding;
 pub mod instant;
+pub mod limit;
 pub mod name;
 pub mod queue;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/poplargap-core/tests/limit/fleet.rs
@@ -0,0 +1,484 @@
+//! Data centres, daemons and homes of one class behind a faulty network.
+
+use {
+    poplargap_core::{
+        catalogue::LimitSet,
+        instant::MonotonicInstant,
+        limit::{
+            Admission, Allowance, HOME_WAIT, HomeHandover, HomeTenure, LimitBorrower, LimitHome,
+            LoanHolder, LoanReply, LoanRequest, Permit, REQUEST_WINDOW, TOKEN_WINDOW, base_share,
+        },
+        name::{ClassName, DaemonName, DataCentre},
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Time for which a request waits to be admitted.
+const PATIENCE_MS: u64 = 1000;
+
+/// Time for which a home may act after it was last confirmed.
+const TENURE_MS: u64 = 1000;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A daemon dies; another one starts in its place.
+    Crash { daemon: usize },
+    /// The home daemon of a data centre dies.
+    CrashHome { centre: usize },
+    /// A data centre can't reach the others.
+    CutOff { centre: usize, ms: u64 },
+    /// A home hands over to the next daemon.
+    Handover { centre: usize },
+    /// A daemon stands still.
+    Pause { daemon: usize, ms: u64 },
+    /// The home daemon of a data centre stands still.
+    PauseHome { centre: usize, ms: u64 },
+    /// No message arrives anywhere.
+    Silence { ms: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    pub centres: usize,
+    pub daemons: usize,
+    pub delay_ms: u64,
+    pub limits: LimitSet,
+    pub load_percent: u64,
+    pub lost_percent: u64,
+    pub step_ms: u64,
+}
+
+#[derive(Debug)]
+pub struct Random(u64);
+
+impl Random {
+    /// Returns a number below `bound`: `SplitMix64`, Steele, Lea and Flood, 2014.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % bound
+    }
+
+    fn percent(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Letter {
+    Reply {
+        from: usize,
+        reply: LoanReply,
+        to: Address,
+    },
+    Request {
+        from: Address,
+        request: LoanRequest,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Address {
+    Daemon(usize),
+    Home(usize),
+}
+
+#[derive(Debug)]
+struct Sent {
+    arrives: u64,
+    letter: Letter,
+    to: usize,
+}
+
+#[derive(Debug)]
+struct Daemon {
+    borrower: LimitBorrower,
+    centre: usize,
+    clock_ms: u64,
+    home: Option<LimitHome>,
+    paused_until: u64,
+    running: Vec<(Permit, u64, usize)>,
+    tenure_until: u64,
+    waiting: VecDeque<(u64, u64)>,
+}
+
+#[derive(Debug)]
+struct Use {
+    at: u64,
+    tokens: u64,
+}
+
+/// The whole fleet with a ledger of what it admitted.
+#[derive(Debug)]
+pub struct Fleet {
+    cut_until: Vec<u64>,
+    daemons: Vec<Daemon>,
+    homes: Vec<usize>,
+    incarnations: u64,
+    letters: Vec<Sent>,
+    pub messages: u64,
+    now: u64,
+    pub random: Random,
+    setting: Setting,
+    silent_until: u64,
+    uses: Vec<Use>,
+}
+
+fn class() -> ClassName {
+    "notes".try_into().expect("a checked name")
+}
+
+fn centre_name(centre: usize) -> DataCentre {
+    format!("dc{centre}").try_into().expect("a checked name")
+}
+
+impl Fleet {
+    pub fn new(setting: Setting, seed: u64) -> Self {
+        let mut fleet = Self {
+            cut_until: vec![0; setting.centres],
+            daemons: Vec::new(),
+            homes: (0..setting.centres)
+                .map(|centre| centre * setting.daemons)
+                .collect(),
+            incarnations: 0,
+            letters: Vec::new(),
+            messages: 0,
+            now: 1000,
+            random: Random(seed),
+            setting,
+            silent_until: 0,
+            uses: Vec::new(),
+        };
+        for daemon in 0..setting.centres * setting.daemons {
+            let started = fleet.start_daemon(daemon);
+            fleet.daemons.push(started);
+        }
+        for centre in 0..setting.centres {
+            fleet.open_home(centre, None);
+        }
+        fleet
+    }
+
+    fn start_daemon(&mut self, daemon: usize) -> Daemon {
+        self.incarnations += 1;
+        let holder = self.holder(daemon, None);
+        Daemon {
+            borrower: LimitBorrower::new(class(), holder, self.setting.limits),
+            centre: daemon / self.setting.daemons,
+            clock_ms: self.random.below(1_000_000),
+            home: None,
+            paused_until: 0,
+            running: Vec::new(),
+            tenure_until: 0,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    fn holder(&self, daemon: usize, centre: Option<DataCentre>) -> LoanHolder {
+        let name = format!("d{daemon}");
+        LoanHolder {
+            centre,
+            daemon: DaemonName::try_from(name).expect("a checked name"),
+            incarnation: self.incarnations,
+        }
+    }
+
+    fn clock(&self, daemon: usize) -> MonotonicInstant {
+        let ms = self.daemons[daemon].clock_ms + self.now;
+        MonotonicInstant::from_start(Duration::from_millis(ms))
+    }
+
+    fn open_home(&mut self, centre: usize, handover: Option<HomeHandover>) {
+        self.incarnations += 1;
+        let daemon = self.homes[centre];
+        let now = self.clock(daemon);
+        let holder = self.holder(daemon, Some(centre_name(centre)));
+        let mut home = match handover {
+            Some(handover) => LimitHome::continue_from(handover, holder, now),
+            None => LimitHome::open(class(), holder, now),
+        };
+        let names: Vec<DataCentre> = (0..self.setting.centres).map(centre_name).collect();
+        let limits = self.setting.limits;
+        let share = |name| base_share(&limits, &class(), name, &names);
+        let lenders = names
+            .iter()
+            .filter(|name| **name != names[centre] && share(name) != Allowance::ZERO);
+        home.set_share(limits, share(&names[centre]), lenders.cloned().collect());
+        self.daemons[daemon].home = Some(home);
+        self.daemons[daemon].tenure_until = self.now + TENURE_MS;
+    }
+
+    pub fn inject(&mut self, fault: Fault) {
+        let count = self.daemons.len();
+        match fault {
+            Fault::Crash { daemon } => {
+                let daemon = daemon % count;
+                self.daemons[daemon] = self.start_daemon(daemon);
+            }
+            Fault::CrashHome { centre } => {
+                let daemon = self.homes[centre % self.setting.centres];
+                self.inject(Fault::Crash { daemon });
+            }
+            Fault::CutOff { centre, ms } => {
+                self.cut_until[centre % self.setting.centres] = self.now + ms;
+            }
+            Fault::Handover { centre } => self.hand_over(centre % self.setting.centres),
+            Fault::Pause { daemon, ms } => {
+                self.daemons[daemon % count].paused_until = self.now + ms;
+            }
+            Fault::PauseHome { centre, ms } => {
+                let daemon = self.homes[centre % self.setting.centres];
+                self.inject(Fault::Pause { daemon, ms });
+            }
+            Fault::Silence { ms } => self.silent_until = self.now + ms,
+        }
+    }
+
+    fn hand_over(&mut self, centre: usize) {
+        let daemon = self.homes[centre];
+        if self.is_paused(daemon) {
+            return;
+        }
+        let Some(home) = self.daemons[daemon].home.take() else {
+            return;
+        };
+        let handover = home.close(self.clock(daemon));
+        self.homes[centre] = self.next_daemon(daemon);
+        self.open_home(centre, Some(handover));
+    }
+
+    fn next_daemon(&self, daemon: usize) -> usize {
+        let size = self.setting.daemons;
+        let first = daemon / size * size;
+        first + (daemon - first + 1) % size
+    }
+
+    fn is_paused(&self, daemon: usize) -> bool {
+        self.now < self.daemons[daemon].paused_until
+    }
+
+    /// Confirms homes that run, and replaces those whose tenure has passed.
+    fn watch_homes(&mut self) {
+        for centre in 0..self.setting.centres {
+            let daemon = self.homes[centre];
+            let runs = self.daemons[daemon].home.is_some() && !self.is_paused(daemon);
+            let tenure = self.daemons[daemon].tenure_until;
+            if runs && self.now < tenure {
+                self.daemons[daemon].tenure_until = self.now + TENURE_MS;
+            } else if self.now >= tenure {
+                self.homes[centre] = self.next_daemon(daemon);
+                self.open_home(centre, None);
+            }
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += self.setting.step_ms;
+        self.deliver();
+        self.watch_homes();
+        for daemon in 0..self.daemons.len() {
+            if !self.is_paused(daemon) {
+                self.run_daemon(daemon);
+            }
+        }
+        self.check();
+    }
+
+    fn run_daemon(&mut self, daemon: usize) {
+        let now = self.clock(daemon);
+        let ended = self.daemons[daemon]
+            .running
+            .extract_if(.., |(_, end, _)| *end <= self.now);
+        for (permit, _, used) in ended.collect::<Vec<_>>() {
+            let tokens = self.uses[used].tokens / 2;
+            self.uses[used].tokens = tokens;
+            self.daemons[daemon].borrower.settle(permit, tokens, now);
+        }
+        if self.random.percent(self.setting.load_percent) {
+            let tokens = 1 + self.random.below(30);
+            let give_up = self.now + PATIENCE_MS;
+            self.daemons[daemon].waiting.push_back((tokens, give_up));
+        }
+        while self.admit(daemon, now) {}
+        if let Some(request) = self.daemons[daemon].borrower.due(now) {
+            self.ask_home(daemon, request);
+        }
+        if self.now < self.daemons[daemon].tenure_until {
+            self.ask_lender(daemon, now);
+        }
+    }
+
+    /// Tries the request that waits longest and returns whether to go on with the next.
+    fn admit(&mut self, daemon: usize, now: MonotonicInstant) -> bool {
+        let Some((tokens, give_up)) = self.daemons[daemon].waiting.pop_front() else {
+            return false;
+        };
+        match self.daemons[daemon].borrower.admit(tokens, now) {
+            Admission::Ask(request) => self.ask_home(daemon, request),
+            Admission::Granted(permit) => {
+                let end = self.now + 1 + self.random.below(4000);
+                let used = self.uses.len();
+                let at = self.now;
+                self.daemons[daemon].running.push((permit, end, used));
+                self.uses.push(Use { at, tokens });
+                return true;
+            }
+            Admission::Oversized => return true,
+            Admission::Pending | Admission::Refused { .. } => {}
+        }
+        if self.now < give_up {
+            self.daemons[daemon].waiting.push_front((tokens, give_up));
+        }
+        false
+    }
+
+    fn ask_home(&mut self, daemon: usize, request: LoanRequest) {
+        let from = Address::Daemon(daemon);
+        let home = self.homes[self.daemons[daemon].centre];
+        self.send(daemon, home, &Letter::Request { from, request });
+    }
+
+    fn ask_lender(&mut self, daemon: usize, now: MonotonicInstant) {
+        let Some(home) = self.daemons[daemon].home.as_mut() else {
+            return;
+        };
+        let Some((lender, request)) = home.ask_lender(now) else {
+            return;
+        };
+        let lender = (0..self.setting.centres).find(|centre| centre_name(*centre) == lender);
+        let lender = self.homes[lender.expect("the lender is a data centre")];
+        let from = Address::Home(daemon);
+        self.send(daemon, lender, &Letter::Request { from, request });
+    }
+
+    fn send(&mut self, from: usize, to: usize, letter: &Letter) {
+        self.messages += 1;
+        let copies = 1 + u64::from(self.random.percent(self.setting.lost_percent));
+        for _ in 0..copies {
+            if self.random.percent(self.setting.lost_percent) || !self.connected(from, to) {
+                continue;
+            }
+            let delay = self.random.below(self.setting.delay_ms + 1);
+            let late = self.random.percent(self.setting.lost_percent / 4);
+            let delay = if late { delay * 50 } else { delay };
+            self.letters.push(Sent {
+                arrives: self.now + delay,
+                letter: letter.clone(),
+                to,
+            });
+        }
+    }
+
+    fn connected(&self, from: usize, to: usize) -> bool {
+        let centres = [self.daemons[from].centre, self.daemons[to].centre];
+        let cut = centres[0] != centres[1]
+            && centres
+                .iter()
+                .any(|centre| self.now < self.cut_until[*centre]);
+        !cut && self.now >= self.silent_until
+    }
+
+    fn deliver(&mut self) {
+        let mut arrived: VecDeque<Sent> = VecDeque::new();
+        for index in (0..self.letters.len()).rev() {
+            let sent = &self.letters[index];
+            if sent.arrives <= self.now && !self.is_paused(sent.to) {
+                arrived.push_back(self.letters.swap_remove(index));
+            }
+        }
+        for sent in arrived {
+            match sent.letter {
+                Letter::Reply { from, reply, to } => self.take_reply(to, sent.to, from, &reply),
+                Letter::Request { from, request } => self.answer(sent.to, from, &request),
+            }
+        }
+    }
+
+    fn answer(&mut self, daemon: usize, from: Address, request: &LoanRequest) {
+        let now = self.clock(daemon);
+        let until = self.daemons[daemon].tenure_until + self.daemons[daemon].clock_ms;
+        let tenure = HomeTenure::new(MonotonicInstant::from_start(Duration::from_millis(until)));
+        let Some(home) = self.daemons[daemon].home.as_mut() else {
+            return;
+        };
+        let reply = home.answer(request, tenure, now);
+        let (Address::Daemon(asker) | Address::Home(asker)) = from;
+        let from_centre = self.daemons[daemon].centre;
+        let letter = Letter::Reply {
+            from: from_centre,
+            reply,
+            to: from,
+        };
+        self.send(daemon, asker, &letter);
+    }
+
+    fn take_reply(&mut self, to: Address, daemon: usize, from: usize, reply: &LoanReply) {
+        let now = self.clock(daemon);
+        match to {
+            Address::Daemon(_) => self.daemons[daemon].borrower.loan(reply, now),
+            Address::Home(_) => {
+                if let Some(home) = self.daemons[daemon].home.as_mut() {
+                    home.lender_reply(&centre_name(from), reply);
+                }
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let limits = self.setting.limits;
+        let held: u64 = (0..self.daemons.len())
+            .map(|daemon| {
+                self.daemons[daemon]
+                    .borrower
+                    .held(self.clock(daemon))
+                    .concurrency
+            })
+            .sum();
+        let used = self.used();
+        assert!(
+            held <= limits.concurrency.unwrap_or(u32::MAX).into(),
+            "{held} slots are held"
+        );
+        let requests = limits.requests_per_second.unwrap_or(u32::MAX);
+        assert!(used.requests <= requests.into(), "{used:?}");
+        assert!(
+            used.tokens <= limits.tokens_per_minute.unwrap_or(u64::MAX),
+            "{used:?}"
+        );
+    }
+
+    /// Returns the requests in flight and what was used in the windows that end now.
+    pub fn used(&self) -> Allowance {
+        let since = |window: Duration| {
+            let window = window.as_millis() as u64;
+            self.uses
+                .iter()
+                .rev()
+                .take_while(move |used| used.at + window > self.now)
+        };
+        Allowance {
+            concurrency: self
+                .daemons
+                .iter()
+                .map(|daemon| daemon.borrower.in_flight())
+                .sum(),
+            requests: since(REQUEST_WINDOW).count() as u64,
+            tokens: since(TOKEN_WINDOW).map(|used| used.tokens).sum(),
+        }
+    }
+
+    /// Returns the number of requests admitted so far.
+    pub fn admitted(&self) -> usize {
+        self.uses.len()
+    }
+
+    /// Runs long enough for every home to know its data centre's loans.
+    pub fn settle_in(&mut self) {
+        let steps = (HOME_WAIT + TOKEN_WINDOW).as_millis() as u64 / self.setting.step_ms;
+        for _ in 0..=steps + 100 {
+            self.step();
+        }
+    }
+}
