Add attempts and the retry budget

Cause: whether a call may be sent again, and whether a refusal may say `not-run`, has to follow from what its attempts prove.

Change: `retry::CallAttempts` takes the events of numbered attempts (Unsent, Sent, Answering, Settled) and permits a retry or a resume, or settles the call with a `RunOutcome`. A call that may not be repeated is sent again only after a failed connect or the upstream's own refusal. The head of an answer alone proves nothing (`unknown`); an event of the answer, or its end, proves `ran`. A resume that the upstream refuses ends the call, for a second run may answer differently; so do events of an earlier attempt count as late. `retry::RetryBudget` allows retries up to 10% of the requests of the last 10 s and one a second besides.

Found by the property test: an answer with more events than the upstream stated was taken as whole; it now ends incomplete.

--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod name;
 pub mod queue;
 pub mod rendezvous;
+pub mod retry;
