--- a/crates/poplargap-link/src/envelope.rs
+++ b/crates/poplargap-link/src/envelope.rs
@@ -6,7 +6,7 @@
         catalogue::PriorityClass,
         home::PlaceRequest,
         name::{ChatId, IdempotencyKey, RequestId, UpstreamName, WorkspaceName},
-        outcome::RunOutcome,
+        retry::RunOutcome,
         shard::ShardId,
     },
     serde::{Deserialize, Serialize},
--- a/crates/poplargapd/src/home/chat_task.rs
+++ b/crates/poplargapd/src/home/chat_task.rs
@@ -6,7 +6,7 @@
     },
     crate::clock::ProcessClock,
     bytes::Bytes,
-    poplargap_core::{catalogue::UpstreamEntry, outcome::RunOutcome},
+    poplargap_core::{catalogue::UpstreamEntry, retry::RunOutcome},
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     reqwest::{Response, StatusCode},
     std::time::Duration,
--- a/crates/poplargapd/src/path/relay.rs
+++ b/crates/poplargapd/src/path/relay.rs
@@ -12,7 +12,7 @@
         answer::{AnswerTracker, EventSplitter, EventVerdict, TokenUsage},
         home::PlaceRequest,
         name::{ChatId, RequestId, UpstreamName},
-        outcome::RunOutcome,
+        retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     std::{sync::Arc, time::Duration},
--- a/crates/poplargapd/src/path/service.rs
+++ b/crates/poplargapd/src/path/service.rs
@@ -19,7 +19,7 @@
         catalogue::PoolKind,
         home::PlaceRequest,
         name::{IdempotencyKey, RequestId, UpstreamName},
-        outcome::RunOutcome,
+        retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     poplargap_platform::KeyValueStore,
--- a/crates/poplargapd/src/relay/relay_client.rs
+++ b/crates/poplargapd/src/relay/relay_client.rs
@@ -8,7 +8,7 @@
         answer::EventSplitter,
         collections::{HashMap, HashMapExt},
         name::UpstreamName,
-        outcome::RunOutcome,
+        retry::RunOutcome,
     },
     poplargap_link::{
         envelope::{
