--- a/crates/poplargap-core/src/retry.rs
+++ b/crates/poplargap-core/src/retry.rs
@@ -13,5 +13,5 @@
     attempt_step::{AttemptStep, CallEnd, DiscardReason},
     call_attempts::{AttemptNumber, CallAttempts, CallKind},
     retry_budget::{RETRY_FLOOR_PER_SECOND, RETRY_SHARE_PERCENT, RetryBudget},
-    run_retry::RunOutcome,
+    run_outcome::RunOutcome,
 };
--- a/crates/poplargap-link/src/rpc.rs
+++ b/crates/poplargap-link/src/rpc.rs
@@ -3,7 +3,10 @@
 use {
     crate::proof::FleetProof,
     jsonrpsee::{proc_macros::rpc, types::ErrorObjectOwned},
-    poplargap_core::shard::ShardId,
+    poplargap_core::{
+        limit::{LoanReply, LoanRequest},
+        shard::ShardId,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -14,8 +17,8 @@
 /// Error code of a call without the fleet's proof.
 pub const CODE_PROOF: i32 = -32001;
 
-/// Error code of a call that the daemon can't answer yet.
-pub const CODE_NOT_READY: i32 = -32002;
+/// Error code of a call for a class or shard that another daemon is home to.
+pub const CODE_NOT_HOME: i32 = -32002;
 
 /// One bucket of the catalogue as the store keeps it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -68,4 +71,15 @@
         proof: FleetProof,
         shard: ShardId,
     ) -> Result<HomeReply, ErrorObjectOwned>;
+
+    /// Asks the home of a class for a loan.
+    ///
+    /// A request from another data centre is passed on to the class's home when `far` is set.
+    #[method(name = "lend")]
+    async fn lend(
+        &self,
+        proof: FleetProof,
+        request: LoanRequest,
+        far: bool,
+    ) -> Result<LoanReply, ErrorObjectOwned>;
 }
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -7,6 +7,7 @@
     crate::{
         feed::{self, CatalogueFeed, FeedChannels, FeedInputs, PeerClients},
         home::{ChatTask, HomeActor, HomeInputs, HomeSettings, RefreshHomes, UpstreamClients},
+        limits::{LimitActor, LimitInputs, LimitLink, RefreshLimits},
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
         operators::OperatorServer,
@@ -39,6 +40,9 @@
 /// Time for idle connections to end after the last request.
 const IDLE_GRACE: Duration = Duration::from_millis(200);
 
+/// Time between two looks at the loans of limits.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Time between two looks at the requests in flight while closing.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -79,6 +83,7 @@
     feed: CatalogueFeed,
     heartbeats: Arc<HeartbeatTask>,
     home: Address<HomeActor>,
+    limit_refresher: JoinHandle<()>,
     log: Logger,
     operators: OperatorServer,
     ready: JoinHandle<()>,
@@ -126,6 +131,9 @@
         ));
         let ready = tokio::spawn(announce_ready(Arc::clone(&heartbeats), revision));
 
+        let link = LimitLink::new(views.members.clone(), peers.clone(), views.vms.clone());
+        let limits = start_limits(&settings, &base, &views, link.clone());
+        let limit_refresher = tokio::spawn(refresh_limits(limits.clone()));
         let task = ChatTask {
             clients,
             clock: base.clock,
@@ -138,12 +146,15 @@
             &base,
             &views,
             (peers, relays),
+            limits.clone(),
             task.clone(),
         ));
         let members = views.members.clone();
         let metrics = Arc::clone(&base.metrics);
         let sources = RpcSources {
             catalogue,
+            limit_link: link,
+            limits,
             members,
             metrics: Arc::clone(&metrics),
             proof: proof.clone(),
@@ -167,6 +178,7 @@
             feed,
             heartbeats,
             home,
+            limit_refresher,
             log,
             operators,
             ready,
@@ -203,6 +215,7 @@
         self.relay.close(IDLE_GRACE).await;
         self.rpc.close();
         self.refresher.abort();
+        self.limit_refresher.abort();
         self.feed.close();
         self.vms.close();
         if let Some(heartbeats) = Arc::into_inner(self.heartbeats) {
@@ -314,11 +327,30 @@
     )
 }
 
+fn start_limits(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+    link: LimitLink,
+) -> Address<LimitActor> {
+    let inputs = LimitInputs {
+        catalogue: views.catalogue.clone(),
+        clock: base.clock,
+        daemon: settings.daemon.name.clone(),
+        data_centre: settings.daemon.data_centre.clone(),
+        incarnation: views.members.borrow().own.incarnation,
+        link,
+        suspect: settings.timeouts.suspect,
+    };
+    xtra::spawn_tokio(LimitActor::new(inputs), Mailbox::unbounded())
+}
+
 fn path_context(
     settings: &DaemonSettings,
     base: &DaemonBase,
     views: &DaemonViews,
     (peers, relays): (PeerClients, RelayClient),
+    limits: Address<LimitActor>,
     task: ChatTask,
 ) -> PathContext<DaemonStore> {
     PathContext {
@@ -331,6 +363,7 @@
         data_centre: settings.daemon.data_centre.clone(),
         homed: settings.placement.policy == PolicyKind::Homed,
         invariants: base.invariants.clone(),
+        limits,
         members: views.members.clone(),
         metrics: Arc::clone(&base.metrics),
         peers,
@@ -360,6 +393,18 @@
     }
 }
 
+/// Makes the limit actor look at its loans from time to time.
+async fn refresh_limits(limits: Address<LimitActor>) {
+    let mut ticks = time::interval(LIMITS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if limits.send(RefreshLimits).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Declares the daemon ready once it has a catalogue.
 async fn announce_ready(heartbeats: Arc<HeartbeatTask>, mut revision: watch::Receiver<u64>) {
     if revision.wait_for(|revision| *revision > 0).await.is_ok() {
--- a/crates/poplargapd/src/feed/peer_clients.rs
+++ b/crates/poplargapd/src/feed/peer_clients.rs
@@ -1,9 +1,13 @@
 //! RPC clients of other daemons, kept by address.
 
 use {
-    jsonrpsee::http_client::{HttpClient, HttpClientBuilder},
+    jsonrpsee::{
+        core::ClientError,
+        http_client::{HttpClient, HttpClientBuilder},
+    },
     poplargap_core::{
         collections::{HashMap, HashMapExt},
+        limit::{LoanReply, LoanRequest},
         shard::ShardId,
     },
     poplargap_link::{
@@ -57,6 +61,19 @@
         result.ok()?.relay
     }
 
+    /// Asks the home of a class for a loan; `None` when it doesn't answer or isn't the home.
+    pub async fn lend(
+        &self,
+        peer: SocketAddr,
+        request: LoanRequest,
+        far: bool,
+    ) -> Option<LoanReply> {
+        let client = self.client(peer)?;
+        let result = client.lend(self.proof.clone(), request, far).await;
+        self.keep_if(peer, result.is_ok() || is_answer(&result));
+        result.ok()
+    }
+
     fn client(&self, peer: SocketAddr) -> Option<HttpClient> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(client) = clients.get(&peer) {
@@ -78,3 +95,8 @@
         }
     }
 }
+
+/// Returns whether a failed call got an answer, so that its connection works.
+fn is_answer<T>(result: &Result<T, ClientError>) -> bool {
+    matches!(result, Err(ClientError::Call(_)))
+}
--- a/crates/poplargapd/src/lib.rs
+++ b/crates/poplargapd/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod feed;
 pub mod home;
 pub mod invariant;
+pub mod limits;
 pub mod log;
 pub mod members;
 pub mod metrics;
--- /dev/null
+++ b/crates/poplargapd/src/limits/limit_actor.rs
@@ -0,0 +1,329 @@
+//! The actor that admits requests under their classes' limits and lends the data centre's shares.
+
+use {
+    super::{
+        class_gate::ClassGate,
+        limit_link::{ClassHome, LimitLink},
+        messages::{
+            AdmitClass, AnswerLoan, LenderAnswered, LoanAnswered, RefreshLimits, SettleClass,
+        },
+    },
+    crate::clock::ProcessClock,
+    poplargap_core::{
+        catalogue::{CatalogueSnapshot, ClassEntry, LimitSet},
+        collections::{HashMap, HashMapExt},
+        instant::MonotonicInstant,
+        limit::{Allowance, HomeTenure, LimitHome, LoanHolder, LoanReply, LoanRequest, base_share},
+        name::{ClassName, DaemonName, DataCentre},
+    },
+    std::{
+        fmt::{self, Formatter},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::watch,
+    xtra::{
+        WeakAddress,
+        prelude::{Actor, Context, Handler},
+    },
+};
+
+/// What the actor needs to know.
+#[derive(Debug)]
+pub struct LimitInputs {
+    /// The catalogue in force.
+    pub catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    /// The daemon's clock.
+    pub(crate) clock: ProcessClock,
+    /// The daemon's name.
+    pub daemon: DaemonName,
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Carries loan requests.
+    pub link: LimitLink,
+    /// Time without heartbeats after which a daemon counts as dead.
+    pub suspect: Duration,
+}
+
+/// Owns the borrowers of all classes and the homes of those that are homed here.
+pub struct LimitActor {
+    gates: HashMap<ClassName, ClassGate>,
+    homes: HashMap<ClassName, LimitHome>,
+    inputs: LimitInputs,
+    refreshed: MonotonicInstant,
+}
+
+impl LimitActor {
+    /// Creates an actor that holds and lends nothing.
+    #[must_use]
+    pub fn new(inputs: LimitInputs) -> Self {
+        let refreshed = inputs.clock.now();
+        Self {
+            gates: HashMap::new(),
+            homes: HashMap::new(),
+            inputs,
+            refreshed,
+        }
+    }
+
+    fn holder(&self, centre: Option<DataCentre>) -> LoanHolder {
+        LoanHolder {
+            centre,
+            daemon: self.inputs.daemon.clone(),
+            incarnation: self.inputs.incarnation,
+        }
+    }
+
+    /// Returns until when this daemon may act as home.
+    ///
+    /// A daemon that was paused has none until it has looked at the members again.
+    fn tenure(&self) -> HomeTenure {
+        HomeTenure::new(self.refreshed + self.inputs.suspect / 2)
+    }
+
+    fn refresh(&mut self, address: &WeakAddress<Self>) {
+        let now = self.inputs.clock.now();
+        let paused = now.since(self.refreshed) > self.inputs.suspect;
+        self.refreshed = now;
+        if paused {
+            self.homes.clear();
+        }
+        let catalogue = Arc::clone(&self.inputs.catalogue.borrow_and_update());
+        let link = self.inputs.link.clone();
+        self.homes
+            .retain(|class, _| link.is_home_of(class) && is_limited(&catalogue, class));
+        for (class, home) in &mut self.homes {
+            set_share(home, &catalogue, class, &self.inputs.data_centre);
+        }
+        for (class, gate) in &mut self.gates {
+            let limits = catalogue.classes.get(class).map(|class| class.limits);
+            gate.borrower.set_limits(limits.unwrap_or_default());
+        }
+        self.renew(address, now);
+        self.ask_lenders(address, now);
+    }
+
+    /// Serves waiting requests, and renews, lowers or returns loans that are due.
+    fn renew(&mut self, address: &WeakAddress<Self>, now: MonotonicInstant) {
+        let mut requests = Vec::new();
+        for gate in self.gates.values_mut() {
+            let request = gate.serve(address, now).or_else(|| gate.borrower.due(now));
+            requests.extend(request);
+        }
+        for request in requests {
+            self.send(request, address);
+        }
+    }
+
+    fn ask_lenders(&mut self, address: &WeakAddress<Self>, now: MonotonicInstant) {
+        for (class, home) in &mut self.homes {
+            let Some((lender, request)) = home.ask_lender(now) else {
+                continue;
+            };
+            let (link, address, class) = (self.inputs.link.clone(), address.clone(), class.clone());
+            tokio::spawn(async move {
+                let reply = link.ask_far(&lender, request).await;
+                drop(
+                    address
+                        .send(LenderAnswered {
+                            class,
+                            lender,
+                            reply,
+                        })
+                        .await,
+                );
+            });
+        }
+    }
+
+    /// Brings a loan request to the class's home, here or at another daemon.
+    fn send(&mut self, request: LoanRequest, address: &WeakAddress<Self>) {
+        match self.inputs.link.home_of(&request.class) {
+            ClassHome::Local => {
+                let reply = self.answer(&request);
+                self.ask_lenders(address, self.inputs.clock.now());
+                self.take(&request.class, reply.as_ref(), address);
+            }
+            ClassHome::None => {}
+            ClassHome::Remote(home) => {
+                let (link, address) = (self.inputs.link.clone(), address.clone());
+                tokio::spawn(async move {
+                    let class = request.class.clone();
+                    let reply = link.ask_near(home, request).await;
+                    drop(address.send(LoanAnswered { class, reply }).await);
+                });
+            }
+        }
+    }
+
+    /// Answers as the class's home; `None` when another daemon is the home.
+    fn answer(&mut self, request: &LoanRequest) -> Option<LoanReply> {
+        let now = self.inputs.clock.now();
+        if !self.inputs.link.is_home_of(&request.class) {
+            return None;
+        }
+        let catalogue = Arc::clone(&self.inputs.catalogue.borrow());
+        let tenure = self.tenure();
+        let holder = self.holder(Some(self.inputs.data_centre.clone()));
+        let home = self
+            .homes
+            .entry(request.class.clone())
+            .or_insert_with(|| LimitHome::open(request.class.clone(), holder, now));
+        set_share(home, &catalogue, &request.class, &self.inputs.data_centre);
+        Some(home.answer(request, tenure, now))
+    }
+
+    /// Takes the reply to a loan request and serves what waited for it.
+    fn take(&mut self, class: &ClassName, reply: Option<&LoanReply>, address: &WeakAddress<Self>) {
+        let now = self.inputs.clock.now();
+        let Some(gate) = self.gates.get_mut(class) else {
+            return;
+        };
+        if let Some(reply) = reply {
+            gate.borrower.loan(reply, now);
+        }
+        // A request that is needed again waits for the next refresh, so that a refusal doesn't spin.
+        let admitted_all = gate.serve(address, now);
+        if let Some(request) = admitted_all {
+            let address = address.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(RESEND_PAUSE).await;
+                drop(address.send(SendLoan(request)).await);
+            });
+        }
+    }
+}
+
+/// Pause before a loan is asked for again.
+const RESEND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Sends a loan request after its pause.
+struct SendLoan(LoanRequest);
+
+fn is_limited(catalogue: &CatalogueSnapshot, class: &ClassName) -> bool {
+    catalogue
+        .classes
+        .get(class)
+        .is_some_and(|class| class.limits != LimitSet::default())
+}
+
+fn set_share(
+    home: &mut LimitHome,
+    catalogue: &CatalogueSnapshot,
+    name: &ClassName,
+    own: &DataCentre,
+) {
+    let limits = catalogue
+        .classes
+        .get(name)
+        .map(|class| class.limits)
+        .unwrap_or_default();
+    let centres: Vec<&DataCentre> = catalogue.data_centres.keys().collect();
+    let share = |centre: &DataCentre| base_share(&limits, name, centre, centres.iter().copied());
+    let lenders = centres
+        .iter()
+        .filter(|centre| **centre != own && share(centre) != Allowance::ZERO);
+    let lenders = lenders.map(|centre| (*centre).clone()).collect();
+    home.set_share(limits, share(own), lenders);
+}
+
+impl Actor for LimitActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<AdmitClass> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: AdmitClass, ctx: &mut Context<Self>) {
+        let now = self.inputs.clock.now();
+        let holder = self.holder(None);
+        let class: &Arc<ClassEntry> = &message.class;
+        let (name, limits) = (class.name.clone(), class.limits);
+        let gate = self
+            .gates
+            .entry(name.clone())
+            .or_insert_with(|| ClassGate::new(name, holder, limits));
+        gate.push(message, now);
+        let address = ctx.mailbox().address();
+        if let Some(request) = gate.serve(&address, now) {
+            self.send(request, &address);
+        }
+    }
+}
+
+impl Handler<SettleClass> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: SettleClass, ctx: &mut Context<Self>) {
+        let now = self.inputs.clock.now();
+        let Some(gate) = self.gates.get_mut(&message.class) else {
+            return;
+        };
+        gate.borrower.settle(message.permit, message.tokens, now);
+        let address = ctx.mailbox().address();
+        if let Some(request) = gate.serve(&address, now) {
+            self.send(request, &address);
+        }
+    }
+}
+
+impl Handler<AnswerLoan> for LimitActor {
+    type Return = Option<LoanReply>;
+
+    async fn handle(&mut self, message: AnswerLoan, ctx: &mut Context<Self>) -> Option<LoanReply> {
+        let reply = self.answer(&message.0);
+        self.ask_lenders(&ctx.mailbox().address(), self.inputs.clock.now());
+        reply
+    }
+}
+
+impl Handler<LoanAnswered> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: LoanAnswered, ctx: &mut Context<Self>) {
+        self.take(
+            &message.class,
+            message.reply.as_ref(),
+            &ctx.mailbox().address(),
+        );
+    }
+}
+
+impl Handler<SendLoan> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: SendLoan, ctx: &mut Context<Self>) {
+        self.send(message.0, &ctx.mailbox().address());
+    }
+}
+
+impl Handler<LenderAnswered> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: LenderAnswered, _ctx: &mut Context<Self>) {
+        if let (Some(home), Some(reply)) = (self.homes.get_mut(&message.class), &message.reply) {
+            home.lender_reply(&message.lender, reply);
+        }
+    }
+}
+
+impl Handler<RefreshLimits> for LimitActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: RefreshLimits, ctx: &mut Context<Self>) {
+        self.refresh(&ctx.mailbox().address());
+    }
+}
+
+impl fmt::Debug for LimitActor {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LimitActor")
+            .field("gates", &self.gates.len())
+            .field("homes", &self.homes.len())
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/limits/messages.rs
@@ -0,0 +1,57 @@
+//! Messages to the limit actor.
+
+use {
+    super::{LimitPass, LimitRefusal},
+    poplargap_core::{
+        catalogue::ClassEntry,
+        instant::MonotonicInstant,
+        limit::{LoanReply, LoanRequest, Permit},
+        name::{ClassName, DataCentre},
+    },
+    std::sync::Arc,
+    tokio::sync::oneshot,
+};
+
+/// Asks for a request to be admitted under its class's limits.
+#[derive(Debug)]
+pub struct AdmitClass {
+    /// The class.
+    pub class: Arc<ClassEntry>,
+    /// Until when the request may wait.
+    pub deadline: MonotonicInstant,
+    /// Where the decision goes.
+    pub reply: oneshot::Sender<Result<LimitPass, LimitRefusal>>,
+    /// Most prompt and answer tokens of the request.
+    pub tokens: u64,
+}
+
+/// Tells that an admitted request has ended.
+#[derive(Debug)]
+pub(super) struct SettleClass {
+    pub(super) class: ClassName,
+    pub(super) permit: Permit,
+    pub(super) tokens: u64,
+}
+
+/// Asks the home of a class for a loan; answered only by the home.
+#[derive(Clone, Debug)]
+pub struct AnswerLoan(pub LoanRequest);
+
+/// Brings the reply of the class's home, or `None` when none came.
+#[derive(Debug)]
+pub(super) struct LoanAnswered {
+    pub(super) class: ClassName,
+    pub(super) reply: Option<LoanReply>,
+}
+
+/// Brings the reply of the class's home in another data centre, or `None` when none came.
+#[derive(Debug)]
+pub(super) struct LenderAnswered {
+    pub(super) class: ClassName,
+    pub(super) lender: DataCentre,
+    pub(super) reply: Option<LoanReply>,
+}
+
+/// Makes the actor look at catalogue, members and time.
+#[derive(Clone, Copy, Debug)]
+pub struct RefreshLimits;
--- a/crates/poplargapd/src/members/member_view.rs
+++ b/crates/poplargapd/src/members/member_view.rs
@@ -38,8 +38,13 @@
     /// Returns the home of a shard, or `None` when no member is ready.
     #[must_use]
     pub fn home_of(&self, shard: &ShardId) -> Option<&MemberReport> {
-        let key = shard.to_string();
-        let name = rendezvous::first(&key, self.ready.iter().map(|member| &member.name))?;
+        self.home_of_key(&shard.to_string())
+    }
+
+    /// Returns the ready member that ranks first for `key`.
+    #[must_use]
+    pub fn home_of_key(&self, key: &str) -> Option<&MemberReport> {
+        let name = rendezvous::first(key, self.ready.iter().map(|member| &member.name))?;
         self.ready.iter().find(|member| member.name == *name)
     }
 
--- a/crates/poplargapd/src/path.rs
+++ b/crates/poplargapd/src/path.rs
@@ -33,6 +33,7 @@
         feed::PeerClients,
         home::ChatTask,
         invariant::InvariantMonitor,
+        limits::LimitActor,
         members::{MemberView, VmView},
         metrics::DaemonMetrics,
         relay::RelayClient,
@@ -40,6 +41,7 @@
     poplargap_core::{catalogue::CatalogueSnapshot, name::DataCentre},
     std::{sync::Arc, time::Duration},
     tokio::sync::watch,
+    xtra::Address,
 };
 
 /// What every request's path needs; shared by all requests.
@@ -65,6 +67,8 @@
     pub invariants: InvariantMonitor,
     /// The members of the own data centre.
     pub members: watch::Receiver<Arc<MemberView>>,
+    /// The actor that admits under the catalogue's limits.
+    pub limits: Address<LimitActor>,
     /// The daemon's metrics.
     pub metrics: Arc<DaemonMetrics>,
     /// RPC clients, for homes in other data centres.
--- a/crates/poplargapd/src/path/admit.rs
+++ b/crates/poplargapd/src/path/admit.rs
@@ -1,9 +1,11 @@
-//! Bounds the requests that one daemon holds at once.
+//! Admits requests: under the daemon's own bound, then under their classes' limits.
 
 use {
-    super::{PathProblem, ProblemCode},
+    super::{Identity, PathContext, PathProblem, ProblemCode},
+    crate::limits::{AdmitClass, LimitPass, LimitRefusal},
+    poplargap_core::catalogue::LimitSet,
     std::sync::Arc,
-    tokio::sync::{OwnedSemaphorePermit, Semaphore},
+    tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot},
 };
 
 /// Lets requests in up to a bound, and none once the daemon closes.
@@ -64,3 +66,39 @@
         self.semaphore.close();
     }
 }
+
+impl<S> PathContext<S> {
+    /// Admits a request of at most `tokens` tokens under its class's limits.
+    ///
+    /// A class without limits needs no pass.
+    pub(super) async fn admit_class(
+        &self,
+        identity: &Identity,
+        tokens: u64,
+    ) -> Result<Option<LimitPass>, PathProblem> {
+        if identity.class.limits == LimitSet::default() {
+            return Ok(None);
+        }
+        let (reply, answer) = oneshot::channel();
+        let class = Arc::clone(&identity.class);
+        let message = AdmitClass {
+            class,
+            deadline: identity.deadline,
+            reply,
+            tokens,
+        };
+        let closing = || PathProblem::not_run(ProblemCode::NotReady, "the daemon is closing");
+        self.limits
+            .send(message)
+            .await
+            .map_err(|_closed| closing())?;
+        let result = answer.await.map_err(|_closed| closing())?;
+        result.map(Some).map_err(|refusal| {
+            let mut problem = PathProblem::not_run(ProblemCode::LimitReached, refusal.to_string());
+            if let LimitRefusal::Reached { retry_after } = refusal {
+                problem.retry_after = Some(retry_after);
+            }
+            problem
+        })
+    }
+}
--- a/crates/poplargapd/src/path/chat.rs
+++ b/crates/poplargapd/src/path/chat.rs
@@ -11,6 +11,7 @@
         answer::WholeAnswer,
         catalogue::PoolKind,
         name::{RequestId, WorkspaceName},
+        retry::RunOutcome,
     },
     serde::Deserialize,
     serde_json::{Value, json, value::RawValue},
@@ -30,8 +31,15 @@
 /// Groups of events that may wait for a slow caller.
 const GROUPS_MAX: usize = 16;
 
+/// Most tokens of an answer whose request names no bound.
+const ANSWER_TOKENS_MAX: u64 = 4_096;
+
 #[derive(Deserialize)]
 struct ChatBody<'a> {
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
     #[serde(borrow)]
     messages: Vec<&'a RawValue>,
     #[serde(borrow)]
@@ -53,6 +61,10 @@
         Err(problem) => return refuse(problem, &id, settlement),
     };
     let write = context.write;
+    match context.admit_class(&work.identity, work.tokens_max).await {
+        Ok(pass) => settlement.hold(pass),
+        Err(problem) => return refuse(problem, &id, settlement),
+    }
     let mut relay = AnswerRelay::new(context, work);
     if let Err(problem) = relay.open(&mut settlement).await {
         return refuse(problem, &id, settlement);
@@ -68,8 +80,11 @@
 pub(super) fn refuse<S>(
     problem: PathProblem,
     id: &RequestId,
-    settlement: Settlement<S>,
+    mut settlement: Settlement<S>,
 ) -> Response {
+    if problem.ran == RunOutcome::NotRun {
+        settlement.release();
+    }
     settlement.close(problem.code.into());
     problem.into_response(id)
 }
@@ -92,6 +107,12 @@
     settlement.identify(identity.class.name.as_str());
     let key = placement_key(&request, &identity.class.owner, first);
     let streamed = chat.stream;
+    let answer_max = chat
+        .max_completion_tokens
+        .or(chat.max_tokens)
+        .unwrap_or(ANSWER_TOKENS_MAX);
+    // A token is at least one byte long.
+    let tokens_max = answer_max.saturating_add(body.len() as u64);
     let body = if streamed {
         body
     } else {
@@ -106,6 +127,7 @@
             id,
             identity,
             key,
+            tokens_max,
         },
         streamed,
     ))
--- a/crates/poplargapd/src/path/relay.rs
+++ b/crates/poplargapd/src/path/relay.rs
@@ -43,6 +43,8 @@
     pub identity: Identity,
     /// Text that stays the same over the turns of the chat.
     pub key: String,
+    /// Most prompt and answer tokens.
+    pub tokens_max: u64,
 }
 
 /// Follows one chat's answer over all its attempts.
--- a/crates/poplargapd/src/path/service.rs
+++ b/crates/poplargapd/src/path/service.rs
@@ -120,6 +120,10 @@
     mut settlement: Settlement<S>,
 ) -> Response {
     let id = work.id.clone();
+    match context.admit_class(&work.identity, 0).await {
+        Ok(pass) => settlement.hold(pass),
+        Err(problem) => return refuse(problem, &id, settlement),
+    }
     let ticket = match claim(&context, &work).await {
         Ok(Claim::Held(ticket)) => Some(ticket),
         Ok(Claim::NotNeeded) => None,
--- a/crates/poplargapd/src/path/settle.rs
+++ b/crates/poplargapd/src/path/settle.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{AdmitPass, PathContext, RequestTrace, TraceStep},
+    crate::limits::LimitPass,
     poplargap_core::{answer::TokenUsage, instant::MonotonicInstant},
     std::sync::Arc,
 };
@@ -13,6 +14,7 @@
     class: String,
     context: Arc<PathContext<S>>,
     first_token: bool,
+    limit: Option<LimitPass>,
     outcome: String,
     pass: Option<AdmitPass>,
     trace: RequestTrace,
@@ -33,6 +35,7 @@
             class: "unidentified".to_owned(),
             context,
             first_token: false,
+            limit: None,
             outcome: "abandoned".to_owned(),
             pass: Some(pass),
             trace,
@@ -48,6 +51,18 @@
         });
     }
 
+    /// Holds the pass of the request's class until the request ends.
+    pub fn hold(&mut self, pass: Option<LimitPass>) {
+        self.limit = pass;
+    }
+
+    /// Gives the class's pass back unused, since nothing ran.
+    pub fn release(&mut self) {
+        if let Some(pass) = self.limit.take() {
+            pass.close(0);
+        }
+    }
+
     /// Adds a step to the request's trace.
     pub fn note(&mut self, step: TraceStep) {
         self.trace.note(step);
@@ -90,6 +105,9 @@
             );
             metrics.observe_tokens(&self.class, "completion", usage.completion_tokens);
         }
+        if let (Some(pass), Some(usage)) = (self.limit.take(), self.usage) {
+            pass.close(usage.prompt_tokens + usage.completion_tokens);
+        }
         let outcome = std::mem::take(&mut self.outcome);
         self.trace.note(TraceStep::Settled { outcome });
         let trace = RequestTrace {
--- a/crates/poplargapd/src/rpc_server.rs
+++ b/crates/poplargapd/src/rpc_server.rs
@@ -1,19 +1,28 @@
 //! Answers calls of other daemons.
 
 use {
-    crate::{feed::CatalogueReader, members::MemberView, metrics::DaemonMetrics},
+    crate::{
+        feed::CatalogueReader,
+        limits::{AnswerLoan, LimitActor, LimitLink},
+        members::MemberView,
+        metrics::DaemonMetrics,
+    },
     jsonrpsee::{
         core::async_trait,
         server::{ServerBuilder, ServerConfig, ServerHandle},
         types::ErrorObjectOwned,
     },
-    poplargap_core::shard::ShardId,
+    poplargap_core::{
+        limit::{LoanReply, LoanRequest},
+        shard::ShardId,
+    },
     poplargap_link::{
         proof::FleetProof,
-        rpc::{CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply},
+        rpc::{CODE_NOT_HOME, CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply},
     },
     std::{io, net::TcpListener as StdListener, sync::Arc},
     tokio::{net::TcpListener, sync::watch},
+    xtra::Address,
 };
 
 const CONNECTIONS_MAX: u32 = 1_024;
@@ -24,6 +33,10 @@
 pub struct RpcSources {
     /// The catalogue in force.
     pub catalogue: CatalogueReader,
+    /// Finds homes of classes.
+    pub limit_link: LimitLink,
+    /// The actor that lends shares of limits.
+    pub limits: Address<LimitActor>,
     /// The members of the own data centre.
     pub members: watch::Receiver<Arc<MemberView>>,
     /// The daemon's metrics.
@@ -94,6 +107,27 @@
         Ok(delta)
     }
 
+    async fn lend(
+        &self,
+        proof: FleetProof,
+        request: LoanRequest,
+        far: bool,
+    ) -> Result<LoanReply, ErrorObjectOwned> {
+        self.check(&proof)?;
+        let reply = if far && !self.limit_link.is_home_of(&request.class) {
+            self.limit_link.pass_on(request).await
+        } else {
+            self.limits.send(AnswerLoan(request)).await.ok().flatten()
+        };
+        reply.ok_or_else(|| {
+            ErrorObjectOwned::owned(
+                CODE_NOT_HOME,
+                "the daemon isn't the class's home",
+                None::<()>,
+            )
+        })
+    }
+
     async fn home_of(
         &self,
         proof: FleetProof,
