Count all control traffic in both directions

Cause: poplargap_control_bytes_total held heartbeats sent and catalogue values sent only. Change: ControlBytes counts kind and direction; payloads as they are, headers by constants. The pools of the store and VM list, the RPC clients and server, the load probes and the heartbeats count there. Claims' store calls count with the kind 'store'. Operators' calls aren't counted.

--- a/crates/poplargap-link/src/rpc.rs
+++ b/crates/poplargap-link/src/rpc.rs
@@ -11,6 +11,12 @@
 /// Most bytes of values in one page of a catalogue delta.
 pub const DELTA_LEN_MAX: usize = 512 * 1024;
 
+/// Bytes of a call's JSON without long arguments, and of a short answer.
+pub const RPC_REQUEST_LEN: usize = 160;
+
+/// Bytes of a bucket's JSON without key and value.
+const BUCKET_FRAME_LEN: usize = 40;
+
 /// Error code of a call without the fleet's proof.
 pub const CODE_PROOF: i32 = -32001;
 
@@ -41,6 +47,19 @@
     pub revision: u64,
 }
 
+impl CatalogueDelta {
+    /// Returns the length of the answer that carries the delta.
+    #[must_use]
+    pub fn wire_len(&self) -> usize {
+        let escaped = |text: &str| text.bytes().filter(|byte| b"\"\\".contains(byte)).count();
+        let len = |bucket: &CatalogueBucket| {
+            let value = bucket.value.len() + escaped(&bucket.value);
+            BUCKET_FRAME_LEN + bucket.key.len() + value
+        };
+        RPC_REQUEST_LEN + self.buckets.iter().map(len).sum::<usize>()
+    }
+}
+
 /// Where the home of a shard takes requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/crates/poplargap-platform/src/http_pool.rs
+++ b/crates/poplargap-platform/src/http_pool.rs
@@ -41,12 +41,15 @@
     address: SocketAddr,
     client: Arc<watch::Sender<PooledClient>>,
     counters: StoreCounters,
+    kind: &'static str,
     timeout: Duration,
 }
 
 impl HttpPool {
+    /// Creates a pool whose bytes count as control traffic of `kind`.
     pub(crate) fn new(
         address: SocketAddr,
+        kind: &'static str,
         timeout: Duration,
         counters: StoreCounters,
     ) -> Result<Self, StoreError> {
@@ -58,6 +61,7 @@
             address,
             client: Arc::new(watch::Sender::new(client)),
             counters,
+            kind,
             timeout,
         })
     }
@@ -87,7 +91,11 @@
             .timeout(wait.saturating_add(self.timeout))
             .build()
             .map_err(|error| StoreError::NotSent(describe(&error)))?;
-        match exchange(&pooled.client, request).await {
+        let sent = request_len(&request);
+        let result = exchange(&pooled.client, request).await;
+        let received = result.as_ref().map_or(0, |answer| answer.body.len());
+        self.counters.bytes.add_exchange(self.kind, sent, received);
+        match result {
             Ok(answer) => Ok(answer),
             Err(error) if error.is_connect() => Err(StoreError::NotSent(describe(&error))),
             Err(error) => {
@@ -117,6 +125,13 @@
     }
 }
 
+/// Returns the length of a request's path, query and body.
+fn request_len(request: &reqwest::Request) -> usize {
+    let body = request.body().and_then(reqwest::Body::as_bytes);
+    let url = request.url();
+    url.path().len() + url.query().map_or(0, str::len) + body.map_or(0, <[u8]>::len)
+}
+
 async fn exchange(client: &Client, request: reqwest::Request) -> reqwest::Result<HttpAnswer> {
     let response = client.execute(request).await?;
     let status = response.status();
--- a/crates/poplargap-platform/src/http_store.rs
+++ b/crates/poplargap-platform/src/http_store.rs
@@ -45,7 +45,7 @@
         timeout: Duration,
         counters: StoreCounters,
     ) -> Result<Self, StoreError> {
-        let pool = HttpPool::new(address, timeout, counters)?;
+        let pool = HttpPool::new(address, "store", timeout, counters)?;
         Ok(Self { pool })
     }
 
--- a/crates/poplargap-platform/src/http_vm_list.rs
+++ b/crates/poplargap-platform/src/http_vm_list.rs
@@ -36,7 +36,7 @@
         timeout: Duration,
         counters: StoreCounters,
     ) -> Result<Self, VmListError> {
-        let pool = HttpPool::new(address, timeout, counters).map_err(list_error)?;
+        let pool = HttpPool::new(address, "vm-list", timeout, counters).map_err(list_error)?;
         Ok(Self { pool })
     }
 
--- a/crates/poplargap-platform/src/lib.rs
+++ b/crates/poplargap-platform/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_kind;
 mod call_outcome;
 mod call_record;
+mod control_bytes;
 mod http_pool;
 mod http_store;
 mod http_vm_list;
@@ -18,6 +19,7 @@
     call_bucket::{CallBucket, CallRate},
     call_kind::CallKind,
     call_outcome::CallOutcome,
+    control_bytes::ControlBytes,
     http_store::HttpStore,
     http_vm_list::HttpVmList,
     paced_store::PacedStore,
--- a/crates/poplargap-platform/src/store_counters.rs
+++ b/crates/poplargap-platform/src/store_counters.rs
@@ -1,7 +1,7 @@
 //! Counters of calls to the platform.
 
 use {
-    crate::{CallKind, CallOutcome},
+    crate::{CallKind, CallOutcome, ControlBytes},
     prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, core::Collector},
 };
 
@@ -10,6 +10,7 @@
 /// Clones share their counts.
 #[derive(Clone, Debug)]
 pub struct StoreCounters {
+    pub(crate) bytes: ControlBytes,
     calls: IntCounterVec,
     pub(crate) pools_dropped: IntCounter,
     pub(crate) waiting_watches: IntGauge,
@@ -17,17 +18,24 @@
 
 impl StoreCounters {
     /// Creates counters at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::with_bytes(ControlBytes::new())
+    }
+
+    /// Creates counters at zero that add to `bytes`, whose owner registers them.
     ///
     /// # Panics
     ///
     /// Panics when the metrics' fixed names are invalid, which is a programming fault.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn with_bytes(bytes: ControlBytes) -> Self {
         let calls = Opts::new(
             "poplargap_platform_calls_total",
             "Calls to the platform by kind and outcome",
         );
         Self {
+            bytes,
             calls: IntCounterVec::new(calls, &["call", "outcome"]).expect("name is valid"),
             pools_dropped: IntCounter::new(
                 "poplargap_platform_pools_dropped_total",
@@ -42,6 +50,12 @@
         }
     }
 
+    /// Returns the bytes that calls took.
+    #[must_use]
+    pub fn bytes(&self) -> &ControlBytes {
+        &self.bytes
+    }
+
     /// Returns the number of ended calls of a kind with an outcome.
     #[must_use]
     pub fn calls(&self, kind: CallKind, outcome: CallOutcome) -> u64 {
--- a/crates/poplargap-testbed/examples/quickstart.rs
+++ b/crates/poplargap-testbed/examples/quickstart.rs
@@ -153,7 +153,7 @@
         ran.len(),
         BOOKINGS * 2
     );
-    println!("control sent per daemon  {control:.0} bytes/s");
+    println!("control per daemon       {control:.0} bytes/s, sent and received");
     println!("requests cut at the end  {cut}");
     for line in &totals.incomplete {
         println!("incomplete: {line}");
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -99,7 +99,7 @@
         let listeners = DaemonListeners::bind(&settings).await?;
         let base = DaemonBase::new(&settings, log.clone())?;
         let proof = base.key.rpc_proof();
-        let peers = PeerClients::new(proof.clone());
+        let peers = PeerClients::new(proof.clone(), base.metrics.control.clone());
         let (vms, vm_view) =
             VmTask::start(base.vm_list.clone(), settings.vm_list.poll, log.clone());
         let (channels, catalogue, revision) = feed::channels();
@@ -117,7 +117,9 @@
             vms: vm_view,
         };
         let feed = start_feed(&settings, &base, &views, peers.clone(), channels);
-        let clients = UpstreamClients::new(progress(&settings)).map_err(StartError::Http)?;
+        let control = base.metrics.control.clone();
+        let clients =
+            UpstreamClients::new(progress(&settings), control).map_err(StartError::Http)?;
         let home = start_home(&settings, &base, &views, clients.clone(), reports);
         let refresher = tokio::spawn(refresh(
             home.clone(),
--- a/crates/poplargapd/src/daemon/daemon_base.rs
+++ b/crates/poplargapd/src/daemon/daemon_base.rs
@@ -38,7 +38,7 @@
         let registry = metrics.registry();
         let invariants = InvariantMonitor::new(registry, log.clone(), settings.invariants.panic)
             .map_err(StartError::Metrics)?;
-        let counters = StoreCounters::new();
+        let counters = StoreCounters::with_bytes(metrics.control.clone());
         counters.register(registry).map_err(StartError::Metrics)?;
         let (store, vm_list) = platform(settings, counters)?;
         Ok(Self {
--- a/crates/poplargapd/src/feed/peer_clients.rs
+++ b/crates/poplargapd/src/feed/peer_clients.rs
@@ -8,8 +8,9 @@
     },
     poplargap_link::{
         proof::FleetProof,
-        rpc::{CatalogueDelta, FleetRpcClient},
+        rpc::{CatalogueDelta, FleetRpcClient, RPC_REQUEST_LEN},
     },
+    poplargap_platform::ControlBytes,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -23,15 +24,20 @@
 #[derive(Clone, Debug)]
 pub struct PeerClients {
     clients: Arc<Mutex<HashMap<SocketAddr, HttpClient>>>,
+    control: ControlBytes,
     proof: FleetProof,
 }
 
 impl PeerClients {
     /// Creates clients without connections.
     #[must_use]
-    pub fn new(proof: FleetProof) -> Self {
+    pub fn new(proof: FleetProof, control: ControlBytes) -> Self {
         let clients = Arc::new(Mutex::new(HashMap::new()));
-        Self { clients, proof }
+        Self {
+            clients,
+            control,
+            proof,
+        }
     }
 
     /// Asks a peer for buckets that changed after `revision`; `None` when it doesn't answer.
@@ -42,9 +48,12 @@
         after: Option<String>,
     ) -> Option<CatalogueDelta> {
         let client = self.client(peer)?;
+        let sent = RPC_REQUEST_LEN + after.as_ref().map_or(0, String::len);
         let result = client
             .catalogue_since(self.proof.clone(), revision, after)
             .await;
+        let received = result.as_ref().map_or(0, CatalogueDelta::wire_len);
+        self.control.add_exchange("catalogue", sent, received);
         self.keep_if(peer, result.is_ok());
         result.ok()
     }
@@ -53,6 +62,8 @@
     pub async fn home_of(&self, peer: SocketAddr, shard: &ShardId) -> Option<SocketAddr> {
         let client = self.client(peer)?;
         let result = client.home_of(self.proof.clone(), shard.clone()).await;
+        self.control
+            .add_exchange("home", RPC_REQUEST_LEN, RPC_REQUEST_LEN);
         self.keep_if(peer, result.is_ok());
         result.ok()?.relay
     }
--- a/crates/poplargapd/src/home/upstream_clients.rs
+++ b/crates/poplargapd/src/home/upstream_clients.rs
@@ -7,6 +7,7 @@
         collections::{HashMap, HashMapExt},
         name::UpstreamName,
     },
+    poplargap_platform::ControlBytes,
     reqwest::{Client, redirect::Policy, retry},
     serde::Deserialize,
     std::{
@@ -16,6 +17,9 @@
     },
 };
 
+/// Path at which an upstream tells its load.
+const LOAD_PATH: &str = "/load";
+
 /// Longest wait for an upstream's own load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -45,6 +49,7 @@
 /// Clients of upstreams; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct UpstreamClients {
+    control: ControlBytes,
     fresh: Client,
     limits: ProgressLimits,
     pooled: Arc<Mutex<HashMap<UpstreamName, PooledClient>>>,
@@ -68,10 +73,11 @@
     /// # Errors
     ///
     /// Returns an error when the HTTP library can't start.
-    pub fn new(limits: ProgressLimits) -> Result<Self, reqwest::Error> {
+    pub fn new(limits: ProgressLimits, control: ControlBytes) -> Result<Self, reqwest::Error> {
         let fresh = build_client(limits.connect, 0)?;
         let pooled = Arc::default();
         Ok(Self {
+            control,
             fresh,
             limits,
             pooled,
@@ -128,7 +134,8 @@
     }
 
     async fn load(&self, upstream: &UpstreamEntry) -> Option<u64> {
-        let url = format!("http://{}/load", upstream.address);
+        let url = format!("http://{}{LOAD_PATH}", upstream.address);
+        self.control.add_connection("load-probe");
         let response = self
             .fresh
             .get(url)
@@ -136,7 +143,10 @@
             .send()
             .await
             .ok()?;
-        let report: LoadReport = response.error_for_status().ok()?.json().await.ok()?;
+        let body = response.error_for_status().ok()?.bytes().await.ok()?;
+        self.control
+            .add_exchange("load-probe", LOAD_PATH.len(), body.len());
+        let report: LoadReport = serde_json::from_slice(&body).ok()?;
         Some(report.running + report.waiting)
     }
 }
--- a/crates/poplargapd/src/members/heartbeat_task.rs
+++ b/crates/poplargapd/src/members/heartbeat_task.rs
@@ -25,7 +25,7 @@
 const COMMANDS_MAX: usize = 16;
 
 /// Bytes that a datagram's UDP and IP headers add.
-const DATAGRAM_OVERHEAD: u64 = 28;
+const DATAGRAM_OVERHEAD: usize = 28;
 
 /// What the heartbeat task needs to know.
 #[derive(Debug)]
@@ -147,6 +147,8 @@
     }
 
     fn hear(&mut self, datagram: &[u8]) {
+        let len = datagram.len() + DATAGRAM_OVERHEAD;
+        self.metrics.control.add_received("heartbeat", len);
         let Ok(message) = HeartbeatMessage::decode(datagram, &self.settings.key) else {
             self.metrics
                 .peers_refused
@@ -212,13 +214,10 @@
                 return;
             }
         };
-        let len = u64::try_from(datagram.len()).unwrap_or_default() + DATAGRAM_OVERHEAD;
+        let len = datagram.len() + DATAGRAM_OVERHEAD;
         for address in self.addresses() {
             if self.socket.send_to(&datagram, address).await.is_ok() {
-                self.metrics
-                    .control_sent
-                    .with_label_values(&["heartbeat"])
-                    .inc_by(len);
+                self.metrics.control.add_sent("heartbeat", len);
             }
         }
     }
--- a/crates/poplargapd/src/metrics.rs
+++ b/crates/poplargapd/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of one daemon.
 
 use {
+    poplargap_platform::ControlBytes,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
@@ -43,8 +44,8 @@
 pub struct DaemonMetrics {
     /// Attempts at upstreams and homes, by outcome.
     pub attempts: IntCounterVec,
-    /// Bytes of control traffic sent, by kind.
-    pub control_sent: IntCounterVec,
+    /// Bytes of control traffic, by kind and direction.
+    pub control: ControlBytes,
     /// Events of answers that were not forwarded, by reason.
     pub events_dropped: IntCounterVec,
     /// Datagrams and calls of daemons that were refused, by reason.
@@ -119,6 +120,8 @@
             "Answers resumed at another upstream or home",
         )?;
         registry.register(Box::new(resumes.clone()))?;
+        let control = ControlBytes::new();
+        control.register(&registry)?;
         Ok(Self {
             attempts: counters(
                 &registry,
@@ -127,12 +130,7 @@
                 &["outcome"],
             )?,
             class_labels: ClassLabels::default(),
-            control_sent: counters(
-                &registry,
-                "poplargap_control_bytes_total",
-                "Control bytes sent",
-                &["kind"],
-            )?,
+            control,
             events_dropped: counters(
                 &registry,
                 "poplargap_events_dropped_total",
--- a/crates/poplargapd/src/rpc_server.rs
+++ b/crates/poplargapd/src/rpc_server.rs
@@ -10,7 +10,7 @@
     poplargap_core::shard::ShardId,
     poplargap_link::{
         proof::FleetProof,
-        rpc::{CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply},
+        rpc::{CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply, RPC_REQUEST_LEN},
     },
     std::{io, net::TcpListener as StdListener, sync::Arc},
     tokio::{net::TcpListener, sync::watch},
@@ -85,12 +85,10 @@
     ) -> Result<CatalogueDelta, ErrorObjectOwned> {
         self.check(&proof)?;
         let delta = self.catalogue.since(revision, after.as_deref());
-        let len: usize = delta.buckets.iter().map(|bucket| bucket.value.len()).sum();
-        let sent = u64::try_from(len).unwrap_or_default();
+        let received = RPC_REQUEST_LEN + after.as_ref().map_or(0, String::len);
         self.metrics
-            .control_sent
-            .with_label_values(&["catalogue"])
-            .inc_by(sent);
+            .control
+            .add_exchange("catalogue", delta.wire_len(), received);
         Ok(delta)
     }
 
@@ -102,6 +100,9 @@
         self.check(&proof)?;
         let members = self.members.borrow();
         let relay = members.home_of(&shard).map(|member| member.relay);
+        self.metrics
+            .control
+            .add_exchange("home", RPC_REQUEST_LEN, RPC_REQUEST_LEN);
         Ok(HomeReply { relay })
     }
 }
