Add the capacity tool

It starts daemons as processes and measures control bytes, processor time, memory and store calls against daemons, upstreams, workspaces and changes, and the cost of requests and token events.

--- /dev/null
+++ b/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
@@ -0,0 +1,203 @@
+//! Fills a catalogue with many entries, past the operators' command.
+
+use {
+    super::{CapacityError, FleetSize},
+    poplargap_core::{
+        catalogue::{
+            BUCKET_PREFIX, BucketRecord, CatalogueEntry, ClassEntry, DataCentreEntry, EntryRecord,
+            FencingCheck, KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind, PriorityClass,
+            UpstreamEntry, UpstreamState, WorkspaceEntry, bucket_key,
+        },
+        name::NameError,
+    },
+    poplargap_platform::{HttpStore, KeyValueStore, StoreRevision, SwapOutcome, SwapWrite},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const CLASSES: [&str; 3] = ["notes", "reports", "checks"];
+
+/// One bucket with what has to be written.
+#[derive(Debug, Default)]
+struct FilledBucket {
+    record: BucketRecord,
+    revision: Option<StoreRevision>,
+}
+
+/// Writes buckets to the store and knows what they hold.
+#[derive(Debug)]
+pub struct CatalogueFiller {
+    buckets: BTreeMap<String, FilledBucket>,
+    store: HttpStore,
+    touched: usize,
+}
+
+/// Returns the name of a data centre of a measured fleet.
+pub(super) fn data_centre_name(number: usize) -> String {
+    format!("centre-{number:02}")
+}
+
+impl CatalogueFiller {
+    /// Reads the catalogue of the store at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store doesn't answer.
+    pub async fn read(address: SocketAddr) -> Result<Self, CapacityError> {
+        let store = HttpStore::new(address, CALL_TIMEOUT).map_err(fault)?;
+        let mut buckets = BTreeMap::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = store.list(BUCKET_PREFIX, after.as_deref()).await;
+            let page = page.map_err(fault)?;
+            for value in page.values {
+                let record = serde_json::from_str(&value.value).map_err(fault)?;
+                let revision = Some(value.revision);
+                buckets.insert(value.key, FilledBucket { record, revision });
+            }
+            after = page.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        Ok(Self {
+            buckets,
+            store,
+            touched: 0,
+        })
+    }
+
+    /// Adds the entries of a fleet whose upstreams all stand at `upstream`; returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store refuses a bucket.
+    pub async fn fill(
+        &mut self,
+        size: &FleetSize,
+        upstream: SocketAddr,
+    ) -> Result<u64, CapacityError> {
+        let entries = entries(size, upstream).map_err(fault)?;
+        let mut keys = Vec::new();
+        for entry in entries {
+            let name = entry.entry_ref();
+            let key = bucket_key(&name);
+            let record = EntryRecord {
+                entry: Some(entry),
+                version: 1,
+                write_id: format!("{:032x}", keys.len()),
+            };
+            let bucket = self.buckets.entry(key.clone()).or_default();
+            bucket.record.entries.insert(name.to_string(), record);
+            keys.push(key);
+        }
+        keys.sort();
+        keys.dedup();
+        let mut revision = 0;
+        for key in keys {
+            revision = self.write(&key).await?;
+        }
+        Ok(revision)
+    }
+
+    /// Changes one bucket's entries to their next versions; returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store refuses the bucket.
+    pub async fn touch(&mut self) -> Result<u64, CapacityError> {
+        let position = self.touched % self.buckets.len();
+        self.touched += 1;
+        let Some((key, bucket)) = self.buckets.iter_mut().nth(position) else {
+            return Err(CapacityError::Catalogue("it is empty".to_owned()));
+        };
+        if let Some(record) = bucket.record.entries.values_mut().next() {
+            record.version += 1;
+        }
+        let key = key.clone();
+        self.write(&key).await
+    }
+
+    async fn write(&mut self, key: &str) -> Result<u64, CapacityError> {
+        let Some(bucket) = self.buckets.get_mut(key) else {
+            return Err(CapacityError::Catalogue(format!("`{key}` is missing")));
+        };
+        let write = SwapWrite {
+            expected: bucket.revision,
+            key: key.to_owned(),
+            lease: None,
+            value: Some(serde_json::to_string(&bucket.record).map_err(fault)?),
+        };
+        match self.store.swap(&write).await {
+            SwapOutcome::Applied(revision) => {
+                bucket.revision = Some(revision);
+                Ok(revision.0)
+            }
+            outcome => Err(CapacityError::Catalogue(format!("{outcome:?}"))),
+        }
+    }
+}
+
+fn fault(error: impl ToString) -> CapacityError {
+    CapacityError::Catalogue(error.to_string())
+}
+
+fn entries(size: &FleetSize, upstream: SocketAddr) -> Result<Vec<CatalogueEntry>, NameError> {
+    let mut entries = Vec::new();
+    for number in 0..size.data_centres {
+        let name = data_centre_name(number).parse()?;
+        entries.push(CatalogueEntry::DataCentre(DataCentreEntry { name }));
+    }
+    for number in 0..size.pools {
+        entries.push(pool(number)?);
+    }
+    for number in 0..size.upstreams {
+        entries.push(CatalogueEntry::Upstream(UpstreamEntry {
+            address: upstream,
+            data_centre: data_centre_name(number % size.data_centres).parse()?,
+            fencing: FencingCheck::Checked,
+            name: format!("engine-{number:05}").parse()?,
+            pool: pool_name(number / size.data_centres % size.pools).parse()?,
+            state: UpstreamState::Serving,
+        }));
+    }
+    for number in 0..size.workspaces {
+        entries.extend(workspace(number, size.pools)?);
+    }
+    Ok(entries)
+}
+
+fn pool_name(number: usize) -> String {
+    format!("model-{number:02}")
+}
+
+fn pool(number: usize) -> Result<CatalogueEntry, NameError> {
+    Ok(CatalogueEntry::Pool(PoolEntry {
+        kind: PoolKind::Model,
+        multiple: LoadMultiple::try_from(1.5).expect("1.5 is in range"),
+        name: pool_name(number).parse()?,
+        queue: 256,
+        shard_size: 32,
+        slots: 24,
+    }))
+}
+
+fn workspace(number: usize, pools: usize) -> Result<Vec<CatalogueEntry>, NameError> {
+    let owner = format!("workspace-{number:05}");
+    let mut entries = vec![CatalogueEntry::Workspace(WorkspaceEntry {
+        key_sha256: KeyDigest::of_key(&owner),
+        name: owner.parse()?,
+    })];
+    for (position, class) in CLASSES.iter().enumerate() {
+        entries.push(CatalogueEntry::Class(ClassEntry {
+            deadline_ms: 60_000,
+            limits: LimitSet::default(),
+            name: format!("{owner}.{class}").parse()?,
+            owner: owner.parse()?,
+            pool: pool_name((number + position) % pools).parse()?,
+            priority: PriorityClass::Interactive,
+            repeatable: true,
+        }));
+    }
+    Ok(entries)
+}
--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and the upstreams, and a load tool.
 
 pub mod caller;
+pub mod capacity;
 pub mod desk;
 pub mod engine;
 pub mod fault;
--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -28,7 +28,7 @@
     pub(super) places: Vec<DaemonPlace>,
     pub(super) store: StoreStandIn,
     pub(super) upstreams: SiteUpstreams,
-    vms: Vec<VmEntry>,
+    pub(super) vms: Vec<VmEntry>,
 }
 
 impl SiteBase {
--- a/crates/poplargap-testbed/src/site/process_site.rs
+++ b/crates/poplargap-testbed/src/site/process_site.rs
@@ -6,6 +6,7 @@
         embedded_site::{SiteBase, apply},
         settings_text::DaemonPlace,
     },
+    poplargap_platform::VmEntry,
     std::{
         fs,
         net::SocketAddr,
@@ -173,6 +174,21 @@
         apply(self.base.store.address(), text).await
     }
 
+    /// Puts a VM list in place of the one before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform's stand-in doesn't answer.
+    pub async fn set_vms(&self, vms: &[VmEntry]) -> Result<(), SiteError> {
+        self.base.set_vms(vms).await
+    }
+
+    /// Returns the VM list with which the site started.
+    #[must_use]
+    pub fn vms(&self) -> &[VmEntry] {
+        &self.base.vms
+    }
+
     /// Returns the address of the platform's store.
     #[must_use]
     pub fn store(&self) -> SocketAddr {
--- a/crates/poplargap-testbed/src/site/status_client.rs
+++ b/crates/poplargap-testbed/src/site/status_client.rs
@@ -33,23 +33,29 @@
         request.send().await.ok()?.json().await.ok()
     }
 
-    /// Reads a daemon's counters and gauges: sums over all labels, by name.
-    pub async fn metrics(&self, operators: SocketAddr) -> BTreeMap<String, f64> {
+    /// Reads a daemon's counters and gauges by name and labels, as they are written.
+    pub async fn series(&self, operators: SocketAddr) -> Vec<(String, f64)> {
         let request = self
             .0
             .get(format!("http://{operators}/metrics"))
             .timeout(TIMEOUT);
         let Ok(response) = request.send().await else {
-            return BTreeMap::new();
+            return Vec::new();
         };
         let text = response.text().await.unwrap_or_default();
+        text.lines()
+            .filter(|line| !line.starts_with('#'))
+            .filter_map(|line| line.rsplit_once(' '))
+            .map(|(series, value)| (series.to_owned(), value.parse().unwrap_or_default()))
+            .collect()
+    }
+
+    /// Reads a daemon's counters and gauges: sums over all labels, by name.
+    pub async fn metrics(&self, operators: SocketAddr) -> BTreeMap<String, f64> {
         let mut sums = BTreeMap::new();
-        for line in text.lines().filter(|line| !line.starts_with('#')) {
-            let Some((series, value)) = line.rsplit_once(' ') else {
-                continue;
-            };
-            let name = series.split('{').next().unwrap_or(series);
-            *sums.entry(name.to_owned()).or_insert(0.0) += value.parse::<f64>().unwrap_or_default();
+        for (series, value) in self.series(operators).await {
+            let name = series.split('{').next().unwrap_or(&series);
+            *sums.entry(name.to_owned()).or_insert(0.0) += value;
         }
         sums
     }
