Add the soak example

Long seeded runs of real daemons under load and faults, with checks from callers' outcomes and the stand-ins' ledgers. A site can put relays before the store and the peers' listeners of its plan.

--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod load;
 pub mod relay;
 pub mod site;
+pub mod soak;
 pub mod store;
--- a/crates/poplargap-testbed/src/site.rs
+++ b/crates/poplargap-testbed/src/site.rs
@@ -7,6 +7,7 @@
 mod settings_text;
 mod site_error;
 mod site_plan;
+mod site_relays;
 mod site_upstreams;
 mod status_client;
 
@@ -15,6 +16,7 @@
     process_site::{DaemonProcess, ProcessSite},
     site_error::SiteError,
     site_plan::{ClassPlan, PoolPlan, SitePlan, WorkspacePlan},
+    site_relays::{PeerLink, SiteRelays},
     site_upstreams::SiteUpstreams,
-    status_client::StatusClient,
+    status_client::{DaemonStatus, StatusClient},
 };
--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        SiteError, SitePlan, SiteUpstreams, StatusClient, declarations, settings_text::DaemonPlace,
-        site_upstreams::UpstreamPlace,
+        PeerLink, SiteError, SitePlan, SiteRelays, SiteUpstreams, StatusClient, declarations,
+        settings_text::DaemonPlace, site_upstreams::UpstreamPlace,
     },
     crate::store::StoreStandIn,
     poplargap::{CommandError, Environment},
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 pub(super) struct SiteBase {
     pub(super) places: Vec<DaemonPlace>,
+    pub(super) relays: Option<SiteRelays>,
     pub(super) store: StoreStandIn,
     pub(super) upstreams: SiteUpstreams,
     vms: Vec<VmEntry>,
@@ -37,10 +38,19 @@
         let store = StoreStandIn::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
         let (upstreams, upstream_places) = SiteUpstreams::start(plan).await?;
         let places = DaemonPlace::pick(plan)?;
-        let vms = vm_entries(&places, &upstream_places)?;
+        let relays = if plan.relays {
+            Some(SiteRelays::start(store.address(), &places).await?)
+        } else {
+            None
+        };
+        let mut vms = vm_entries(&places, &upstream_places)?;
+        for (vm, address) in vms.iter_mut().zip(peer_addresses(&places, relays.as_ref())) {
+            vm.address = address;
+        }
         let text = declarations::write(plan, &upstream_places).map_err(SiteError::Apply)?;
         let base = Self {
             places,
+            relays,
             store,
             upstreams,
             vms,
@@ -60,6 +70,22 @@
             .map_err(|error| SiteError::Platform(error.to_string()))
     }
 
+    /// Marks a VM in the platform's list.
+    pub(super) async fn mark_vm(&mut self, name: &str, state: VmState) -> Result<(), SiteError> {
+        for vm in self.vms.iter_mut().filter(|vm| vm.name == name) {
+            vm.state = state;
+        }
+        self.set_vms(&self.vms).await
+    }
+
+    /// Returns where the daemon with this number finds the store.
+    pub(super) fn store_for(&self, number: usize) -> SocketAddr {
+        match &self.relays {
+            Some(relays) => relays.stores[number].address(),
+            None => self.store.address(),
+        }
+    }
+
     /// Waits until every daemon sees all daemons of its data centre ready.
     pub(super) async fn wait_ready(&self) -> Result<(), SiteError> {
         let client = StatusClient::default();
@@ -103,6 +129,14 @@
     Ok(String::from_utf8_lossy(&output).into_owned())
 }
 
+/// Returns where other daemons reach each daemon, by number.
+fn peer_addresses(places: &[DaemonPlace], relays: Option<&SiteRelays>) -> Vec<SocketAddr> {
+    match relays {
+        Some(relays) => relays.peers.iter().map(PeerLink::address).collect(),
+        None => places.iter().map(|place| place.peers).collect(),
+    }
+}
+
 fn vm_entries(
     daemons: &[DaemonPlace],
     upstreams: &[UpstreamPlace],
--- a/crates/poplargap-testbed/src/site/process_site.rs
+++ b/crates/poplargap-testbed/src/site/process_site.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
-        SiteError, SitePlan, SiteUpstreams,
+        SiteError, SitePlan, SiteRelays, SiteUpstreams,
         embedded_site::{SiteBase, apply},
         settings_text::DaemonPlace,
     },
+    poplargap_platform::VmState,
     std::{
         fs,
         net::SocketAddr,
@@ -49,6 +50,15 @@
             .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Returns how the process ended; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten();
+        if status.is_some() {
+            self.child = None;
+        }
+        status
+    }
+
     /// Kills the process without warning.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -143,8 +153,9 @@
         let base = SiteBase::start(plan).await?;
         let dir = tempfile::tempdir()?;
         let mut daemons = Vec::new();
-        for place in &base.places {
-            let mut daemon = process(plan, &base, place, program, dir.path())?;
+        for (number, place) in base.places.iter().enumerate() {
+            let settings = place.settings(plan, base.store_for(number));
+            let mut daemon = process(place, &settings, program, dir.path())?;
             daemon.start()?;
             daemons.push(daemon);
         }
@@ -173,6 +184,21 @@
         apply(self.base.store.address(), text).await
     }
 
+    /// Marks a VM in the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform doesn't take the list.
+    pub async fn mark_vm(&mut self, name: &str, state: VmState) -> Result<(), SiteError> {
+        self.base.mark_vm(name, state).await
+    }
+
+    /// Returns the site's relays, if its plan asks for them.
+    #[must_use]
+    pub fn relays(&self) -> Option<&SiteRelays> {
+        self.base.relays.as_ref()
+    }
+
     /// Returns the address of the platform's store.
     #[must_use]
     pub fn store(&self) -> SocketAddr {
@@ -196,6 +222,9 @@
     /// Ends daemons, upstreams and platform.
     pub async fn close(self) {
         drop(self.daemons);
+        if let Some(relays) = self.base.relays {
+            relays.close().await;
+        }
         self.base.upstreams.close().await;
         self.base.store.close().await;
         drop(self.dir);
@@ -203,14 +232,13 @@
 }
 
 fn process(
-    plan: &SitePlan,
-    base: &SiteBase,
     place: &DaemonPlace,
+    text: &str,
     program: &Path,
     dir: &Path,
 ) -> Result<DaemonProcess, SiteError> {
     let settings = dir.join(format!("{}.ini", place.name));
-    fs::write(&settings, place.settings(plan, base.store.address()))?;
+    fs::write(&settings, text)?;
     Ok(DaemonProcess {
         callers: place.callers,
         child: None,
--- a/crates/poplargap-testbed/src/site/site_plan.rs
+++ b/crates/poplargap-testbed/src/site/site_plan.rs
@@ -77,6 +77,8 @@
     pub log_level: String,
     /// How daemons choose upstreams.
     pub policy: PolicyKind,
+    /// Whether relays stand before the store and the daemons' listeners for peers.
+    pub relays: bool,
     /// The workspaces.
     pub workspaces: Vec<WorkspacePlan>,
 }
@@ -146,6 +148,7 @@
             fencing: FencingCheck::Checked,
             log_level: "warning".to_owned(),
             policy: PolicyKind::Homed,
+            relays: false,
             workspaces: workspaces.collect(),
         }
     }
@@ -155,4 +158,9 @@
     pub fn data_centre_of(&self, number: usize) -> &str {
         &self.data_centres[number % self.data_centres.len()]
     }
+    /// Returns the name of a pool's upstream with this number.
+    #[must_use]
+    pub fn upstream_name(&self, pool: &PoolPlan, number: usize) -> String {
+        format!("{}-{}-{number:02}", pool.name, self.data_centre_of(number))
+    }
 }
--- a/crates/poplargap-testbed/src/site/site_upstreams.rs
+++ b/crates/poplargap-testbed/src/site/site_upstreams.rs
@@ -4,7 +4,7 @@
     super::{PoolPlan, SiteError, SitePlan},
     crate::{
         desk::{DeskSettings, DeskStandIn},
-        engine::{EngineSettings, EngineStandIn},
+        engine::{EngineSettings, EngineStandIn, LedgerRecord},
     },
     std::net::{Ipv4Addr, SocketAddr},
 };
@@ -25,13 +25,11 @@
     pub desks: Vec<DeskStandIn>,
     /// The engines, by number; `None` while one is stopped.
     pub engines: Vec<Option<EngineStandIn>>,
+    /// What ran on engines that were stopped.
+    pub stopped: Vec<LedgerRecord>,
     settings: EngineSettings,
 }
 
-fn name_of(plan: &SitePlan, pool: &PoolPlan, number: usize) -> String {
-    format!("{}-{}-{number:02}", pool.name, plan.data_centre_of(number))
-}
-
 impl SiteUpstreams {
     /// Starts all engines and desks of a plan.
     pub(super) async fn start(plan: &SitePlan) -> Result<(Self, Vec<UpstreamPlace>), SiteError> {
@@ -63,6 +61,7 @@
                 desks,
                 engines,
                 settings,
+                stopped: Vec::new(),
             },
             places,
         ))
@@ -72,7 +71,7 @@
     pub async fn stop_engine(&mut self, number: usize) -> Option<SocketAddr> {
         let engine = self.engines.get_mut(number)?.take()?;
         let address = engine.address();
-        engine.close().await;
+        self.stopped.push(engine.close().await);
         Some(address)
     }
 
@@ -110,7 +109,7 @@
     UpstreamPlace {
         address,
         data_centre: plan.data_centre_of(number).to_owned(),
-        name: name_of(plan, pool, number),
+        name: plan.upstream_name(pool, number),
         pool: pool.name.clone(),
     }
 }
--- /dev/null
+++ b/crates/poplargap-testbed/src/soak/edit_confirm.rs
@@ -0,0 +1,83 @@
+//! Checks that an accepted edit comes into force everywhere.
+
+use {
+    super::{Violation, ViolationKind, daemon_state::DaemonState, run_collector::SoakEvent},
+    crate::site::StatusClient,
+    poplargap_core::catalogue::BUCKET_PREFIX,
+    poplargap_platform::{HttpStore, KeyValueStore},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        sync::{mpsc, watch},
+        time::{self, Instant},
+    },
+};
+
+const POLL: Duration = Duration::from_millis(50);
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One check of one edit.
+#[derive(Debug)]
+pub(super) struct EditConfirm {
+    pub(super) events: mpsc::UnboundedSender<SoakEvent>,
+    pub(super) limit: Duration,
+    pub(super) operators: Vec<SocketAddr>,
+    pub(super) started: Instant,
+    pub(super) states: watch::Receiver<Vec<DaemonState>>,
+    pub(super) store: SocketAddr,
+}
+
+impl EditConfirm {
+    /// Waits until every daemon that runs throughout has the store's catalogue in force.
+    pub(super) async fn run(self) {
+        let accepted = Instant::now();
+        let before = self.states.borrow().clone();
+        let Some(revision) = catalogue_revision(self.store).await else {
+            return;
+        };
+        let client = StatusClient::default();
+        for (number, address) in self.operators.iter().enumerate() {
+            let steady = || {
+                let now = self.states.borrow()[number];
+                before[number].steady && now == before[number]
+            };
+            let mut seen = None;
+            while steady() && seen.is_none_or(|seen| seen < revision) {
+                if accepted.elapsed() > self.limit {
+                    let detail =
+                        format!("daemon {number} has revision {seen:?}, the edit made {revision}");
+                    self.report(detail);
+                    break;
+                }
+                seen = client.status(*address).await.map(|status| status.revision);
+                if seen.is_none_or(|seen| seen < revision) {
+                    time::sleep(POLL).await;
+                }
+            }
+        }
+    }
+
+    fn report(&self, detail: String) {
+        // A collector that is gone has no use for further findings.
+        let _sent = self.events.send(SoakEvent::Violation(Violation {
+            at: self.started.elapsed(),
+            detail,
+            kind: ViolationKind::EditLate,
+        }));
+    }
+}
+
+/// Returns the highest revision of the catalogue's buckets.
+async fn catalogue_revision(store: SocketAddr) -> Option<u64> {
+    let store = HttpStore::new(store, STORE_TIMEOUT).ok()?;
+    let mut after = None;
+    let mut revision = 0;
+    loop {
+        let page = store.list(BUCKET_PREFIX, after.as_deref()).await.ok()?;
+        let highest = page.values.iter().map(|value| value.revision.0).max();
+        revision = revision.max(highest.unwrap_or_default());
+        after = page.next;
+        if after.is_none() {
+            return Some(revision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/soak/upstream_faults.rs
@@ -0,0 +1,176 @@
+//! Faults of engines and desks.
+
+use {
+    super::{
+        FaultKind, ViolationKind,
+        catalogue_edit::upstream_text,
+        fault_driver::{ActiveFault, FaultDriver},
+    },
+    crate::{engine::EngineStandIn, fault::FaultSettings},
+    poplargap_core::catalogue::UpstreamState,
+    poplargap_platform::VmState,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time in which an upstream that is leaving may still get new work.
+const LEAVE_MAX: Duration = Duration::from_secs(3);
+
+/// Events after which streams are cut.
+const STREAM_EVENTS: u64 = 10;
+
+impl FaultDriver {
+    /// Begins a fault of an engine that has none; returns whether there is one.
+    pub(super) async fn begin_at_engine(&mut self, fault: &mut ActiveFault, target: usize) -> bool {
+        let Some(engine) = self.free_engine(target) else {
+            return false;
+        };
+        fault.engine = Some(engine);
+        let settings = match fault.kind {
+            FaultKind::EngineDeath => {
+                let Some(address) = self.site.upstreams().stop_engine(engine).await else {
+                    return false;
+                };
+                self.stopped.insert(engine, address);
+                return true;
+            }
+            FaultKind::EngineRefusal => FaultSettings {
+                refuse: true,
+                ..FaultSettings::default()
+            },
+            FaultKind::EngineSilence => FaultSettings {
+                silent: true,
+                ..FaultSettings::default()
+            },
+            _ => FaultSettings {
+                stop_after_events: Some(STREAM_EVENTS),
+                ..FaultSettings::default()
+            },
+        };
+        self.set_engine_faults(engine, settings).await;
+        true
+    }
+
+    /// Ends an engine's fault; returns whether that worked.
+    pub(super) async fn end_at_engine(&mut self, fault: &ActiveFault) -> bool {
+        let Some(engine) = fault.engine else {
+            return true;
+        };
+        let Some(address) = self.stopped.get(&engine).copied() else {
+            self.set_engine_faults(engine, FaultSettings::default())
+                .await;
+            return true;
+        };
+        // The system may hold the address for a moment; the next step tries again.
+        let started = self.site.upstreams().restart_engine(engine, address).await;
+        if started.is_ok() {
+            self.stopped.remove(&engine);
+        }
+        started.is_ok()
+    }
+
+    pub(super) async fn begin_at_desk(&mut self, fault: &mut ActiveFault, target: usize) -> bool {
+        let desks = &self.site.upstreams().desks;
+        let desk = target % desks.len();
+        let settings = FaultSettings {
+            drop_answer: fault.kind == FaultKind::DeskAnswerLoss,
+            silent: fault.kind == FaultKind::DeskSilence,
+            ..FaultSettings::default()
+        };
+        desks[desk].set_faults(settings).await;
+        fault.engine = Some(desk);
+        true
+    }
+
+    pub(super) async fn end_at_desk(&mut self, fault: &ActiveFault) {
+        if let Some(desk) = fault.engine {
+            let desks = &self.site.upstreams().desks;
+            desks[desk].set_faults(FaultSettings::default()).await;
+        }
+    }
+
+    /// Begins to take an engine out of service; returns whether that is possible now.
+    pub(super) async fn begin_leaving(&mut self, fault: &mut ActiveFault, target: usize) -> bool {
+        let hidden = |kind: FaultKind| kind.is_of_store() || kind == FaultKind::VmLag;
+        if self.is_on(hidden) {
+            return false;
+        }
+        let Some(engine) = self.free_engine(target) else {
+            return false;
+        };
+        fault.engine = Some(engine);
+        self.set_leaving(fault, engine, true).await
+    }
+
+    /// Checks that an engine that is leaving gets no new work; returns whether the fault is over.
+    pub(super) async fn step_leaving(&mut self, fault: &mut ActiveFault) -> bool {
+        let Some(engine) = fault.engine else {
+            return true;
+        };
+        let now = self.now();
+        let hidden = |kind: FaultKind| kind.is_of_store() || kind == FaultKind::VmLag;
+        if fault.runs.is_none() && now >= fault.begin + LEAVE_MAX && !self.is_on(hidden) {
+            fault.runs = Some(self.runs_of(engine).await.len());
+        }
+        if now < fault.end {
+            return false;
+        }
+        if let Some(before) = fault.runs.take() {
+            let runs = self.runs_of(engine).await;
+            let late = runs.get(before..).unwrap_or_default();
+            if !late.is_empty() {
+                let detail = format!("engine {engine} after {}: {late:?}", fault.kind);
+                self.report(ViolationKind::WorkAfterDrain, detail);
+            }
+        }
+        self.set_leaving(fault, engine, false).await
+    }
+
+    async fn set_leaving(&mut self, fault: &ActiveFault, engine: usize, leaving: bool) -> bool {
+        let name = self.plan.upstream_name(&self.plan.engines, engine);
+        if fault.kind == FaultKind::VmLeaving {
+            let state = if leaving {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            };
+            return self.site.mark_vm(&name, state).await.is_ok();
+        }
+        let state = if leaving {
+            UpstreamState::Draining
+        } else {
+            UpstreamState::Serving
+        };
+        let Some(address) = self.engine_address(engine) else {
+            return false;
+        };
+        let text = upstream_text(&self.plan, engine, address, state);
+        self.apply(&text).await
+    }
+
+    fn engine_address(&mut self, engine: usize) -> Option<SocketAddr> {
+        let engines = &self.site.upstreams().engines;
+        engines[engine].as_ref().map(EngineStandIn::address)
+    }
+
+    async fn runs_of(&mut self, engine: usize) -> Vec<String> {
+        let Some(engine) = &self.site.upstreams().engines[engine] else {
+            return Vec::new();
+        };
+        let ledger = engine.ledger().await.unwrap_or_default();
+        ledger.runs.into_iter().map(|run| run.request_id).collect()
+    }
+
+    async fn set_engine_faults(&mut self, engine: usize, settings: FaultSettings) {
+        if let Some(engine) = &self.site.upstreams().engines[engine] {
+            engine.set_faults(settings).await;
+        }
+    }
+
+    /// Returns an engine without a fault, from the target on.
+    fn free_engine(&self, target: usize) -> Option<usize> {
+        let count = self.plan.engines.upstreams;
+        let mut turn = (0..count).map(|offset| (target % count + offset) % count);
+        let busy = |engine: usize| self.active.iter().any(|fault| fault.engine == Some(engine));
+        turn.find(|engine| !busy(*engine))
+    }
+}
