Ask every daemon before calling an edit late

The check asked the daemons in turn, so that one late daemon made all behind it look late. It now asks them at the same time, and reports one only after an answer later than the limit.

--- a/crates/poplargap-testbed/src/soak/edit_confirm.rs
+++ b/crates/poplargap-testbed/src/soak/edit_confirm.rs
@@ -3,6 +3,7 @@
 use {
     super::{Violation, ViolationKind, daemon_state::DaemonState, run_collector::SoakEvent},
     crate::site::StatusClient,
+    futures::future::join_all,
     poplargap_core::catalogue::BUCKET_PREFIX,
     poplargap_platform::{HttpStore, KeyValueStore},
     std::{net::SocketAddr, time::Duration},
@@ -35,24 +36,35 @@
             return;
         };
         let client = StatusClient::default();
-        for (number, address) in self.operators.iter().enumerate() {
-            let steady = || {
-                let now = self.states.borrow()[number];
-                before[number].steady && now == before[number]
-            };
-            let mut seen = None;
-            while steady() && seen.is_none_or(|seen| seen < revision) {
-                if accepted.elapsed() > self.limit {
-                    let detail =
-                        format!("daemon {number} has revision {seen:?}, the edit made {revision}");
-                    self.report(detail);
-                    break;
-                }
-                seen = client.status(*address).await.map(|status| status.revision);
-                if seen.is_none_or(|seen| seen < revision) {
-                    time::sleep(POLL).await;
-                }
+        let checks = (0..self.operators.len())
+            .filter(|daemon| before[*daemon].steady)
+            .map(|daemon| self.check(&client, daemon, before[daemon], revision, accepted));
+        join_all(checks).await;
+    }
+
+    async fn check(
+        &self,
+        client: &StatusClient,
+        daemon: usize,
+        before: DaemonState,
+        revision: u64,
+        accepted: Instant,
+    ) {
+        loop {
+            let status = client.status(self.operators[daemon]).await;
+            let seen = status.map(|status| status.revision);
+            let restarted = self.states.borrow()[daemon] != before;
+            if restarted || seen.is_some_and(|seen| seen >= revision) {
+                return;
+            }
+            if accepted.elapsed() > self.limit {
+                let limit = self.limit;
+                self.report(format!(
+                    "daemon {daemon} has revision {seen:?} {limit:?} after the edit that made {revision}"
+                ));
+                return;
             }
+            time::sleep(POLL).await;
         }
     }
 
