Serve repeatable requests and edits over fresh connections in time

Change: a repeatable request waits at most a quarter of the time left for the first byte, so that a further attempt over a fresh connection fits; calls between daemons that may be repeated leave time in the same way and bound the reading of the answer, too. A watch waits 1.5 s, and one without an answer is followed at once by a listing over a fresh connection.

--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -212,7 +212,10 @@
 
     async fn watch_store(&mut self) {
         let update = match store_watch::watch(&self.store, self.revision()).await {
-            Err(StoreError::Compacted(_)) => store_watch::list(&self.store).await,
+            // After no answer the store's client uses a fresh connection.
+            Err(StoreError::Compacted(_) | StoreError::NoAnswer(_)) => {
+                store_watch::list(&self.store).await
+            }
             result => result,
         };
         match update {
--- a/crates/poplargapd/src/feed/store_watch.rs
+++ b/crates/poplargapd/src/feed/store_watch.rs
@@ -6,7 +6,8 @@
     std::time::Duration,
 };
 
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one watch, by which a silent connection is found out late.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// One bucket as the store gave it.
 #[derive(Debug)]
--- a/crates/poplargapd/src/home/chat_task.rs
+++ b/crates/poplargapd/src/home/chat_task.rs
@@ -75,7 +75,9 @@
                         .send(HomeFrame::Upstream(upstream.name.clone()))
                         .await,
                 );
-                self.forward(response, &upstream, permit, frames).await;
+                let wait = self.first_byte(envelope);
+                self.forward(response, &upstream, (permit, wait), frames)
+                    .await;
             }
             Err(failure) => {
                 permit.close(failure.result);
@@ -108,7 +110,7 @@
                 request = request.header("x-chat-id", chat.as_str());
             }
         }
-        let sent = time::timeout(self.clients.limits().first_byte, request.send()).await;
+        let sent = time::timeout(self.first_byte(envelope), request.send()).await;
         let Ok(sent) = sent else {
             self.clients.drop_pool(&upstream.name);
             return Err(AttemptFailure::broken(upstream));
@@ -124,15 +126,23 @@
         }
     }
 
+    fn first_byte(&self, envelope: &RelayEnvelope) -> Duration {
+        let limits = self.clients.limits();
+        if envelope.repeatable {
+            limits.repeatable_first_byte(Duration::from_millis(envelope.deadline_ms))
+        } else {
+            limits.first_byte
+        }
+    }
+
     async fn forward(
         &self,
         mut response: Response,
         upstream: &UpstreamEntry,
-        permit: PlacePermit,
+        (permit, mut wait): (PlacePermit, Duration),
         frames: &mpsc::Sender<HomeFrame>,
     ) {
         let limits = self.clients.limits();
-        let mut wait = limits.first_byte;
         loop {
             let frame = match time::timeout(wait, response.chunk()).await {
                 Ok(Ok(Some(chunk))) => HomeFrame::Chunk(chunk),
--- a/crates/poplargapd/src/home/service_task.rs
+++ b/crates/poplargapd/src/home/service_task.rs
@@ -33,7 +33,7 @@
         let PlaceReply { permit, upstream } = reply;
         let deadline = Duration::from_millis(call.envelope.deadline_ms);
         let wait = if call.envelope.repeatable {
-            deadline.min(self.0.clients.limits().first_byte)
+            self.0.clients.limits().repeatable_first_byte(deadline)
         } else {
             deadline
         };
--- a/crates/poplargapd/src/home/upstream_clients.rs
+++ b/crates/poplargapd/src/home/upstream_clients.rs
@@ -19,6 +19,9 @@
 /// Longest wait for an upstream's own load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Attempts that the time left for a repeatable request is divided among.
+const ATTEMPTS_IN_DEADLINE: u32 = 4;
+
 /// Longest waits for progress at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct ProgressLimits {
@@ -30,6 +33,16 @@
     pub first_byte: Duration,
 }
 
+impl ProgressLimits {
+    /// Returns the wait for the first byte of a request that may be repeated.
+    ///
+    /// A connection that has gone silent for good leaves time for further attempts.
+    #[must_use]
+    pub fn repeatable_first_byte(&self, deadline: Duration) -> Duration {
+        self.first_byte.min(deadline / ATTEMPTS_IN_DEADLINE)
+    }
+}
+
 #[derive(Deserialize)]
 struct LoadReport {
     running: u64,
--- a/crates/poplargapd/src/relay/relay_client.rs
+++ b/crates/poplargapd/src/relay/relay_client.rs
@@ -27,6 +27,13 @@
 };
 
 const FRAMES_MAX: usize = 32;
+
+/// Attempts that the time left for a repeatable call is divided among, when it queues.
+const QUEUED_ATTEMPTS: u32 = 2;
+
+/// Attempts that the time left for a repeatable call is divided among, when it doesn't queue.
+const UNQUEUED_ATTEMPTS: u32 = 3;
+
 const SILENCE_MAX: Duration = Duration::from_millis(SILENCE_MAX_MS);
 
 /// Clients of other daemons' relay listeners; cheap to clone.
@@ -86,12 +93,21 @@
         home: SocketAddr,
         call: &ServiceRequest,
     ) -> Result<ServiceAnswer, RelayRefusal> {
-        let wait = Duration::from_millis(call.envelope.deadline_ms);
+        let wait = answer_wait(&call.envelope);
         let request = self.request(home, &call.envelope, call.body.clone())?;
-        let Ok(sent) = time::timeout(wait, request.send()).await else {
+        let Ok(result) = time::timeout(wait, self.exchange(home, request)).await else {
             self.drop_pool(home);
             return Err(lost());
         };
+        result
+    }
+
+    async fn exchange(
+        &self,
+        home: SocketAddr,
+        request: RequestBuilder,
+    ) -> Result<ServiceAnswer, RelayRefusal> {
+        let sent = request.send().await;
         let response = sent.map_err(|error| self.failure(home, &error))?;
         if response.status() != StatusCode::OK {
             return Err(read_refusal(response).await);
@@ -192,6 +208,19 @@
     }
 }
 
+/// Returns the longest wait for a home's answer to a call.
+///
+/// A call that may be repeated leaves time for a further attempt over a fresh connection; one that
+/// doesn't queue at its home gets its answer or refusal sooner.
+fn answer_wait(envelope: &RelayEnvelope) -> Duration {
+    let deadline = Duration::from_millis(envelope.deadline_ms);
+    match (envelope.repeatable, envelope.wait) {
+        (false, _) => deadline,
+        (true, false) => deadline / UNQUEUED_ATTEMPTS,
+        (true, true) => deadline / QUEUED_ATTEMPTS,
+    }
+}
+
 /// Returns the refusal of a request that was sent and got no answer from its home.
 fn lost() -> RelayRefusal {
     let mut refusal = RelayRefusal::not_run(RefusalReason::Unreachable);
