--- a/crates/poplargap-testbed/src/site/site_upstreams.rs
+++ b/crates/poplargap-testbed/src/site/site_upstreams.rs
@@ -4,7 +4,7 @@
     super::{PoolPlan, SiteError, SitePlan},
     crate::{
         desk::{DeskSettings, DeskStandIn},
-        engine::{EngineSettings, EngineStandIn},
+        engine::{EngineSettings, EngineStandIn, LedgerRecord},
         load::EngineChurn,
     },
     std::{
@@ -39,13 +39,11 @@
     pub desks: Vec<DeskStandIn>,
     /// The engines, by number; `None` while one is stopped.
     pub engines: Vec<Option<EngineStandIn>>,
+    /// What ran on engines that were stopped.
+    pub stopped: Vec<LedgerRecord>,
     settings: EngineSettings,
 }
 
-fn name_of(plan: &SitePlan, pool: &PoolPlan, number: usize) -> String {
-    format!("{}-{}-{number:02}", pool.name, plan.data_centre_of(number))
-}
-
 impl SiteUpstreams {
     /// Starts all engines and desks of a plan.
     pub(super) async fn start(plan: &SitePlan) -> Result<(Self, Vec<UpstreamPlace>), SiteError> {
@@ -77,6 +75,7 @@
                 desks,
                 engines,
                 settings,
+                stopped: Vec::new(),
             },
             places,
         ))
@@ -89,7 +88,7 @@
             control: engine.control_address(),
             work: engine.address(),
         };
-        engine.close().await;
+        self.stopped.push(engine.close().await);
         Some(addresses)
     }
 
@@ -134,7 +133,7 @@
     UpstreamPlace {
         address,
         data_centre: plan.data_centre_of(number).to_owned(),
-        name: name_of(plan, pool, number),
+        name: plan.upstream_name(pool, number),
         pool: pool.name.clone(),
     }
 }
