Bound loads by the fleet's mean instead of the data centre's

Cause: the bound was a multiple of the mean of the own data centre, so that an engine of a busy data centre carried up to twice the fleet's mean although the multiple was 1.5. Ruled out: the sampling (the daemons' own counts agree) and the policy (no broken bound was counted).

--- a/crates/poplargap-core/src/home/shard_home.rs
+++ b/crates/poplargap-core/src/home/shard_home.rs
@@ -33,6 +33,17 @@
     pub upstreams: u64,
 }
 
+impl PoolLoad {
+    /// Returns both loads together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            in_flight: self.in_flight + other.in_flight,
+            upstreams: self.upstreams + other.upstreams,
+        }
+    }
+}
+
 /// Exact loads of a shard's upstreams and the choice among them.
 #[derive(Debug)]
 pub struct ShardHome {
--- a/crates/poplargap-link/src/heartbeat.rs
+++ b/crates/poplargap-link/src/heartbeat.rs
@@ -1,9 +1,9 @@
-//! Heartbeats between the daemons of one data centre, one datagram each.
+//! Datagrams between daemons: heartbeats inside a data centre, load summaries between them.
 
 use {
     crate::proof::{FleetKey, ProofError},
     displaydoc::Display,
-    poplargap_core::{membership::MemberReport, shard::ShardDigest},
+    poplargap_core::{membership::MemberReport, name::DataCentre, shard::ShardDigest},
     serde::{Deserialize, Serialize},
 };
 
@@ -38,45 +38,78 @@
     pub upstreams: u32,
 }
 
+/// Load of one pool in one data centre.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSummary {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Hash of the pool's name.
+    pub pool: u64,
+    /// Upstreams that take work.
+    pub upstreams: u32,
+}
+
+/// Loads of all pools in one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CentreSummary {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Its pools.
+    pub pools: Vec<PoolSummary>,
+}
+
 /// One heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct HeartbeatMessage {
+    /// Summaries that other data centres sent to the sender lately.
+    pub centres: Vec<CentreSummary>,
     /// The sender.
     pub report: MemberReport,
     /// Shards that the sender is or was home to.
     pub shards: Vec<ShardReport>,
 }
 
-/// A datagram that is no heartbeat of the fleet.
+/// One datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetDatagram {
+    /// From a daemon of the same data centre.
+    Heartbeat(HeartbeatMessage),
+    /// From another data centre.
+    Summary(CentreSummary),
+}
+
+/// A datagram that can't be sent or read.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
-pub enum HeartbeatError {
+pub enum DatagramError {
     /// the datagram can't be read: {0}
     Malformed(String),
     /// {0}
     Proof(ProofError),
-    /// the heartbeat is {len} bytes long; a datagram holds at most 8192
+    /// the datagram is {len} bytes long; at most 8192 are sent
     TooLong {
         /// The length in bytes.
         len: usize,
     },
 }
 
-impl std::error::Error for HeartbeatError {}
+impl std::error::Error for DatagramError {}
 
-impl HeartbeatMessage {
-    /// Writes the heartbeat as a datagram with its authentication code.
+impl FleetDatagram {
+    /// Writes the datagram with its authentication code.
     ///
     /// # Errors
     ///
     /// Returns an error when the datagram would be too long.
-    pub fn encode(&self, key: &FleetKey) -> Result<Vec<u8>, HeartbeatError> {
+    pub fn encode(&self, key: &FleetKey) -> Result<Vec<u8>, DatagramError> {
         let mut datagram = postcard::to_stdvec(self)
-            .map_err(|source| HeartbeatError::Malformed(source.to_string()))?;
+            .map_err(|source| DatagramError::Malformed(source.to_string()))?;
         key.seal(&mut datagram);
         let len = datagram.len();
         if len > DATAGRAM_LEN_MAX {
-            return Err(HeartbeatError::TooLong { len });
+            return Err(DatagramError::TooLong { len });
         }
         Ok(datagram)
     }
@@ -86,9 +119,8 @@
     /// # Errors
     ///
     /// Returns an error when the code is wrong or the datagram can't be read.
-    pub fn decode(datagram: &[u8], key: &FleetKey) -> Result<Self, HeartbeatError> {
-        let message = key.open(datagram).map_err(HeartbeatError::Proof)?;
-        postcard::from_bytes(message)
-            .map_err(|source| HeartbeatError::Malformed(source.to_string()))
+    pub fn decode(datagram: &[u8], key: &FleetKey) -> Result<Self, DatagramError> {
+        let message = key.open(datagram).map_err(DatagramError::Proof)?;
+        postcard::from_bytes(message).map_err(|source| DatagramError::Malformed(source.to_string()))
     }
 }
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -22,7 +22,7 @@
         catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
         settings::DaemonSettings,
     },
-    poplargap_link::heartbeat::ShardReport,
+    poplargap_link::heartbeat::{PoolSummary, ShardReport},
     slog::Logger,
     std::{io, net::SocketAddr, num::NonZeroUsize, sync::Arc, time::Duration},
     tokio::{
@@ -113,7 +113,9 @@
         );
         let (channels, catalogue, revision) = feed::channels();
         let (reports, shards) = watch::channel(Vec::new());
+        let (pool_loads, pools) = watch::channel(Vec::new());
         let inputs = HeartbeatInputs {
+            pools,
             revision: revision.clone(),
             shards,
             vms: vm_view.clone(),
@@ -129,7 +131,13 @@
         let control = base.metrics.control.clone();
         let clients =
             UpstreamClients::new(progress(&settings), control).map_err(StartError::Http)?;
-        let home = start_home(&settings, &base, &views, clients.clone(), reports);
+        let home = start_home(
+            &settings,
+            &base,
+            &views,
+            clients.clone(),
+            (pool_loads, reports),
+        );
         let refresher = tokio::spawn(refresh(
             home.clone(),
             views.clone(),
@@ -314,7 +322,10 @@
     base: &DaemonBase,
     views: &DaemonViews,
     clients: UpstreamClients,
-    reports: watch::Sender<Vec<ShardReport>>,
+    (pools, reports): (
+        watch::Sender<Vec<PoolSummary>>,
+        watch::Sender<Vec<ShardReport>>,
+    ),
 ) -> Address<HomeActor> {
     let inputs = HomeInputs {
         catalogue: views.catalogue.clone(),
@@ -324,6 +335,7 @@
         log: base.log.clone(),
         members: views.members.clone(),
         metrics: Arc::clone(&base.metrics),
+        pools,
         reports,
         vms: views.vms.clone(),
     };
--- a/crates/poplargapd/src/home/home_actor.rs
+++ b/crates/poplargapd/src/home/home_actor.rs
@@ -17,14 +17,14 @@
         collections::{HashMap, HashMapExt},
         home::{PlaceRefusal, PlaceRequest, PolicyChoice, PolicyKind, PoolLoad, ShardHome},
         instant::MonotonicInstant,
-        name::DataCentre,
+        name::{DataCentre, PoolName},
         queue::{RetryPolicy, WorkItem, WorkQueue},
         rendezvous,
         shard::{PoolShard, ShardId},
     },
     poplargap_link::{
         envelope::{RefusalReason, RelayRefusal},
-        heartbeat::{ResidualLoad, ShardReport},
+        heartbeat::{PoolSummary, ResidualLoad, ShardReport},
     },
     rand::{RngCore, SeedableRng, rngs::SmallRng},
     slog::Logger,
@@ -58,6 +58,7 @@
     pub(crate) log: Logger,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) metrics: Arc<DaemonMetrics>,
+    pub(crate) pools: watch::Sender<Vec<PoolSummary>>,
     pub(crate) reports: watch::Sender<Vec<ShardReport>>,
     pub(crate) settings: HomeSettings,
     pub(crate) vms: watch::Receiver<Arc<VmView>>,
@@ -77,6 +78,7 @@
     pub(crate) log: Logger,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) metrics: Arc<DaemonMetrics>,
+    pub(crate) pools: watch::Sender<Vec<PoolSummary>>,
     pub(crate) reports: watch::Sender<Vec<ShardReport>>,
     pub(crate) vms: watch::Receiver<Arc<VmView>>,
 }
@@ -96,6 +98,7 @@
             members: inputs.members,
             metrics: inputs.metrics,
             policy,
+            pools: inputs.pools,
             random,
             refreshed,
             reports: inputs.reports,
@@ -244,26 +247,32 @@
         }
     }
 
+    /// Returns the load of the pool's other shards, those of other data centres included.
     fn others(&self, shard: &ShardId) -> PoolLoad {
+        let elsewhere = self
+            .members
+            .borrow()
+            .elsewhere
+            .get(&pool_digest(&shard.pool))
+            .copied();
+        let here = self.load_here(&shard.pool, Some(shard));
+        here.plus(elsewhere.unwrap_or_default())
+    }
+
+    /// Returns the load of a pool in the own data centre, without the shard `except`.
+    fn load_here(&self, pool: &PoolName, except: Option<&ShardId>) -> PoolLoad {
         let catalogue = self.catalogue.borrow();
         let members = self.members.borrow();
-        let shards = catalogue.shards_of(&shard.pool, &shard.data_centre);
-        let (own, other): (Vec<&PoolShard>, Vec<&PoolShard>) = shards
-            .iter()
-            .filter(|other| other.id != *shard)
-            .partition(|other| {
-                self.shards
-                    .get(&other.id)
-                    .is_some_and(|homed| homed.phase == HomePhase::Home)
-            });
         let now = self.clock.now();
-        own.iter()
-            .filter_map(|shard| self.shards.get(&shard.id))
-            .map(|homed| homed.home.load(now))
-            .fold(members.load_of(other.into_iter()), |sum, load| PoolLoad {
-                in_flight: sum.in_flight + load.in_flight,
-                upstreams: sum.upstreams + load.upstreams,
+        let shards = catalogue.shards_of(pool, &self.settings.data_centre);
+        shards
+            .iter()
+            .filter(|shard| Some(&shard.id) != except)
+            .map(|shard| match self.shards.get(&shard.id) {
+                Some(homed) if homed.phase == HomePhase::Home => homed.home.load(now),
+                _ => members.load_of(std::iter::once(shard)),
             })
+            .fold(PoolLoad::default(), PoolLoad::plus)
     }
 
     /// Chooses an upstream now and counts the request there.
@@ -336,6 +345,24 @@
         answer(reply, result);
     }
 
+    /// Returns the loads of all pools in the own data centre.
+    fn summaries(&self) -> Vec<PoolSummary> {
+        let catalogue = Arc::clone(&self.catalogue.borrow());
+        let here = catalogue.pools.keys().filter(|pool| {
+            let shards = catalogue.shards_of(pool, &self.settings.data_centre);
+            !shards.is_empty()
+        });
+        here.map(|pool| {
+            let load = self.load_here(pool, None);
+            PoolSummary {
+                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+                pool: pool_digest(pool),
+                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
+            }
+        })
+        .collect()
+    }
+
     fn report(&mut self, now: MonotonicInstant) {
         let mut reports: Vec<ShardReport> = Vec::new();
         let own: u64 = self
@@ -372,9 +399,15 @@
         }
         reports.sort_by_key(|report| report.digest);
         self.reports.send_replace(reports);
+        let pools = self.summaries();
+        self.pools.send_replace(pools);
     }
 }
 
+fn pool_digest(pool: &PoolName) -> u64 {
+    rendezvous::score("pool", pool.as_str())
+}
+
 fn residuals(home: &ShardHome) -> Vec<ResidualLoad> {
     home.loads()
         .filter(|load| load.in_flight > 0)
--- a/crates/poplargapd/src/members.rs
+++ b/crates/poplargapd/src/members.rs
@@ -1,5 +1,6 @@
 //! Membership of the own data centre: heartbeats, the VM list and who is home to what.
 
+mod centre_table;
 mod heartbeat_task;
 mod member_view;
 mod vm_task;
--- a/crates/poplargapd/src/members/heartbeat_task.rs
+++ b/crates/poplargapd/src/members/heartbeat_task.rs
@@ -1,19 +1,23 @@
 //! Sends and hears heartbeats within the own data centre.
 
 use {
-    super::{MemberView, PeerShard, VmView},
+    super::{MemberView, PeerShard, VmView, centre_table::CentreTable},
     crate::{clock::ProcessClock, metrics::DaemonMetrics},
     poplargap_core::{
         collections::{HashMap, HashMapExt},
         membership::{HeartbeatEffect, MemberReport, MemberState, MemberTable},
         name::{DaemonName, DataCentre},
+        rendezvous,
     },
     poplargap_link::{
-        heartbeat::{DATAGRAM_LEN_MAX, HeartbeatMessage, ShardReport},
+        heartbeat::{
+            CentreSummary, DATAGRAM_LEN_MAX, FleetDatagram, HeartbeatMessage, PoolSummary,
+            ShardReport,
+        },
         proof::FleetKey,
     },
     slog::Logger,
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::UdpSocket,
         sync::{mpsc, watch},
@@ -27,6 +31,12 @@
 /// Bytes that a datagram's UDP and IP headers add.
 const DATAGRAM_OVERHEAD: usize = 28;
 
+/// Heartbeats to one summary for other data centres.
+const SUMMARY_EVERY: u64 = 2;
+
+/// Daemons of another data centre that get each summary.
+const SUMMARY_RECEIVERS: usize = 2;
+
 /// What the heartbeat task needs to know.
 #[derive(Debug)]
 pub struct HeartbeatSettings {
@@ -58,6 +68,7 @@
 /// Inputs of the task, each a view that another task publishes.
 #[derive(Debug)]
 pub(crate) struct HeartbeatInputs {
+    pub(crate) pools: watch::Receiver<Vec<PoolSummary>>,
     pub(crate) revision: watch::Receiver<u64>,
     pub(crate) shards: watch::Receiver<Vec<ShardReport>>,
     pub(crate) vms: watch::Receiver<Arc<VmView>>,
@@ -75,6 +86,7 @@
     ) -> (Self, watch::Receiver<Arc<MemberView>>) {
         let table = MemberTable::new(settings.own.clone(), settings.suspect, clock.now());
         let view = MemberView {
+            elsewhere: HashMap::new(),
             own: settings.own.clone(),
             peers: Vec::new(),
             ready: table.ready(),
@@ -83,6 +95,7 @@
         let (sender, receiver) = watch::channel(Arc::new(view));
         let (commands, command_receiver) = mpsc::channel(COMMANDS_MAX);
         let state = HeartbeatState {
+            centres: CentreTable::new(settings.data_centre.clone()),
             clock,
             inputs,
             log,
@@ -110,6 +123,7 @@
 }
 
 struct HeartbeatState {
+    centres: CentreTable,
     clock: ProcessClock,
     inputs: HeartbeatInputs,
     log: Logger,
@@ -147,23 +161,29 @@
     }
 
     fn hear(&mut self, datagram: &[u8]) {
-        let len = datagram.len() + DATAGRAM_OVERHEAD;
-        self.metrics.control.add_received("heartbeat", len);
-        let Ok(message) = HeartbeatMessage::decode(datagram, &self.settings.key) else {
-            self.metrics
-                .peers_refused
-                .with_label_values(&["heartbeat"])
-                .inc();
-            return;
-        };
+        match FleetDatagram::decode(datagram, &self.settings.key) {
+            Ok(FleetDatagram::Heartbeat(message)) => self.hear_peer(message),
+            Ok(FleetDatagram::Summary(summary)) => {
+                self.centres.hear_direct(summary, self.clock.now());
+            }
+            Err(_) => {
+                let refused = self.metrics.peers_refused.with_label_values(&["datagram"]);
+                refused.inc();
+            }
+        }
+    }
+
+    fn hear_peer(&mut self, message: HeartbeatMessage) {
+        let now = self.clock.now();
         let (name, state) = (message.report.name.clone(), message.report.state);
-        match self.table.hear(message.report, self.clock.now()) {
+        match self.table.hear(message.report, now) {
             HeartbeatEffect::Stale => return,
             HeartbeatEffect::Refreshed => {}
             HeartbeatEffect::Changed => {
                 slog::info!(self.log, "member heard"; "daemon" => %name, "state" => %state);
             }
         }
+        self.centres.hear_relayed(message.centres, now);
         self.reports.insert(name, message.shards);
         self.publish();
     }
@@ -175,6 +195,9 @@
         }
         self.publish();
         self.send().await;
+        if self.table.own().sequence.is_multiple_of(SUMMARY_EVERY) {
+            self.send_summaries().await;
+        }
     }
 
     fn publish(&mut self) {
@@ -189,6 +212,7 @@
             }
         }
         let view = MemberView {
+            elsewhere: self.centres.loads(self.clock.now()),
             own: self.table.own().clone(),
             peers: self.table.peers().cloned().collect(),
             ready: self.table.ready(),
@@ -206,18 +230,56 @@
         own.revision = revision;
         let report = own.clone();
         let shards = self.inputs.shards.borrow().clone();
-        let message = HeartbeatMessage { report, shards };
-        let datagram = match message.encode(&self.settings.key) {
+        let centres = self.centres.relayed(self.clock.now());
+        let message = HeartbeatMessage {
+            centres,
+            report,
+            shards,
+        };
+        let addresses = self.addresses();
+        self.send_to(&FleetDatagram::Heartbeat(message), "heartbeat", addresses)
+            .await;
+    }
+
+    /// Tells other data centres the loads of the own one.
+    ///
+    /// The duty for each other data centre falls to the ready daemon that ranks first for its name.
+    async fn send_summaries(&mut self) {
+        let own = self.settings.data_centre.clone();
+        let name = &self.table.own().name;
+        let ready = self.table.ready();
+        let targets: BTreeSet<SocketAddr> = {
+            let vms = self.inputs.vms.borrow();
+            let others = vms.daemons.iter().filter(|(centre, _)| **centre != own);
+            others
+                .filter(|(centre, _)| {
+                    let names = ready.iter().map(|member| &member.name);
+                    rendezvous::first(centre.as_str(), names) == Some(name)
+                })
+                .flat_map(|(_, daemons)| receivers(&own, daemons))
+                .collect()
+        };
+        let pools = self.inputs.pools.borrow().clone();
+        let summary = CentreSummary {
+            data_centre: own,
+            pools,
+        };
+        self.send_to(&FleetDatagram::Summary(summary), "summary", targets)
+            .await;
+    }
+
+    async fn send_to(&self, datagram: &FleetDatagram, kind: &str, addresses: BTreeSet<SocketAddr>) {
+        let datagram = match datagram.encode(&self.settings.key) {
             Ok(datagram) => datagram,
             Err(error) => {
-                slog::error!(self.log, "heartbeat can't be sent"; "error" => %error);
+                slog::error!(self.log, "datagram can't be sent"; "error" => %error);
                 return;
             }
         };
         let len = datagram.len() + DATAGRAM_OVERHEAD;
-        for address in self.addresses() {
+        for address in addresses {
             if self.socket.send_to(&datagram, address).await.is_ok() {
-                self.metrics.control.add_sent("heartbeat", len);
+                self.metrics.control.add_sent(kind, len);
             }
         }
     }
@@ -239,3 +301,12 @@
         addresses
     }
 }
+
+/// Returns the daemons of another data centre that take the summaries of `own`.
+fn receivers(own: &DataCentre, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut ranked = daemons.to_vec();
+    ranked
+        .sort_by_cached_key(|daemon| Reverse(rendezvous::score(own.as_str(), &daemon.to_string())));
+    ranked.truncate(SUMMARY_RECEIVERS);
+    ranked
+}
--- a/crates/poplargapd/src/members/member_view.rs
+++ b/crates/poplargapd/src/members/member_view.rs
@@ -24,6 +24,8 @@
 /// Ready members and their shards at one moment.
 #[derive(Clone, Debug)]
 pub struct MemberView {
+    /// Loads of pools in all other data centres together, by the hash of the pool's name.
+    pub elsewhere: HashMap<u64, PoolLoad>,
     /// The daemon itself.
     pub own: MemberReport,
     /// All members heard of lately, the daemon itself excluded.
