Renew loans together and keep fewer standing credits

Cause: a message for each held class and second is too much control traffic, and half of a share lent counted as scarce, so that standing credits went back at once.

Change: a holder renews all its loans with one home daemon by one message when both sides compute the same digest of class and last request number (`LoanDigest`, `RenewalRequest`, `RenewalReply`, `stamp`, `renew`, `renewed`). A class is scarce when somebody went short in the last 5 s or less than a quarter of the share is left; a borrower keeps its recent peak rather than a quarter more. A renewed loan drops an unmet want, so that a home doesn't borrow for it for ever.

--- a/crates/poplargap-core/src/limit.rs
+++ b/crates/poplargap-core/src/limit.rs
@@ -16,6 +16,7 @@
 mod loan_account;
 mod loan_message;
 mod loan_record;
+mod loan_renewal;
 mod recent_peak;
 mod split;
 mod use_window;
@@ -29,6 +30,7 @@
     loan_account::{LOAN_RENEWAL, LOAN_TTL, REPLY_TIMEOUT},
     loan_message::{LoanAmount, LoanHolder, LoanOutcome, LoanReply, LoanRequest},
     loan_record::LOAN_MARGIN,
+    loan_renewal::{LoanDigest, LoanStamp, RenewalOutcome, RenewalReply, RenewalRequest},
     split::base_share,
     use_window::{UseSlice, UseWindow},
 };
--- a/crates/poplargap-core/src/limit/limit_borrower.rs
+++ b/crates/poplargap-core/src/limit/limit_borrower.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Admission, Allowance, LoanHolder, LoanOutcome, LoanReply, LoanRequest, Permit,
+        Admission, Allowance, LoanHolder, LoanOutcome, LoanReply, LoanRequest, LoanStamp, Permit,
         REQUEST_WINDOW, TOKEN_WINDOW, UseWindow,
         loan_account::{LoanAccount, LoanWish},
         recent_peak::RecentPeak,
@@ -132,6 +132,20 @@
         Some(self.request(Allowance::ZERO, keep, now))
     }
 
+    /// Returns the loan's stamp, when it can be renewed together with others.
+    #[must_use]
+    pub fn stamp(&self, now: MonotonicInstant) -> Option<LoanStamp> {
+        let sequence = self.account.plain_sequence(now)?;
+        let class = self.class.clone();
+        Some(LoanStamp { class, sequence })
+    }
+
+    /// Takes the renewal of `stamp`, which was asked for at `sent`.
+    pub fn renewed(&mut self, stamp: &LoanStamp, sent: MonotonicInstant, scarce: bool) {
+        self.account.renew(stamp.sequence, sent);
+        self.scarce = scarce;
+    }
+
     /// Returns the request that gives everything back; requests in flight have ended.
     #[must_use]
     pub fn close(mut self, now: MonotonicInstant) -> LoanRequest {
@@ -144,6 +158,12 @@
         self.account.amount(now).total()
     }
 
+    /// Returns the name under which loans are asked for.
+    #[must_use]
+    pub fn holder(&self) -> &LoanHolder {
+        &self.holder
+    }
+
     /// Returns the requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> u64 {
@@ -193,7 +213,7 @@
         self.account.ask(&self.class, &self.holder, wish, now)
     }
 
-    /// Returns what is worth holding: the use alone while others lack it, else some more.
+    /// Returns what is worth holding: the requests in flight while others lack it, else the peak.
     fn keep(&mut self, now: MonotonicInstant) -> Allowance {
         if self.scarce {
             let concurrency = self.in_flight;
@@ -204,6 +224,6 @@
             .bound_by(&self.limits);
         }
         let peak = self.peak.highest(now).max(self.used(now));
-        peak.plus(peak.quarter()).bound_by(&self.limits)
+        peak.bound_by(&self.limits)
     }
 }
--- a/crates/poplargap-core/src/limit/limit_home.rs
+++ b/crates/poplargap-core/src/limit/limit_home.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Allowance, HomeHandover, LOAN_TTL, LoanAmount, LoanHolder, LoanOutcome, LoanReply,
-        LoanRequest,
+        LoanRequest, LoanStamp,
         borrowed_share::{BorrowedShare, ShareDemand},
         known_from::KnownFrom,
         loan_record::{LOAN_MARGIN, LoanRecord},
@@ -139,6 +139,27 @@
         }
     }
 
+    /// Returns the stamp of `holder`'s loan, when it can be renewed together with others.
+    #[must_use]
+    pub fn stamp(&self, holder: &LoanHolder, now: MonotonicInstant) -> Option<LoanStamp> {
+        let record = self.records.get(holder)?;
+        let class = self.class.clone();
+        let sequence = record.sequence;
+        record
+            .is_plain(now)
+            .then_some(LoanStamp { class, sequence })
+    }
+
+    /// Renews `holder`'s loan after its stamps were found equal, and returns whether it is scarce.
+    ///
+    /// Without a tenure nothing may be renewed.
+    pub fn renew(&mut self, holder: &LoanHolder, now: MonotonicInstant) -> bool {
+        if let Some(record) = self.records.get_mut(holder) {
+            record.renew(now);
+        }
+        self.is_scarce(now)
+    }
+
     /// Returns the next request to the class's home in another data centre, when one is due.
     pub fn ask_lender(&mut self, now: MonotonicInstant) -> Option<(DataCentre, LoanRequest)> {
         self.advance(now);
@@ -290,12 +311,12 @@
         wait.as_millis() as u32
     }
 
-    /// Returns whether a holder went short lately or more than half of the share is lent.
+    /// Returns whether a holder went short lately or less than a quarter is left to lend.
     fn is_scarce(&self, now: MonotonicInstant) -> bool {
         let short = self
             .short_at
             .is_some_and(|at| now.since(at) < SCARCE_PERIOD);
-        let lent = self.lent(now).bound_by(&self.limits);
-        short || !self.share.covers(lent.plus(lent))
+        let spare = self.share.quarter().bound_by(&self.limits);
+        short || !self.share.covers(self.lent(now).plus(spare))
     }
 }
--- a/crates/poplargap-core/src/limit/loan_account.rs
+++ b/crates/poplargap-core/src/limit/loan_account.rs
@@ -96,6 +96,23 @@
         !self.is_pending(now) && (self.satisfied || self.is_renewal_due(now))
     }
 
+    /// Returns the number of the last request, when nothing of the loan is lent on.
+    ///
+    /// A lender that has answered that request counts at least what is held now.
+    pub fn plain_sequence(&self, now: MonotonicInstant) -> Option<u64> {
+        let amount = self.amount(now);
+        let plain = amount.backed == Allowance::ZERO && amount.own != Allowance::ZERO;
+        plain.then_some(self.sequence)
+    }
+
+    /// Takes a renewal asked for at `sent` of the loan given for request `sequence`.
+    pub fn renew(&mut self, sequence: u64, sent: MonotonicInstant) {
+        if self.plain_sequence(sent) == Some(sequence) {
+            self.asked = Some(sent);
+            self.until = self.until.max(sent + LOAN_TTL);
+        }
+    }
+
     /// Builds a request; from now on only its reply counts.
     pub fn ask(
         &mut self,
--- a/crates/poplargap-core/src/limit/loan_message.rs
+++ b/crates/poplargap-core/src/limit/loan_message.rs
@@ -11,7 +11,6 @@
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LoanHolder {
     /// The data centre for whose daemons a home borrows; absent when the daemon admits requests.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub centre: Option<DataCentre>,
     /// The daemon.
     pub daemon: DaemonName,
--- a/crates/poplargap-core/src/limit/loan_record.rs
+++ b/crates/poplargap-core/src/limit/loan_record.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Returns whether the loan lasts and no part of it is lent on.
+    pub fn is_plain(&self, now: MonotonicInstant) -> bool {
+        now < self.expires && self.full != Allowance::ZERO && self.full == self.own
+    }
+
+    /// Renews the loan as it is.
+    pub fn renew(&mut self, now: MonotonicInstant) {
+        self.expires = now + LOAN_TTL + LOAN_MARGIN;
+        self.want = self.full;
+    }
+
     /// Returns whether nothing is left to count.
     pub fn is_over(&self, now: MonotonicInstant) -> bool {
         now >= self.expires && self.count(self.full, now) == Allowance::ZERO
--- a/crates/poplargap-core/tests/limit/fleet.rs
+++ b/crates/poplargap-core/tests/limit/fleet.rs
@@ -6,7 +6,8 @@
         instant::MonotonicInstant,
         limit::{
             Admission, Allowance, HOME_WAIT, HomeHandover, HomeTenure, LimitBorrower, LimitHome,
-            LoanHolder, LoanReply, LoanRequest, Permit, REQUEST_WINDOW, TOKEN_WINDOW, base_share,
+            LoanDigest, LoanHolder, LoanReply, LoanRequest, LoanStamp, Permit, REQUEST_WINDOW,
+            RenewalOutcome, RenewalReply, RenewalRequest, TOKEN_WINDOW, base_share,
         },
         name::{ClassName, DaemonName, DataCentre},
     },
@@ -68,6 +69,11 @@
 
 #[derive(Clone, Debug)]
 enum Letter {
+    Renewal {
+        from: usize,
+        request: RenewalRequest,
+    },
+    RenewalReply(RenewalReply),
     Reply {
         from: usize,
         reply: LoanReply,
@@ -99,6 +105,8 @@
     clock_ms: u64,
     home: Option<LimitHome>,
     paused_until: u64,
+    renewal: Option<(LoanStamp, MonotonicInstant)>,
+    renewals: u64,
     running: Vec<(Permit, u64, usize)>,
     tenure_until: u64,
     waiting: VecDeque<(u64, u64)>,
@@ -170,6 +178,8 @@
             clock_ms: self.random.below(1_000_000),
             home: None,
             paused_until: 0,
+            renewal: None,
+            renewals: 0,
             running: Vec::new(),
             tenure_until: 0,
             waiting: VecDeque::new(),
@@ -302,6 +312,7 @@
             self.daemons[daemon].waiting.push_back((tokens, give_up));
         }
         while self.admit(daemon, now) {}
+        self.renew(daemon, now);
         if let Some(request) = self.daemons[daemon].borrower.due(now) {
             self.ask_home(daemon, request);
         }
@@ -334,6 +345,59 @@
         false
     }
 
+    /// Asks for a renewal every 800 ms.
+    fn renew(&mut self, daemon: usize, now: MonotonicInstant) {
+        if self.now % 800 >= self.setting.step_ms {
+            return;
+        }
+        let home = self.homes[self.daemons[daemon].centre];
+        let asking = &mut self.daemons[daemon];
+        let Some(stamp) = asking.borrower.stamp(now) else {
+            return;
+        };
+        asking.renewals += 1;
+        asking.renewal = Some((stamp.clone(), now));
+        let request = RenewalRequest {
+            digest: LoanDigest::from_iter([stamp]),
+            holder: asking.borrower.holder().clone(),
+            sequence: asking.renewals,
+        };
+        let from = daemon;
+        self.send(daemon, home, &Letter::Renewal { from, request });
+    }
+
+    fn answer_renewal(&mut self, daemon: usize, from: usize, request: &RenewalRequest) {
+        let now = self.clock(daemon);
+        let tenure = self.now < self.daemons[daemon].tenure_until;
+        let home = self.daemons[daemon].home.as_mut().filter(|_| tenure);
+        let Some(home) = home else {
+            return;
+        };
+        let stamps = home.stamp(&request.holder, now);
+        let outcome = if LoanDigest::from_iter(stamps) == request.digest {
+            let scarce = home.renew(&request.holder, now);
+            let scarce = scarce.then(class).into_iter().collect();
+            RenewalOutcome::Renewed { scarce }
+        } else {
+            RenewalOutcome::Differs
+        };
+        let sequence = request.sequence;
+        let reply = RenewalReply { outcome, sequence };
+        self.send(daemon, from, &Letter::RenewalReply(reply));
+    }
+
+    fn take_renewal(&mut self, daemon: usize, reply: &RenewalReply) {
+        let asking = &mut self.daemons[daemon];
+        if reply.sequence != asking.renewals {
+            return;
+        }
+        if let (Some((stamp, sent)), RenewalOutcome::Renewed { scarce }) =
+            (asking.renewal.take(), &reply.outcome)
+        {
+            asking.borrower.renewed(&stamp, sent, !scarce.is_empty());
+        }
+    }
+
     fn ask_home(&mut self, daemon: usize, request: LoanRequest) {
         let from = Address::Daemon(daemon);
         let home = self.homes[self.daemons[daemon].centre];
@@ -391,6 +455,8 @@
         for sent in arrived {
             match sent.letter {
                 Letter::Reply { from, reply, to } => self.take_reply(to, sent.to, from, &reply),
+                Letter::Renewal { from, request } => self.answer_renewal(sent.to, from, &request),
+                Letter::RenewalReply(reply) => self.take_renewal(sent.to, &reply),
                 Letter::Request { from, request } => self.answer(sent.to, from, &request),
             }
         }
--- a/crates/poplargap-core/tests/limit/loans.rs
+++ b/crates/poplargap-core/tests/limit/loans.rs
@@ -6,8 +6,8 @@
         instant::MonotonicInstant,
         limit::{
             Admission, Allowance, HOME_WAIT, HomeTenure, LOAN_MARGIN, LOAN_TTL, LimitBorrower,
-            LimitHome, LoanHolder, LoanReply, LoanRequest, Permit, REQUEST_WINDOW, TOKEN_WINDOW,
-            UseWindow,
+            LimitHome, LoanDigest, LoanHolder, LoanReply, LoanRequest, LoanStamp, Permit,
+            REQUEST_WINDOW, TOKEN_WINDOW, UseWindow,
         },
         name::{ClassName, DataCentre},
     },
@@ -203,6 +203,19 @@
     assert_eq!(daemon.held(later), Allowance::ZERO);
 }
 
+#[test]
+fn late_request_does_not_lower_what_is_counted() {
+    let mut home = home("a", ONE, &[], at(0));
+    let mut daemon = borrower("x", ONE);
+    let permit = admit(&mut daemon, &mut home, 1, known()).expect("the slot is free");
+    daemon.settle(permit, 1, known());
+    let delayed = daemon.due(known()).expect("a scarce slot goes back");
+    let now = known() + Duration::from_secs(1);
+    assert!(admit(&mut daemon, &mut home, 1, now).is_some());
+    answer(&mut home, &delayed, now);
+    assert!(admit(&mut borrower("y", ONE), &mut home, 1, now).is_none());
+}
+
 #[test]
 fn home_without_tenure_refuses() {
     let mut home = home("a", ONE, &[], at(0));
@@ -235,6 +248,73 @@
     assert!(admit(&mut borrower("y", ONE), &mut home, 1, now).is_some());
 }
 
+#[test]
+fn joint_renewal_moves_both_ends_of_a_loan() {
+    let mut home = home("a", ONE, &[], at(0));
+    let mut daemon = borrower("x", ONE);
+    let asked = request(&mut daemon, 1, known());
+    daemon.loan(&answer(&mut home, &asked, known()), known());
+    let sent = known() + 1500 * MS;
+    let stamp = daemon.stamp(sent).expect("the loan stands");
+    assert_eq!(home.stamp(&asked.holder, sent), Some(stamp.clone()));
+    let scarce = home.renew(&asked.holder, sent);
+    daemon.renewed(&stamp, sent, scarce);
+    assert_eq!(daemon.held(sent + LOAN_TTL - MS).concurrency, 1);
+    assert_eq!(daemon.held(sent + LOAN_TTL).concurrency, 0);
+    let ends = sent + LOAN_TTL + LOAN_MARGIN;
+    assert!(admit(&mut borrower("y", ONE), &mut home, 1, ends - MS).is_none());
+    assert!(admit(&mut borrower("z", ONE), &mut home, 1, ends).is_some());
+}
+
+#[test]
+fn loans_that_differ_have_no_common_stamp() {
+    let mut home = home("a", ONE, &[], at(0));
+    let mut daemon = borrower("x", ONE);
+    let permit = admit(&mut daemon, &mut home, 1, known()).expect("the slot is free");
+    let old = daemon.stamp(known()).expect("the loan stands");
+    daemon.settle(permit, 1, known());
+    let lowered = daemon.due(known()).expect("a scarce slot goes back");
+    assert_eq!(daemon.stamp(known()), None, "nothing is held");
+    answer(&mut home, &lowered, known());
+    assert_eq!(
+        home.stamp(&lowered.holder, known()),
+        None,
+        "nothing is lent"
+    );
+    let now = known() + Duration::from_secs(1);
+    assert!(admit(&mut daemon, &mut home, 1, now).is_some());
+    assert_ne!(home.stamp(&lowered.holder, now), Some(old.clone()));
+    let digest = |stamp: Option<LoanStamp>| stamp.into_iter().collect::<LoanDigest>();
+    let both = [daemon.stamp(now), home.stamp(&lowered.holder, now)].map(digest);
+    assert_eq!(both[0], both[1]);
+    assert_ne!(both[0], digest(Some(old.clone())));
+    daemon.renewed(&old, now + Duration::from_secs(1), true);
+    assert_eq!(
+        daemon.held(now + LOAN_TTL),
+        Allowance::ZERO,
+        "the old stamp renews nothing"
+    );
+}
+
+#[test]
+fn renewed_loan_drops_an_unmet_want() {
+    let limits = LimitSet {
+        concurrency: Some(2),
+        ..LimitSet::default()
+    };
+    let mut home = home("a", limits, &[], at(0));
+    let mut asked = request(&mut borrower("x", limits), 1, known());
+    asked.want.concurrency = 2;
+    let share = Allowance {
+        concurrency: 1,
+        ..Allowance::ZERO
+    };
+    home.set_share(limits, share, vec![centre("b")]);
+    answer(&mut home, &asked, known());
+    home.renew(&asked.holder, known());
+    assert!(home.ask_lender(known()).is_none());
+}
+
 #[test]
 fn scarce_slots_go_back_one_by_one() {
     let limits = LimitSet {
@@ -346,6 +426,22 @@
     assert!(admit(&mut borrower("y", limits), &mut fresh, 20, known()).is_none());
 }
 
+#[test]
+fn loan_is_counted_until_its_holder_knows_that_it_was_lowered() {
+    let mut owner = home("a", ONE, &[], at(0));
+    let mut taker = home("b", ONE, &["a"], at(0));
+    let mut away = borrower("x", ONE);
+    admit(&mut away, &mut taker, 1, known());
+    let (lender, asked) = taker.ask_lender(known()).expect("demand is open");
+    taker.lender_reply(&lender, &answer(&mut owner, &asked, known()));
+    let now = known() + Duration::from_secs(1);
+    assert!(admit(&mut borrower("y", ONE), &mut owner, 1, now).is_none());
+    let (_, renewal) = taker.ask_lender(now).expect("a renewal is due");
+    answer(&mut owner, &renewal, now);
+    assert!(admit(&mut away, &mut taker, 1, now).is_some());
+    assert!(admit(&mut borrower("z", ONE), &mut owner, 1, now).is_none());
+}
+
 #[test]
 fn what_a_home_relies_on_is_counted_but_no_right() {
     let mut fresh = home("a", ONE, &[], known());
@@ -390,6 +486,8 @@
                 admitted.push((from, step));
             }
         }
+        let held = away.held(now).plus(local.held(now));
+        assert!(held.concurrency <= 1, "{held:?} at {step}");
     }
     let first = |from| {
         admitted
