--- a/crates/poplargap-core/src/limit/borrowed_share.rs
+++ b/crates/poplargap-core/src/limit/borrowed_share.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Notes that a lender's reply to request `sequence` won't come.
+    pub fn lose(&mut self, lender: &DataCentre, sequence: u64) {
+        if let Some(account) = self.accounts.get_mut(lender) {
+            account.lose(sequence);
+        }
+    }
+
     fn next_lender(&self, missing: Allowance, now: MonotonicInstant) -> Option<DataCentre> {
         let due = self.accounts.iter().find(|(_, account)| {
             let held = account.amount(now).own != Allowance::ZERO;
--- a/crates/poplargap-core/src/limit/known_from.rs
+++ b/crates/poplargap-core/src/limit/known_from.rs
@@ -25,9 +25,9 @@
 }
 
 impl KnownFrom {
-    /// Creates the times for a home that was opened at `now` and knows nothing.
-    pub fn after_wait(now: MonotonicInstant) -> Self {
-        let concurrency = now + HOME_WAIT;
+    /// Creates the times for a home that is the only one since `since` and knows nothing.
+    pub fn after_wait(since: MonotonicInstant) -> Self {
+        let concurrency = since + HOME_WAIT;
         Self {
             concurrency,
             requests: concurrency + REQUEST_WINDOW,
--- a/crates/poplargap-core/src/limit/limit_borrower.rs
+++ b/crates/poplargap-core/src/limit/limit_borrower.rs
@@ -11,7 +11,7 @@
     std::time::Duration,
 };
 
-/// Wait after a refusal by a daemon that isn't the home.
+/// Wait after a refusal by a daemon that isn't the home, and after a lost reply.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 
 /// Holds what its class's home lent to one daemon and admits requests under it.
@@ -115,6 +115,12 @@
         self.ask_after = now + Duration::from_millis(ask_again_ms.into());
     }
 
+    /// Notes that the reply to request `sequence` won't come.
+    pub fn loan_lost(&mut self, sequence: u64, now: MonotonicInstant) {
+        self.account.lose(sequence);
+        self.ask_after = now + REFUSAL_PAUSE;
+    }
+
     /// Returns a request that renews, lowers or returns the loan, when one is due.
     pub fn due(&mut self, now: MonotonicInstant) -> Option<LoanRequest> {
         if self.account.is_pending(now) {
--- a/crates/poplargap-core/src/limit/limit_home.rs
+++ b/crates/poplargap-core/src/limit/limit_home.rs
@@ -63,15 +63,17 @@
 impl LimitHome {
     /// Creates a home that knows nothing of its predecessor's loans.
     ///
-    /// `holder` names the daemon as a borrower for its data centre. Until the loans of an earlier
-    /// home have ended the home only confirms what borrowers say that they hold.
+    /// `holder` names the daemon as a borrower for its data centre. `since` is the time from which
+    /// no other home can have lent: when the daemon took the class's place as home, which may be
+    /// long before the class's first request. Until the loans of an earlier home have ended the
+    /// home only confirms what borrowers say that they hold.
     #[must_use]
-    pub fn open(class: ClassName, holder: LoanHolder, now: MonotonicInstant) -> Self {
+    pub fn open(class: ClassName, holder: LoanHolder, since: MonotonicInstant) -> Self {
         Self {
             borrowed: BorrowedShare::default(),
             class,
             holder,
-            known: KnownFrom::after_wait(now),
+            known: KnownFrom::after_wait(since),
             limits: LimitSet::default(),
             records: HashMap::default(),
             share: Allowance::ZERO,
@@ -172,6 +174,11 @@
         self.borrowed.accept(lender, reply);
     }
 
+    /// Notes that the reply to request `sequence` to another data centre won't come.
+    pub fn lender_lost(&mut self, lender: &DataCentre, sequence: u64) {
+        self.borrowed.lose(lender, sequence);
+    }
+
     /// Returns what all holders together may use at `now`.
     #[must_use]
     pub fn lent(&self, now: MonotonicInstant) -> Allowance {
--- a/crates/poplargap-core/src/limit/loan_account.rs
+++ b/crates/poplargap-core/src/limit/loan_account.rs
@@ -17,6 +17,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PendingRequest {
+    lost: bool,
     sent: MonotonicInstant,
     sequence: u64,
     want: Allowance,
@@ -77,12 +78,13 @@
     /// Returns whether a reply may still come.
     pub fn is_pending(&self, now: MonotonicInstant) -> bool {
         self.pending
-            .is_some_and(|pending| now.since(pending.sent) < REPLY_TIMEOUT)
+            .is_some_and(|pending| !pending.lost && now.since(pending.sent) < REPLY_TIMEOUT)
     }
 
     /// Returns whether a reply was given up, so that the lender may count more than is held.
     pub fn is_unanswered(&self, now: MonotonicInstant) -> bool {
-        self.pending.is_some() && !self.is_pending(now)
+        self.pending
+            .is_some_and(|pending| now.since(pending.sent) >= REPLY_TIMEOUT)
     }
 
     /// Returns whether the last request is old enough for a renewal.
@@ -113,6 +115,16 @@
         }
     }
 
+    /// Gives up the reply to request `sequence`; what the lender decided is unknown.
+    pub fn lose(&mut self, sequence: u64) {
+        if let Some(pending) = self.pending.as_mut()
+            && pending.sequence == sequence
+        {
+            pending.lost = true;
+            self.satisfied = false;
+        }
+    }
+
     /// Builds a request; from now on only its reply counts.
     pub fn ask(
         &mut self,
@@ -125,6 +137,7 @@
         self.amount = self.amount(now).at_most(wish.want);
         self.asked = Some(now);
         self.pending = Some(PendingRequest {
+            lost: false,
             sent: now,
             sequence: self.sequence,
             want: wish.want,
--- a/crates/poplargap-core/tests/limit/loans.rs
+++ b/crates/poplargap-core/tests/limit/loans.rs
@@ -203,6 +203,19 @@
     assert_eq!(daemon.held(later), Allowance::ZERO);
 }
 
+#[test]
+fn lost_reply_is_asked_for_again_without_the_timeout() {
+    let mut home = home("a", ONE, &[], at(0));
+    let mut daemon = borrower("x", ONE);
+    let asked = request(&mut daemon, 1, known());
+    let lost = answer(&mut home, &asked, known());
+    daemon.loan_lost(asked.sequence, known());
+    let now = known() + 100 * MS;
+    assert!(admit(&mut daemon, &mut home, 1, now).is_some());
+    daemon.loan(&lost, now);
+    assert_eq!(daemon.held(known() + LOAN_TTL).concurrency, 1);
+}
+
 #[test]
 fn late_request_does_not_lower_what_is_counted() {
     let mut home = home("a", ONE, &[], at(0));
