Let entries ask for orders; add the decisions about orders

Cause: engines take orders to load models, versions and adapters or to change role, and operators drive the fleet only by entries. The catalogue had no words for it, and nothing decided who orders. Change: keys adapters, model-version and role of upstreams and loads-at-once of pools, absent by default so that stored entries stay readable; settings order and order-lease; state machines for the lease's holder, wanted against acknowledged orders, and tickets for loading weights. The engine stand-in uses the same order types instead of its own copy.

--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -16,8 +16,8 @@
     bucket::{BUCKET_COUNT, BUCKET_PREFIX, BucketRecord, EntryRecord, bucket_key},
     bucket_table::{BucketError, BucketTable, VersionedBucket},
     entry::{
-        CatalogueEntry, ClassEntry, DataCentreEntry, FencingCheck, LimitSet, PoolEntry, PoolKind,
-        PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
+        CatalogueEntry, ClassEntry, DataCentreEntry, EngineRole, FencingCheck, LimitSet, PoolEntry,
+        PoolKind, PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
     },
     entry_kind::{EntryKind, EntryRef, EntryRefError},
     entry_set::EntrySet,
--- a/crates/poplargap-core/src/catalogue/declaration/entry_reading.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/entry_reading.rs
@@ -67,6 +67,7 @@
 fn read_pool(name: &str, reader: &mut SectionReader<'_>) -> Option<PoolEntry> {
     let name = checked_name(name, reader);
     let kind = reader.choice("kind");
+    let loads_at_once = reader.number("loads-at-once");
     let multiple = reader.decimal("multiple").map(LoadMultiple::try_from);
     let queue = reader.number("queue");
     let shard_size = reader.number("shard-size");
@@ -75,6 +76,7 @@
         multiple.and_then(|multiple| multiple.map_err(|error| reader.add("multiple", error)).ok());
     Some(PoolEntry {
         kind: kind?,
+        loads_at_once,
         multiple: multiple?,
         name: name?,
         queue: queue?,
@@ -85,17 +87,23 @@
 
 fn read_upstream(name: &str, reader: &mut SectionReader<'_>) -> Option<UpstreamEntry> {
     let name = checked_name(name, reader);
+    let adapters = reader.checked_list("adapters");
     let address = reader.address("address");
     let data_centre = reader.checked("data-centre");
     let fencing = reader.choice("fencing");
+    let model_version = reader.checked("model-version");
     let pool = reader.checked("pool");
+    let role = reader.choice("role");
     let state = reader.choice("state");
     Some(UpstreamEntry {
+        adapters: adapters?,
         address: address?,
         data_centre: data_centre?,
         fencing: fencing?,
+        model_version,
         name: name?,
         pool: pool?,
+        role,
         state: state?,
     })
 }
--- a/crates/poplargap-core/src/catalogue/declaration/entry_values.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/entry_values.rs
@@ -66,6 +66,7 @@
 fn pool_values(entry: &PoolEntry) -> Vec<(&'static str, Option<String>)> {
     vec![
         ("kind", Some(entry.kind.to_string())),
+        ("loads-at-once", optional(entry.loads_at_once)),
         ("multiple", Some(f64::from(entry.multiple).to_string())),
         ("queue", Some(entry.queue.to_string())),
         ("shard-size", Some(entry.shard_size.to_string())),
@@ -74,11 +75,16 @@
 }
 
 fn upstream_values(entry: &UpstreamEntry) -> Vec<(&'static str, Option<String>)> {
+    let adapters: Vec<&str> = entry.adapters.iter().map(AsRef::as_ref).collect();
+    let adapters = (!adapters.is_empty()).then(|| adapters.join(", "));
     vec![
+        ("adapters", adapters),
         ("address", Some(entry.address.to_string())),
         ("data-centre", Some(entry.data_centre.to_string())),
         ("fencing", Some(entry.fencing.to_string())),
+        ("model-version", optional(entry.model_version.as_ref())),
         ("pool", Some(entry.pool.to_string())),
+        ("role", optional(entry.role)),
         ("state", Some(entry.state.to_string())),
     ]
 }
--- a/crates/poplargap-core/src/catalogue/declaration/keys.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/keys.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        catalogue::{FencingCheck, PoolKind, PriorityClass, UpstreamState},
+        catalogue::{EngineRole, FencingCheck, PoolKind, PriorityClass, UpstreamState},
         input::{
             KeyDefault::{self, Absent, Required, Text},
             KeyDescription, ValueKind,
@@ -13,6 +13,7 @@
 };
 
 const DAY_MS: u64 = 86_400_000;
+const NO_ORDER: &str = "nothing is ordered";
 const REMOVE: &str = "the entry stays";
 const UNLIMITED: &str = "no limit";
 
@@ -60,16 +61,20 @@
     key("class", "tokens-per-minute", count(1, 1_000_000_000_000, "tokens a minute"), Absent(UNLIMITED), "most prompt and answer tokens in any minute, over all data centres"),
     remove("data-centre"),
     key("pool", "kind", ValueKind::Choice(PoolKind::VARIANTS), Required, "what the upstreams are"),
+    key("pool", "loads-at-once", count(1, 4096, "upstreams"), Absent(UNLIMITED), "most upstreams that load weights at once, over all data centres"),
     key("pool", "multiple", ValueKind::Decimal { max: 100, min: 1 }, Required, "multiple of the pool's mean load that no upstream passes"),
     key("pool", "queue", count(0, 1_000_000, "requests"), Required, "most requests that wait at one home of the pool"),
     remove("pool"),
     key("pool", "shard-size", count(1, 4096, "upstreams"), Text("32"), "most upstreams that one home daemon of the pool looks after"),
     key("pool", "slots", count(1, 65_536, "requests"), Required, "most requests that one upstream works on at once"),
+    key("upstream", "adapters", ValueKind::NameList, Absent(NO_ORDER), "adapters that the engine is ordered to load"),
     key("upstream", "address", ValueKind::Address, Required, "where the upstream listens for HTTP"),
     key("upstream", "data-centre", ValueKind::Name, Required, "the data centre that the upstream stands in"),
     key("upstream", "fencing", ValueKind::Choice(FencingCheck::VARIANTS), Required, "whether the upstream refuses orders with an old fencing number"),
+    key("upstream", "model-version", ValueKind::Name, Absent(NO_ORDER), "version of the pool's model that the engine is ordered to load"),
     key("upstream", "pool", ValueKind::Name, Required, "the pool that the upstream belongs to"),
     remove("upstream"),
+    key("upstream", "role", ValueKind::Choice(EngineRole::VARIANTS), Absent(NO_ORDER), "role that the engine is ordered to take"),
     key("upstream", "state", ValueKind::Choice(UpstreamState::VARIANTS), Text("serving"), "whether the upstream takes new work"),
     key("workspace", "key-sha256", ValueKind::Digest, Required, "SHA-256 of the workspace's bearer key"),
     remove("workspace"),
--- a/crates/poplargap-core/src/catalogue/declaration/reference_check.rs
+++ b/crates/poplargap-core/src/catalogue/declaration/reference_check.rs
@@ -3,7 +3,7 @@
 use {
     super::{CatalogueDeclaration, DeclarationPlace, EntryIntent, entry_values::entry_values},
     crate::{
-        catalogue::{CatalogueEntry, EntryKind, EntryRef, EntrySet},
+        catalogue::{CatalogueEntry, EntryKind, EntryRef, EntrySet, PoolKind, UpstreamEntry},
         finding::{InputFinding, InputFindings, nearest_word},
     },
     std::collections::BTreeMap,
@@ -40,6 +40,9 @@
             match &declared.intent {
                 EntryIntent::Put(content) => {
                     self.check_names(&references(content), &declared.place);
+                    if let CatalogueEntry::Upstream(entry) = content {
+                        self.check_orders(entry, &declared.place);
+                    }
                 }
                 EntryIntent::Remove => self.check_removal(entry, &declared.place),
             }
@@ -86,6 +89,32 @@
         }
     }
 
+    /// Adds a finding for each key that orders something of a plain service.
+    fn check_orders(&mut self, entry: &UpstreamEntry, place: &DeclarationPlace) {
+        let pool = EntryRef {
+            kind: EntryKind::Pool,
+            name: entry.pool.to_string(),
+        };
+        let Some(CatalogueEntry::Pool(pool)) = self.merged.get(&pool) else {
+            return;
+        };
+        if pool.kind == PoolKind::Model {
+            return;
+        }
+        let message = format!(
+            "the pool `{}` is a plain service; only engines take orders",
+            entry.pool
+        );
+        let ordered = [
+            ("adapters", !entry.adapters.is_empty()),
+            ("model-version", entry.model_version.is_some()),
+            ("role", entry.role.is_some()),
+        ];
+        for (key, _) in ordered.iter().filter(|(_, ordered)| *ordered) {
+            self.add(place, key, message.clone());
+        }
+    }
+
     fn check_removal(&mut self, removed: &EntryRef, place: &DeclarationPlace) {
         let users: Vec<String> = self
             .merged
--- a/crates/poplargap-core/src/catalogue/entry.rs
+++ b/crates/poplargap-core/src/catalogue/entry.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{EntryKind, EntryRef, KeyDigest, LoadMultiple},
-    crate::name::{ClassName, DataCentre, PoolName, UpstreamName, WorkspaceName},
+    crate::name::{
+        AdapterName, ClassName, DataCentre, ModelVersion, PoolName, UpstreamName, WorkspaceName,
+    },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
     strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames},
@@ -61,6 +63,34 @@
     Service,
 }
 
+/// What an engine works on.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Display,
+    EnumString,
+    Eq,
+    Hash,
+    IntoStaticStr,
+    PartialEq,
+    Serialize,
+    VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum EngineRole {
+    /// Produces tokens from prompts read elsewhere.
+    Decode,
+    /// Reads prompts for engines that decode.
+    Prefill,
+    /// Reads prompts and produces tokens.
+    Serve,
+    /// Holds its weights and does no work.
+    Standby,
+}
+
 /// Whether an upstream refuses orders that carry an old fencing number.
 #[derive(
     Clone,
@@ -166,6 +196,9 @@
 pub struct PoolEntry {
     /// What the upstreams are.
     pub kind: PoolKind,
+    /// Most upstreams that load weights at once, over all data centres.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loads_at_once: Option<u32>,
     /// Multiple of the mean load that no upstream may pass.
     pub multiple: LoadMultiple,
     /// The pool's name: the model's or service's name that callers use.
@@ -182,16 +215,25 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct UpstreamEntry {
+    /// Adapters that the engine is ordered to load.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub adapters: Vec<AdapterName>,
     /// Where the upstream listens for HTTP.
     pub address: SocketAddr,
     /// The data centre that the upstream stands in.
     pub data_centre: DataCentre,
     /// Whether the upstream refuses orders with an old fencing number.
     pub fencing: FencingCheck,
+    /// Version of the model that the engine is ordered to load.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model_version: Option<ModelVersion>,
     /// The upstream's name.
     pub name: UpstreamName,
     /// The pool that the upstream belongs to.
     pub pool: PoolName,
+    /// Role that the engine is ordered to take.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<EngineRole>,
     /// What operators want of the upstream.
     pub state: UpstreamState,
 }
--- a/crates/poplargap-core/src/input/key_description.rs
+++ b/crates/poplargap-core/src/input/key_description.rs
@@ -52,6 +52,8 @@
     Listener,
     /// A checked name.
     Name,
+    /// Several names, separated by commas.
+    NameList,
     /// A whole number.
     Number {
         /// Largest number.
@@ -84,7 +86,7 @@
                 format!("{} to {}", render_duration(*min), render_duration(*max))
             }
             Self::Listener => "port 0 to 65535".to_owned(),
-            Self::Name => "1 to 128 bytes".to_owned(),
+            Self::Name | Self::NameList => "1 to 128 bytes".to_owned(),
             Self::Number { max, min, .. } => format!("{min} to {max}"),
             Self::Secret { len_min } => format!("at least {len_min} characters"),
             Self::YesNo => "yes, no".to_owned(),
@@ -103,6 +105,7 @@
             Self::Digest => "hexadecimal digits",
             Self::Duration { .. } => "duration (`ms`, `s`, `m`, `h`)",
             Self::Name => "name",
+            Self::NameList => "names, separated by commas",
             Self::Number { unit, .. } => unit,
             Self::Secret { .. } => "secret text",
         }
--- a/crates/poplargap-core/src/input/section_reader.rs
+++ b/crates/poplargap-core/src/input/section_reader.rs
@@ -71,20 +71,7 @@
         if !self.holds(key) {
             return Some(Vec::new());
         }
-        let (text, _) = self.text(key)?;
-        let mut addresses = Vec::new();
-        let mut complete = true;
-        for part in text.split(',').map(str::trim) {
-            match self.keep(key, parse_address(part, false)) {
-                Some(address) if addresses.contains(&address) => {
-                    self.add(key, format!("`{part}` stands twice"));
-                    complete = false;
-                }
-                Some(address) => addresses.push(address),
-                None => complete = false,
-            }
-        }
-        complete.then_some(addresses)
+        self.list(key, |part| parse_address(part, false))
     }
 
     /// Reads a size in bytes.
@@ -152,6 +139,17 @@
         self.keep(key, T::try_from(text))
     }
 
+    /// Reads values separated by commas by their own checks; an absent key gives none.
+    pub fn checked_list<T>(&mut self, key: &str) -> Option<Vec<T>>
+    where
+        T: TryFrom<&'a str, Error: Display> + PartialEq,
+    {
+        if !self.holds(key) {
+            return Some(Vec::new());
+        }
+        self.list(key, T::try_from)
+    }
+
     /// Reads a whole number.
     pub fn number<T: TryFrom<u64>>(&mut self, key: &str) -> Option<T> {
         let (text, kind) = self.text(key)?;
@@ -239,6 +237,27 @@
             .map(|description| description.key)
     }
 
+    fn list<T: PartialEq, E: Display>(
+        &mut self,
+        key: &str,
+        parse: impl Fn(&'a str) -> Result<T, E>,
+    ) -> Option<Vec<T>> {
+        let (text, _) = self.text(key)?;
+        let mut list = Vec::new();
+        let mut complete = true;
+        for part in text.split(',').map(str::trim) {
+            match self.keep(key, parse(part)) {
+                Some(value) if list.contains(&value) => {
+                    self.add(key, format!("`{part}` stands twice"));
+                    complete = false;
+                }
+                Some(value) => list.push(value),
+                None => complete = false,
+            }
+        }
+        complete.then_some(list)
+    }
+
     fn text(&mut self, key: &str) -> Option<(&'a str, ValueKind)> {
         let description = self.describe(key);
         if let Some((_, value)) = self.values.iter().find(|(held, _)| held == key) {
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod instant;
 pub mod membership;
 pub mod name;
+pub mod order;
 pub mod outcome;
 pub mod queue;
 pub mod rendezvous;
--- a/crates/poplargap-core/src/name.rs
+++ b/crates/poplargap-core/src/name.rs
@@ -113,6 +113,8 @@
 }
 
 checked_names! {
+    /// Name of an adapter that an engine loads beside its model.
+    AdapterName;
     /// Name of a chat, chosen by the caller.
     ChatId;
     /// Name of a class of work.
@@ -123,6 +125,8 @@
     DataCentre;
     /// Key that makes repeated sends of one call recognisable, chosen by the caller.
     IdempotencyKey;
+    /// Name of one version of a model's weights.
+    ModelVersion;
     /// Name of a pool of interchangeable upstreams: a model or a plain service.
     PoolName;
     /// Name of one request, unique over the fleet.
--- /dev/null
+++ b/crates/poplargap-core/src/order/acknowledged_orders.rs
@@ -0,0 +1,30 @@
+//! What engines acknowledged, as the store keeps it for the next holder.
+
+use {
+    super::OrderStep,
+    crate::name::UpstreamName,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Orders that one engine acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AcknowledgedOrders {
+    /// Where the engine listened.
+    pub address: SocketAddr,
+    /// Fencing number of the last order.
+    pub fence: u64,
+    /// The orders, in their order.
+    pub steps: Vec<OrderStep>,
+}
+
+/// The acknowledged orders of one data centre.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct AcknowledgedRecord {
+    /// Fencing number of the holder that wrote the record.
+    pub fence: u64,
+    /// Engines by name.
+    pub upstreams: BTreeMap<UpstreamName, AcknowledgedOrders>,
+}
--- a/crates/poplargap-core/src/settings/keys.rs
+++ b/crates/poplargap-core/src/settings/keys.rs
@@ -71,6 +71,8 @@
     key("timeouts", "drain", duration_ms(10, 3_600_000), Text("60s"), "longest time in which a closing daemon finishes what is in flight"),
     key("timeouts", "first-byte", duration_ms(10, 3_600_000), Text("30s"), "longest wait for the first byte of an answer"),
     key("timeouts", "heartbeat", duration_ms(10, 10_000), Text("250ms"), "time between two heartbeats to a peer"),
+    key("timeouts", "order", duration_ms(100, 3_600_000), Text("60s"), "longest time from sending an order to an engine to the end of carrying it out; the same on all daemons"),
+    key("timeouts", "order-lease", duration_ms(500, 600_000), Text("10s"), "time to live of the lease of the daemon that gives a data centre's orders; the same on all daemons"),
     key("timeouts", "suspect", duration_ms(20, 60_000), Text("1s"), "silence after which a peer is suspected; at least two heartbeats"),
     key("timeouts", "write", duration_ms(10, 600_000), Text("10s"), "longest time for which a caller may take no bytes"),
     key("vm-list", "address", ValueKind::Address, Absent("the store's address"), "the platform's VM list, over HTTP"),
--- a/crates/poplargap-core/src/settings/timeouts_section.rs
+++ b/crates/poplargap-core/src/settings/timeouts_section.rs
@@ -15,6 +15,10 @@
     pub first_byte: Duration,
     /// Time between two heartbeats to a peer.
     pub heartbeat: Duration,
+    /// Longest time from sending an order to the end of carrying it out.
+    pub order: Duration,
+    /// Time to live of the lease of whoever gives orders.
+    pub order_lease: Duration,
     /// Silence after which a peer is suspected.
     pub suspect: Duration,
     /// Longest time for which a caller may take no bytes.
@@ -28,6 +32,8 @@
         let drain = reader.duration("drain");
         let first_byte = reader.duration("first-byte");
         let heartbeat = reader.duration("heartbeat");
+        let order = reader.duration("order");
+        let order_lease = reader.duration("order-lease");
         let suspect = reader.duration("suspect");
         let write = reader.duration("write");
         if let (Some(heartbeat), Some(suspect)) = (heartbeat, suspect)
@@ -41,6 +47,8 @@
             drain: drain?,
             first_byte: first_byte?,
             heartbeat: heartbeat?,
+            order: order?,
+            order_lease: order_lease?,
             suspect: suspect?,
             write: write?,
         })
--- a/crates/poplargap-core/tests/declaration.rs
+++ b/crates/poplargap-core/tests/declaration.rs
@@ -259,3 +259,38 @@
         );
     }
 }
+
+#[test]
+fn orders_are_read_for_engines_and_refused_for_services() {
+    let pools = "[data-centre bangor]\n[pool curves]\nkind = model\nmultiple = 1.25\nqueue = 64\nslots = 20\n\
+                 loads-at-once = 2\n[pool desk]\nkind = service\nmultiple = 1.25\nqueue = 64\nslots = 20\n";
+    let upstream = |name: &str, pool: &str, port: u16, orders: &str| {
+        format!(
+            "[upstream {name}]\npool = {pool}\naddress = 10.0.0.9:{port}\ndata-centre = bangor\n\
+             fencing = ignored\n{orders}\n"
+        )
+    };
+    let orders = "model-version = 7\nadapters = leather, hide\nrole = prefill";
+    let good = format!("{pools}{}", upstream("curves-1", "curves", 9000, orders));
+    let source = |text| SourceText {
+        file: "a.ini",
+        text,
+    };
+    CatalogueDeclaration::check(&[source(good.as_str())], &EntrySet::default())
+        .expect("engines take orders");
+    let bad = format!(
+        "{pools}{}{}",
+        upstream("curves-1", "curves", 9000, "adapters = a, a\nrole = server"),
+        upstream("desk-1", "desk", 9001, "role = standby"),
+    );
+    let findings = CatalogueDeclaration::check(&[source(bad.as_str())], &EntrySet::default())
+        .expect_err("three faults")
+        .to_string();
+    for part in [
+        "`a` stands twice",
+        "did you mean `serve`",
+        "only engines take orders",
+    ] {
+        assert!(findings.contains(part), "{part} is missing in: {findings}");
+    }
+}
--- a/crates/poplargap-core/tests/declaration_properties.rs
+++ b/crates/poplargap-core/tests/declaration_properties.rs
@@ -3,13 +3,15 @@
 use {
     poplargap_core::{
         catalogue::{
-            CatalogueEntry, ClassEntry, DataCentreEntry, EntryRecord, EntryRef, EntrySet,
-            FencingCheck, KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind, PriorityClass,
-            UpstreamEntry, UpstreamState, WorkspaceEntry,
+            CatalogueEntry, ClassEntry, DataCentreEntry, EngineRole, EntryRecord, EntryRef,
+            EntrySet, FencingCheck, KeyDigest, LimitSet, LoadMultiple, PoolEntry, PoolKind,
+            PriorityClass, UpstreamEntry, UpstreamState, WorkspaceEntry,
             declaration::{CatalogueDeclaration, EntryChange, SourceText, diff, render},
         },
         finding::InputFindings,
-        name::{ClassName, DataCentre, PoolName, UpstreamName, WorkspaceName},
+        name::{
+            AdapterName, ClassName, DataCentre, ModelVersion, PoolName, UpstreamName, WorkspaceName,
+        },
     },
     proptest::{
         prelude::*,
@@ -108,16 +110,21 @@
         1..=4096_u32,
         1..=65_536_u32,
     );
-    (kind, name(), numbers).prop_map(|(kind, name, (multiple, queue, shard_size, slots))| {
-        CatalogueEntry::Pool(PoolEntry {
-            kind,
-            multiple: LoadMultiple::try_from(multiple).expect("the multiple is in range"),
-            name,
-            queue,
-            shard_size,
-            slots,
-        })
-    })
+    let loads = prop::option::of(1..=4096_u32);
+    let fields = (kind, loads, name(), numbers);
+    fields.prop_map(
+        |(kind, loads_at_once, name, (multiple, queue, shard_size, slots))| {
+            CatalogueEntry::Pool(PoolEntry {
+                kind,
+                loads_at_once,
+                multiple: LoadMultiple::try_from(multiple).expect("the multiple is in range"),
+                name,
+                queue,
+                shard_size,
+                slots,
+            })
+        },
+    )
 }
 
 fn upstream() -> impl Strategy<Value = CatalogueEntry> {
@@ -129,13 +136,29 @@
         name::<UpstreamName>(),
         name::<PoolName>(),
     );
-    (address, fencing, names, state).prop_map(|(address, fencing, names, state)| {
+    let adapters = prop::collection::vec(name::<AdapterName>(), 0..4);
+    let role = prop_oneof![
+        Just(EngineRole::Decode),
+        Just(EngineRole::Prefill),
+        Just(EngineRole::Serve),
+        Just(EngineRole::Standby),
+    ];
+    let version = prop::option::of(name::<ModelVersion>());
+    let orders = (adapters, prop::option::of(role), version);
+    let fields = (address, fencing, names, orders, state);
+    fields.prop_map(|(address, fencing, names, orders, state)| {
+        let (mut adapters, role, model_version) = orders;
+        adapters.sort();
+        adapters.dedup();
         CatalogueEntry::Upstream(UpstreamEntry {
+            adapters,
             address,
             data_centre: names.0,
             fencing,
+            model_version,
             name: names.1,
             pool: names.2,
+            role,
             state,
         })
     })
--- a/crates/poplargap-testbed/src/engine.rs
+++ b/crates/poplargap-testbed/src/engine.rs
@@ -41,7 +41,7 @@
     chat_chunk::{ChatChunk, ChunkChoice, ChunkDelta},
     chat_completion::{ChatCompletion, CompletionChoice},
     chat_request::{ChatMessage, ChatRequest, UsageDetails, UsageRecord},
-    engine_order::{EngineOrder, OrderKind, OrderRecord},
+    engine_order::OrderRecord,
     engine_settings::EngineSettings,
     engine_stand_in::EngineStandIn,
     engine_task::EngineGone,
--- a/crates/poplargap-testbed/src/engine/engine_order.rs
+++ b/crates/poplargap-testbed/src/engine/engine_order.rs
@@ -1,38 +1,10 @@
 //! Orders to an engine, with their fencing numbers.
 
 use {
-    poplargap_core::catalogue::FencingCheck,
+    poplargap_core::{catalogue::FencingCheck, order::EngineOrder},
     serde::{Deserialize, Serialize},
-    strum::Display,
 };
 
-/// What an order changes.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum OrderKind {
-    /// Loads an adapter.
-    Adapter,
-    /// Loads a model.
-    LoadModel,
-    /// Changes the role.
-    Role,
-    /// Changes the version.
-    Version,
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct EngineOrder {
-    /// Fencing number of whoever gives the order.
-    pub fence: u64,
-    /// What is changed.
-    pub order: OrderKind,
-    /// What it is changed to.
-    pub value: String,
-}
-
 /// An order and what became of it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/poplargap-testbed/src/engine/engine_routes.rs
+++ b/crates/poplargap-testbed/src/engine/engine_routes.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ChatCompletion, ChatRequest, EngineOrder,
+        ChatCompletion, ChatRequest,
         chat_headers::ChatHeaders,
         chat_stream::chat_stream,
         engine_context::{EngineContext, SubmittedRun},
@@ -10,6 +10,7 @@
         run_request::{RefusalReason, RunEvent},
     },
     crate::fault::{ConnectionHandle, not_run_reply},
+    poplargap_core::order::EngineOrder,
     serde::{Deserialize, Serialize},
     std::{convert::Infallible, time::Duration},
     tokio::time::{Instant, sleep},
--- a/crates/poplargap-testbed/src/engine/engine_task.rs
+++ b/crates/poplargap-testbed/src/engine/engine_task.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        CacheEvents, EngineOrder, EngineSettings, LedgerRecord, LoadRecord, OrderRecord,
-        PeakRecord,
+        CacheEvents, EngineSettings, LedgerRecord, LoadRecord, OrderRecord, PeakRecord,
         batch_state::BatchState,
         run_request::{RunNumber, RunRequest},
     },
     crate::fault::FaultSettings,
     displaydoc::Display,
+    poplargap_core::order::EngineOrder,
     tokio::{
         sync::{mpsc, oneshot, watch},
         time::{Instant, sleep_until},
--- a/crates/poplargap-testbed/src/site/declarations.rs
+++ b/crates/poplargap-testbed/src/site/declarations.rs
@@ -38,6 +38,7 @@
 fn pool(plan: &PoolPlan, kind: PoolKind) -> Result<CatalogueEntry, NameError> {
     Ok(CatalogueEntry::Pool(PoolEntry {
         kind,
+        loads_at_once: None,
         multiple: LoadMultiple::try_from(plan.multiple).expect("a plan's multiple is in range"),
         name: plan.name.parse()?,
         queue: plan.queue,
@@ -48,11 +49,14 @@
 
 fn upstream(plan: &SitePlan, place: &UpstreamPlace) -> Result<CatalogueEntry, NameError> {
     Ok(CatalogueEntry::Upstream(UpstreamEntry {
+        adapters: Vec::new(),
         address: place.address,
         data_centre: place.data_centre.parse()?,
         fencing: plan.fencing,
+        model_version: None,
         name: place.name.parse()?,
         pool: place.pool.parse()?,
+        role: None,
         state: UpstreamState::Serving,
     }))
 }
--- a/crates/poplargap-testbed/tests/engine.rs
+++ b/crates/poplargap-testbed/tests/engine.rs
@@ -3,13 +3,13 @@
 mod support;
 
 use {
-    poplargap_core::catalogue::FencingCheck,
+    poplargap_core::{
+        catalogue::FencingCheck,
+        order::{EngineOrder, OrderKind},
+    },
     poplargap_testbed::{
         caller::{CallVerdict, ChatSession, ChatTurn},
-        engine::{
-            AnswerScript, EngineOrder, EngineSettings, OrderKind, OrderRecord, PrefixCache,
-            RunOutcome,
-        },
+        engine::{AnswerScript, EngineSettings, OrderRecord, PrefixCache, RunOutcome},
     },
     std::{num::NonZeroUsize, time::Duration},
     support::{ask, caller, load, post, quick_settings, start, turn, wait_for_load},
--- a/crates/poplargap/tests/editing.rs
+++ b/crates/poplargap/tests/editing.rs
@@ -25,6 +25,7 @@
 fn pool(name: &str, queue: u32) -> CatalogueEntry {
     CatalogueEntry::Pool(PoolEntry {
         kind: PoolKind::Model,
+        loads_at_once: None,
         multiple: 1.25.try_into().expect("the multiple is in range"),
         name: name.try_into().expect("the name is valid"),
         queue,
