Give orders to engines from one daemon of each data centre

Change: a task that takes the lease, keeps the acknowledged orders and the tickets for loads in the store, sends orders with a client of its own whose gate is asked once the connection takes the bytes, and notices engines that start anew.

--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -10,6 +10,7 @@
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
         operators::OperatorServer,
+        orders::{OrderInputs, OrderMetrics, OrderTask},
         path::{AdmitGate, CallerServer, ClaimStore, PathContext, RouteDirectory, TraceRing},
         relay::{RelayClient, RelayServer, RelaySettings},
         rpc_server::{RpcServer, RpcSources},
@@ -18,7 +19,7 @@
     daemon_listeners::{DaemonListeners, bind_error},
     displaydoc::Display,
     poplargap_core::{
-        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
+        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState, order::OrderTimes,
         settings::DaemonSettings,
     },
     poplargap_link::heartbeat::ShardReport,
@@ -81,6 +82,7 @@
     home: Address<HomeActor>,
     log: Logger,
     operators: OperatorServer,
+    orders: OrderTask,
     ready: JoinHandle<()>,
     refresher: JoinHandle<()>,
     relay: RelayServer,
@@ -124,6 +126,7 @@
             views.clone(),
             settings.timeouts.heartbeat,
         ));
+        let orders = start_orders(&settings, &base, &views)?;
         let ready = tokio::spawn(announce_ready(Arc::clone(&heartbeats), revision));
 
         let task = ChatTask {
@@ -169,6 +172,7 @@
             home,
             log,
             operators,
+            orders,
             ready,
             refresher,
             relay,
@@ -192,6 +196,7 @@
         self.ready.abort();
         slog::info!(self.log, "daemon is leaving");
         self.heartbeats.set_state(MemberState::Leaving).await;
+        self.orders.close().await;
         time::sleep(LEAVE_PAUSE).await;
         self.context.admit.shut();
         let end = time::Instant::now() + self.settings.timeouts.drain;
@@ -314,6 +319,27 @@
     )
 }
 
+fn start_orders(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+) -> Result<OrderTask, StartError> {
+    let metrics = OrderMetrics::new(base.metrics.registry()).map_err(StartError::Metrics)?;
+    let inputs = OrderInputs {
+        catalogue: views.catalogue.clone(),
+        connect: settings.timeouts.connect,
+        data_centre: settings.daemon.data_centre.clone(),
+        log: base.log.clone(),
+        members: views.members.clone(),
+        metrics,
+        times: OrderTimes {
+            flight: settings.timeouts.order,
+            lease: settings.timeouts.order_lease,
+        },
+    };
+    OrderTask::start(base.store.clone(), base.clock, inputs).map_err(StartError::Http)
+}
+
 fn path_context(
     settings: &DaemonSettings,
     base: &DaemonBase,
--- a/crates/poplargapd/src/lib.rs
+++ b/crates/poplargapd/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod members;
 pub mod metrics;
 pub mod operators;
+pub mod orders;
 pub mod path;
 pub mod relay;
 pub mod rpc_server;
--- /dev/null
+++ b/crates/poplargapd/src/orders/load_gate.rs
@@ -0,0 +1,164 @@
+//! Leave to load weights, over all data centres.
+
+use {
+    super::KEY_PREFIX,
+    poplargap_core::{
+        catalogue::{CatalogueSnapshot, UpstreamEntry},
+        collections::{HashMap, HashMapExt},
+        instant::MonotonicInstant,
+        name::{DataCentre, PoolName, UpstreamName},
+        order::{LoadRecord, LoadTicket},
+    },
+    poplargap_platform::{KeyValueStore, StoreError, SwapOutcome, SwapWrite},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Pause between two tries to get a ticket.
+const TICKET_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time between two looks at a record that needs no change.
+const SWEEP_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Who asks for tickets, and what is known at that moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GateContext<'a> {
+    pub(super) data_centre: &'a DataCentre,
+    pub(super) fence: u64,
+    /// Whether all orders of former holders are over.
+    pub(super) former_over: bool,
+    pub(super) now: MonotonicInstant,
+    pub(super) snapshot: &'a CatalogueSnapshot,
+}
+
+#[derive(Debug, Default)]
+struct PoolGate {
+    /// Tickets that the store is known to have.
+    held: Vec<LoadTicket>,
+    /// Tickets that were wanted at the last look.
+    last_wanted: Vec<LoadTicket>,
+    next_look: MonotonicInstant,
+    /// Whether a write without an answer may still take effect: the next one must be sent.
+    unsure: bool,
+}
+
+/// The holder's tickets in the store's records, one record for each pool.
+#[derive(Debug)]
+pub(super) struct LoadGate<S> {
+    pools: HashMap<PoolName, PoolGate>,
+    store: S,
+}
+
+impl<S: KeyValueStore> LoadGate<S> {
+    pub(super) fn new(store: S) -> Self {
+        let pools = HashMap::new();
+        Self { pools, store }
+    }
+
+    /// Forgets all tickets: another fencing number takes its own.
+    pub(super) fn reset(&mut self) {
+        self.pools.clear();
+    }
+
+    /// Returns whether the upstream may load weights.
+    pub(super) fn allows(&self, pool: &PoolName, upstream: &UpstreamName) -> bool {
+        self.pools.get(pool).is_some_and(|gate| {
+            let mut held = gate.held.iter();
+            held.any(|ticket| ticket.upstream == *upstream)
+        })
+    }
+
+    /// Takes and gives back tickets, so that `loading` have theirs as far as the limit allows.
+    pub(super) async fn sync(
+        &mut self,
+        pool: &PoolName,
+        limit: u32,
+        loading: &[Arc<UpstreamEntry>],
+        context: GateContext<'_>,
+    ) {
+        let gate = self.pools.entry(pool.clone()).or_default();
+        let wanted: Vec<LoadTicket> = loading
+            .iter()
+            .map(|entry| LoadTicket {
+                data_centre: context.data_centre.clone(),
+                fence: context.fence,
+                upstream: entry.name.clone(),
+            })
+            .collect();
+        if context.now < gate.next_look && wanted == gate.last_wanted {
+            return;
+        }
+        // What is given back is no longer held, whatever becomes of the write.
+        gate.held.retain(|ticket| wanted.contains(ticket));
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let settled = gate
+            .exchange(&self.store, pool, &wanted, limit, context)
+            .await
+            .unwrap_or(false);
+        let pause = if settled && gate.held.len() == wanted.len() {
+            SWEEP_INTERVAL
+        } else {
+            TICKET_PAUSE
+        };
+        gate.next_look = context.now + pause;
+        gate.last_wanted = wanted;
+    }
+}
+
+impl PoolGate {
+    /// Changes the record; returns whether the store is known to have what is wanted of it.
+    async fn exchange<S: KeyValueStore>(
+        &mut self,
+        store: &S,
+        pool: &PoolName,
+        wanted: &[LoadTicket],
+        limit: usize,
+        context: GateContext<'_>,
+    ) -> Result<bool, StoreError> {
+        let key = format!("{KEY_PREFIX}-loads/{pool}");
+        let stored = store.get(&key).await?;
+        let expected = stored.as_ref().map(|stored| stored.revision);
+        let before: LoadRecord = match &stored {
+            Some(stored) => serde_json::from_str(&stored.value)
+                .map_err(|error| StoreError::Malformed(error.to_string()))?,
+            None => LoadRecord::default(),
+        };
+        let mut record = before.clone();
+        let snapshot = context.snapshot;
+        record.forget_data_centres(snapshot.revision, |name| {
+            snapshot.data_centres.contains_key(name)
+        });
+        if context.former_over {
+            record.forget_former(context.data_centre, context.fence);
+        }
+        record.settle(context.data_centre, context.fence, wanted, limit);
+        if record.tickets == before.tickets && !self.unsure {
+            self.hold(&record, wanted);
+            return Ok(true);
+        }
+        let value = serde_json::to_string(&record)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        let write = SwapWrite {
+            expected,
+            key,
+            lease: None,
+            value: Some(value),
+        };
+        match store.swap(&write).await {
+            SwapOutcome::Applied(_) => {
+                self.unsure = false;
+                self.hold(&record, wanted);
+                Ok(true)
+            }
+            SwapOutcome::Conflict(_) | SwapOutcome::Failed(_) => Ok(false),
+            SwapOutcome::Unknown(_) => {
+                self.unsure = true;
+                Ok(false)
+            }
+        }
+    }
+
+    fn hold(&mut self, record: &LoadRecord, wanted: &[LoadTicket]) {
+        let held = wanted.iter().filter(|ticket| record.holds(ticket));
+        self.held = held.cloned().collect();
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/src/orders/order_task.rs
@@ -0,0 +1,447 @@
+//! The task that holds the lease and gives the orders.
+
+use {
+    super::{
+        OrderMetrics,
+        acknowledged_store::{AcknowledgedStore, RecordWrite},
+        lease_store::{AcquireOutcome, LeaseStore},
+        load_gate::{GateContext, LoadGate},
+        order_client::{OrderClient, SendGate},
+        restart_watch::RestartWatch,
+    },
+    crate::{clock::ProcessClock, members::MemberView},
+    poplargap_core::{
+        catalogue::{CatalogueSnapshot, UpstreamEntry},
+        instant::MonotonicInstant,
+        membership::MemberState,
+        name::{DataCentre, UpstreamName},
+        order::{
+            AcknowledgedRecord, DueOrder, HolderPhase, OrderBook, OrderHolder, OrderKind,
+            OrderOutcome, OrderTimes, SendPermit, ordered_steps,
+        },
+    },
+    poplargap_platform::{KeyValueStore, StoreError},
+    slog::Logger,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        task::{JoinHandle, JoinSet},
+        time::{self, MissedTickBehavior},
+    },
+};
+
+/// Daemons of a data centre that try for the lease.
+const CANDIDATES: usize = 2;
+
+/// Most orders of one holder in flight.
+const ORDERS_IN_FLIGHT_MAX: usize = 16;
+
+/// Time between two looks at what is due.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause after a call to the store that failed.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest wait for the task's last calls to the store.
+const CLOSE_MAX: Duration = Duration::from_secs(2);
+
+/// What the task needs of others.
+#[derive(Debug)]
+pub struct OrderInputs {
+    /// The catalogue in force.
+    pub catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    /// Longest wait for a connection to an engine.
+    pub connect: Duration,
+    /// The own data centre.
+    pub data_centre: DataCentre,
+    /// The daemon's log.
+    pub log: Logger,
+    /// Ready daemons of the own data centre.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// Counters of orders.
+    pub metrics: OrderMetrics,
+    /// Times of leases and orders.
+    pub times: OrderTimes,
+}
+
+/// The running task.
+#[derive(Debug)]
+pub struct OrderTask {
+    closing: oneshot::Sender<()>,
+    handle: JoinHandle<()>,
+}
+
+impl OrderTask {
+    /// Starts giving orders whenever this daemon holds the lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP library can't start.
+    pub(crate) fn start<S: KeyValueStore>(
+        store: S,
+        clock: ProcessClock,
+        inputs: OrderInputs,
+    ) -> Result<Self, reqwest::Error> {
+        let client = OrderClient::new(inputs.connect, inputs.times.flight)?;
+        let (closing, closed) = oneshot::channel();
+        let state = OrderState::new(store, clock, client, inputs);
+        let handle = tokio::spawn(state.run(closed));
+        Ok(Self { closing, handle })
+    }
+
+    /// Gives no more orders, and gives the lease up.
+    pub async fn close(self) {
+        drop(self.closing);
+        let abort = self.handle.abort_handle();
+        if time::timeout(CLOSE_MAX, self.handle).await.is_err() {
+            abort.abort();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct FinishedOrder {
+    fence: u64,
+    kind: OrderKind,
+    outcome: OrderOutcome,
+    upstream: UpstreamName,
+}
+
+/// What one lease's holder keeps; another lease starts anew.
+struct HeldOrders {
+    book: OrderBook,
+    catalogue: Option<u64>,
+    fence: u64,
+    must_store: bool,
+    next_store: MonotonicInstant,
+    restarts: mpsc::UnboundedReceiver<UpstreamName>,
+    running: JoinSet<FinishedOrder>,
+    unstored: bool,
+    watch: RestartWatch,
+}
+
+impl HeldOrders {
+    fn new(stored: AcknowledgedRecord, fence: u64, times: OrderTimes) -> Self {
+        let (watch, restarts) = RestartWatch::new();
+        Self {
+            book: OrderBook::new(stored, times),
+            catalogue: None,
+            fence,
+            must_store: false,
+            next_store: MonotonicInstant::default(),
+            restarts,
+            running: JoinSet::new(),
+            unstored: false,
+            watch,
+        }
+    }
+
+    fn update(&mut self, snapshot: &CatalogueSnapshot, entries: &[Arc<UpstreamEntry>]) {
+        if self.catalogue != Some(snapshot.revision) {
+            self.catalogue = Some(snapshot.revision);
+            self.unstored |= self.book.update(entries);
+            self.watch.update(entries);
+        }
+    }
+}
+
+struct OrderState<S> {
+    acknowledged: AcknowledgedStore<S>,
+    client: OrderClient,
+    clock: ProcessClock,
+    gate: LoadGate<S>,
+    held: Option<HeldOrders>,
+    holder: OrderHolder,
+    inputs: OrderInputs,
+    lease: LeaseStore<S>,
+    next_try: MonotonicInstant,
+    permits: watch::Sender<Option<SendPermit>>,
+}
+
+impl<S: KeyValueStore> OrderState<S> {
+    fn new(store: S, clock: ProcessClock, client: OrderClient, inputs: OrderInputs) -> Self {
+        let name = inputs.members.borrow().own.name.clone();
+        let times = inputs.times;
+        let data_centre = &inputs.data_centre;
+        Self {
+            acknowledged: AcknowledgedStore::new(store.clone(), data_centre),
+            client,
+            clock,
+            gate: LoadGate::new(store.clone()),
+            held: None,
+            holder: OrderHolder::new(times),
+            lease: LeaseStore::new(store, clock, name, data_centre, times.lease),
+            inputs,
+            next_try: MonotonicInstant::default(),
+            permits: watch::Sender::new(None),
+        }
+    }
+
+    async fn run(mut self, mut closed: oneshot::Receiver<()>) {
+        let mut ticks = time::interval(STEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = &mut closed => break,
+                _ = ticks.tick() => {}
+            }
+            self.step().await;
+        }
+        self.give_up("the daemon closes").await;
+    }
+
+    async fn step(&mut self) {
+        self.take_results();
+        let snapshot = Arc::clone(&self.inputs.catalogue.borrow());
+        let entries = self.entries(&snapshot);
+        if entries.is_empty() && self.held.is_none() {
+            return;
+        }
+        if self.holder.phase(self.clock.now()) == HolderPhase::Free {
+            self.lose("its time has passed");
+            if !entries.is_empty() {
+                self.try_acquire().await;
+            }
+            return;
+        }
+        if self.holder.renewal_due(self.clock.now()) {
+            self.renew().await;
+        }
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        held.update(&snapshot, &entries);
+        held.book.expire(self.clock.now());
+        if held.book.is_empty() {
+            self.give_up("no entry asks for orders").await;
+            return;
+        }
+        if self.store_record().await {
+            self.sync_loads(&snapshot).await;
+            self.dispatch(&snapshot);
+        }
+        self.show();
+    }
+
+    /// Returns the engines of the own data centre whose entries ask for something.
+    ///
+    /// A holder keeps those that asked before, so that an order under way is seen to its end.
+    fn entries(&self, snapshot: &CatalogueSnapshot) -> Vec<Arc<UpstreamEntry>> {
+        let own = snapshot.upstreams.values();
+        own.filter(|entry| entry.data_centre == self.inputs.data_centre)
+            .filter(|entry| !ordered_steps(entry).is_empty())
+            .cloned()
+            .collect()
+    }
+
+    fn is_candidate(&self) -> bool {
+        let members = self.inputs.members.borrow();
+        let ready = members.ready.iter();
+        let lower = ready.filter(|member| member.name < members.own.name);
+        members.own.state == MemberState::Ready && lower.count() < CANDIDATES
+    }
+
+    async fn try_acquire(&mut self) {
+        if self.clock.now() < self.next_try || !self.is_candidate() {
+            return;
+        }
+        let pause = match self.lease.acquire().await {
+            Ok(AcquireOutcome::Acquired { fence, sent }) => {
+                self.take_over(fence, sent).await;
+                STORE_PAUSE
+            }
+            Ok(AcquireOutcome::Taken) => self.inputs.times.renewal(),
+            Err(_) => STORE_PAUSE,
+        };
+        self.next_try = self.clock.now() + pause;
+    }
+
+    async fn take_over(&mut self, fence: u64, sent: MonotonicInstant) {
+        let acquired = self.clock.now();
+        let Ok(stored) = self.acknowledged.read().await else {
+            self.lease.release().await;
+            return;
+        };
+        self.holder.acquire(fence, sent, acquired);
+        self.permits
+            .send_replace(self.holder.lease_permit(self.clock.now()));
+        self.gate.reset();
+        self.held = Some(HeldOrders::new(stored, fence, self.inputs.times));
+        self.inputs.metrics.lease_held.set(1);
+        slog::info!(self.inputs.log, "lease for orders acquired"; "fence" => fence);
+    }
+
+    async fn renew(&mut self) {
+        match self.lease.renew().await {
+            Ok(sent) => self.holder.renew(sent, self.clock.now()),
+            Err(StoreError::NoLease) => {
+                self.lose("the store ended it");
+                return;
+            }
+            Err(_) => self.holder.retry_renewal(self.clock.now(), STORE_PAUSE),
+        }
+        self.permits
+            .send_replace(self.holder.lease_permit(self.clock.now()));
+    }
+
+    /// Stops giving orders; those under way end by themselves.
+    fn lose(&mut self, reason: &str) {
+        self.permits.send_replace(None);
+        self.holder.release();
+        if let Some(mut held) = self.held.take() {
+            held.running.detach_all();
+            self.inputs.metrics.lease_held.set(0);
+            self.inputs.metrics.loads_waiting.set(0);
+            self.inputs.metrics.outstanding.set(0);
+            slog::warn!(self.inputs.log, "lease for orders lost"; "reason" => reason);
+        }
+    }
+
+    async fn give_up(&mut self, reason: &str) {
+        self.take_results();
+        if let Some(held) = &mut self.held {
+            held.next_store = MonotonicInstant::default();
+        }
+        if self.holder.phase(self.clock.now()) != HolderPhase::Free {
+            let _stored = self.store_record().await;
+        }
+        self.lose(reason);
+        self.lease.release().await;
+    }
+
+    fn take_results(&mut self) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        while let Some(finished) = held.running.try_join_next() {
+            let Ok(finished) = finished else {
+                continue;
+            };
+            let FinishedOrder {
+                fence,
+                kind,
+                outcome,
+                upstream,
+            } = finished;
+            self.inputs.metrics.count(kind, outcome);
+            if outcome == OrderOutcome::Fenced {
+                slog::warn!(self.inputs.log, "engine has seen a higher fencing number"; "upstream" => %upstream, "fence" => fence);
+            }
+            let now = self.clock.now();
+            held.unstored |= held.book.finish(&upstream, fence, outcome, now);
+        }
+        while let Ok(upstream) = held.restarts.try_recv() {
+            self.inputs.metrics.restarts.inc();
+            if held.book.restart(&upstream) {
+                held.must_store = true;
+                slog::info!(self.inputs.log, "engine started anew"; "upstream" => %upstream);
+            }
+        }
+    }
+
+    /// Brings the store's record up to date; returns whether orders may build on it.
+    async fn store_record(&mut self) -> bool {
+        let Some(held) = &mut self.held else {
+            return false;
+        };
+        held.must_store |= held.book.trim();
+        let now = self.clock.now();
+        let store_now = held.must_store || held.unstored;
+        if !store_now || now < held.next_store {
+            return !held.must_store;
+        }
+        held.next_store = now + STORE_PAUSE;
+        let record = held.book.record(held.fence);
+        match self.acknowledged.write(&record).await {
+            RecordWrite::Fenced => {
+                self.lose("a newer holder has written");
+                false
+            }
+            RecordWrite::Unsure => !held.must_store,
+            RecordWrite::Written => {
+                held.must_store = false;
+                held.unstored = false;
+                true
+            }
+        }
+    }
+
+    async fn sync_loads(&mut self, snapshot: &CatalogueSnapshot) {
+        let now = self.clock.now();
+        let former_over = self.holder.phase(now) == HolderPhase::Settled;
+        let Some(held) = &self.held else {
+            return;
+        };
+        let mut waiting = 0;
+        for pool in snapshot.pools.values() {
+            let Some(limit) = pool.loads_at_once else {
+                continue;
+            };
+            let loading = held.book.loading(now);
+            let loading: Vec<_> = loading
+                .filter(|entry| entry.pool == pool.name)
+                .cloned()
+                .collect();
+            let context = GateContext {
+                data_centre: &self.inputs.data_centre,
+                fence: held.fence,
+                former_over,
+                now,
+                snapshot,
+            };
+            self.gate.sync(&pool.name, limit, &loading, context).await;
+            let allowed = |entry: &&Arc<UpstreamEntry>| self.gate.allows(&pool.name, &entry.name);
+            waiting += loading.len() - loading.iter().filter(allowed).count();
+        }
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        self.inputs.metrics.loads_waiting.set(waiting);
+    }
+
+    fn dispatch(&mut self, snapshot: &CatalogueSnapshot) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        let now = self.clock.now();
+        let due: Vec<DueOrder> = held.book.due(now).collect();
+        for DueOrder { step, upstream } in due {
+            if held.running.len() >= ORDERS_IN_FLIGHT_MAX {
+                return;
+            }
+            let limited = snapshot
+                .pools
+                .get(&upstream.pool)
+                .is_some_and(|pool| pool.loads_at_once.is_some());
+            let paced = limited && step.order.loads_weights();
+            if paced && !self.gate.allows(&upstream.pool, &upstream.name) {
+                continue;
+            }
+            let Some(permit) = self.holder.permit(upstream.fencing, self.clock.now()) else {
+                continue;
+            };
+            held.book.start(&upstream.name, &step, now);
+            let gate = SendGate {
+                clock: self.clock,
+                fence: permit.fence,
+                permits: self.permits.subscribe(),
+            };
+            let client = self.client.clone();
+            held.running.spawn(async move {
+                let order = step.with_fence(permit.fence);
+                let outcome = client.send(upstream.address, &order, gate).await;
+                FinishedOrder {
+                    fence: permit.fence,
+                    kind: step.order,
+                    outcome,
+                    upstream: upstream.name.clone(),
+                }
+            });
+        }
+    }
+
+    fn show(&self) {
+        if let Some(held) = &self.held {
+            let outstanding = i64::try_from(held.book.outstanding()).unwrap_or(i64::MAX);
+            self.inputs.metrics.outstanding.set(outstanding);
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargapd/tests/orders.rs
@@ -0,0 +1,310 @@
+//! Orders to engines, with whole daemons and the engines' own ledgers.
+
+use {
+    poplargap_core::{
+        catalogue::FencingCheck,
+        order::{LoadRecord, OrderKind},
+    },
+    poplargap_testbed::{
+        caller::{CallVerdict, CallerClient, ChatSession, ChatTurn},
+        engine::OrderRecord,
+        fault::FaultSettings,
+        site::{EmbeddedSite, ProcessSite, SitePlan, SiteUpstreams, StatusClient},
+        store::StoreFaults,
+    },
+    reqwest::Client,
+    serde_json::Value,
+    std::{
+        future::Future,
+        net::SocketAddr,
+        path::Path,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_poplargapd");
+const POLL: Duration = Duration::from_millis(20);
+const WAIT_MAX: Duration = Duration::from_secs(30);
+
+/// Lease and longest order of the sites here.
+const QUICK: &str = "[timeouts]\norder = 1s\norder-lease = 2s\n";
+
+fn plan(data_centres: &[&str], daemons: usize, engines: usize, fencing: FencingCheck) -> SitePlan {
+    let mut plan = SitePlan::new(data_centres, daemons, engines, 1, 1);
+    plan.engine.fencing = fencing;
+    plan.fencing = fencing;
+    QUICK.clone_into(&mut plan.extra_settings);
+    plan
+}
+
+/// Declares the engine with this number, with keys that order something.
+async fn upstream(
+    upstreams: &SiteUpstreams,
+    plan: &SitePlan,
+    number: usize,
+    orders: &str,
+) -> String {
+    let data_centre = plan.data_centre_of(number);
+    let address = upstreams.engines[number]
+        .as_ref()
+        .expect("the engine runs")
+        .address();
+    format!(
+        "[upstream curve-{data_centre}-{number:02}]\npool = curve\naddress = {address}\n\
+         data-centre = {data_centre}\nfencing = {}\n{orders}\n",
+        plan.fencing
+    )
+}
+
+async fn ledger(upstreams: &SiteUpstreams, number: usize) -> Vec<OrderRecord> {
+    let engine = upstreams.engines[number].as_ref().expect("the engine runs");
+    engine.ledger().await.expect("the engine answers").orders
+}
+
+fn values(orders: &[OrderRecord]) -> Vec<String> {
+    let accepted = orders.iter().filter(|record| record.accepted);
+    let order = accepted.map(|record| &record.order);
+    order
+        .map(|order| format!("{} {}", order.order, order.value))
+        .collect()
+}
+
+async fn wait_until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let end = Instant::now() + WAIT_MAX;
+    while !holds().await {
+        assert!(Instant::now() < end, "in vain: {what}");
+        time::sleep(POLL).await;
+    }
+}
+
+async fn wait_for_orders(upstreams: &SiteUpstreams, number: usize, expected: &[&str]) {
+    let end = Instant::now() + WAIT_MAX;
+    loop {
+        let orders = ledger(upstreams, number).await;
+        if values(&orders) == expected {
+            return;
+        }
+        assert!(Instant::now() < end, "{expected:?} in vain: {orders:?}");
+        time::sleep(POLL).await;
+    }
+}
+
+async fn set_store_faults(store: SocketAddr, faults: StoreFaults) {
+    let url = format!("http://{store}/faults");
+    let answer = Client::new().post(url).json(&faults).send().await;
+    answer
+        .and_then(reqwest::Response::error_for_status)
+        .expect("the store takes faults");
+}
+
+/// Reads a value of the store.
+async fn stored(store: SocketAddr, key: &str) -> Option<String> {
+    let url = format!("http://{store}/v1/kv");
+    let request = Client::new().get(url).query(&[("key", key)]);
+    let answer: Value = request.send().await.ok()?.json().await.ok()?;
+    Some(answer.get("value")?.as_str()?.to_owned())
+}
+
+async fn holder(store: SocketAddr, data_centre: &str) -> Option<String> {
+    let value = stored(store, &format!("poplargap/orders/{data_centre}/holder")).await?;
+    let record: Value = serde_json::from_str(&value).ok()?;
+    Some(record.get("holder")?.as_str()?.to_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn edit_leads_to_orders_and_restart_repeats_them() {
+    let plan = plan(&["ne1", "ne2"], 4, 2, FencingCheck::Checked);
+    let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
+    assert_eq!(holder(site.store(), "ne1").await, None);
+    let text = upstream(
+        site.upstreams(),
+        &plan,
+        0,
+        "model-version = 7\nadapters = hide, leather\nrole = prefill",
+    )
+    .await;
+    site.apply(&text).await.expect("the edit is accepted");
+    let all = [
+        "load-model curve",
+        "version 7",
+        "adapter hide",
+        "adapter leather",
+        "role prefill",
+    ];
+    wait_for_orders(site.upstreams(), 0, &all).await;
+    assert!(ledger(site.upstreams(), 1).await.is_empty());
+    assert_eq!(holder(site.store(), "ne2").await, None);
+
+    let text = text.replace("prefill", "decode");
+    site.apply(&text).await.expect("the edit is accepted");
+    let mut more = all.to_vec();
+    more.push("role decode");
+    wait_for_orders(site.upstreams(), 0, &more).await;
+
+    let upstreams = site.upstreams();
+    let address = upstreams.stop_engine(0).await.expect("the engine runs");
+    time::sleep(Duration::from_secs(2)).await;
+    let restarted = upstreams.restart_engine(0, address).await;
+    restarted.expect("the address is free");
+    let mut again = all.to_vec();
+    again[4] = "role decode";
+    wait_for_orders(site.upstreams(), 0, &again).await;
+    site.close().await;
+}
+
+/// Stops the holder, lets another take over, and lets the first go on.
+async fn check_frozen_holder(fencing: FencingCheck) {
+    let plan = plan(&["ne1"], 2, 1, fencing);
+    let mut site = ProcessSite::start(&plan, Path::new(PROGRAM))
+        .await
+        .expect("the site starts");
+    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    site.apply(&text).await.expect("the edit is accepted");
+    wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
+    let store = site.store();
+    let first = holder(store, "ne1").await.expect("someone holds the lease");
+    let frozen = site.daemons.iter().find(|daemon| daemon.name == first);
+    let frozen = frozen.expect("the holder is a daemon");
+    frozen.signal("STOP").expect("the holder stops");
+    let text = text.replace("prefill", "decode");
+    site.apply(&text).await.expect("the edit is accepted");
+    wait_until("another holder", || async {
+        holder(store, "ne1").await.is_some_and(|name| name != first)
+    })
+    .await;
+    let frozen = site.daemons.iter().find(|daemon| daemon.name == first);
+    frozen
+        .expect("the holder is a daemon")
+        .signal("CONT")
+        .expect("the former holder goes on");
+    wait_for_orders(site.upstreams(), 0, &["role prefill", "role decode"]).await;
+    time::sleep(Duration::from_secs(2)).await;
+    let orders = ledger(site.upstreams(), 0).await;
+    let fences: Vec<u64> = orders.iter().map(|record| record.order.fence).collect();
+    assert!(fences.is_sorted(), "{orders:?}");
+    assert_eq!(orders.len(), 2, "{orders:?}");
+    assert!(fences[0] < fences[1], "{orders:?}");
+    site.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_holder_sends_nothing_stale_to_engines_that_ignore_fencing() {
+    check_frozen_holder(FencingCheck::Ignored).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_holder_sends_nothing_stale_to_engines_that_check_fencing() {
+    check_frozen_holder(FencingCheck::Checked).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_stops_orders_and_not_work() {
+    let plan = plan(&["ne1"], 2, 1, FencingCheck::Checked);
+    let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
+    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    site.apply(&text).await.expect("the edit is accepted");
+    wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
+    let outage = StoreFaults {
+        refuse: true,
+        ..StoreFaults::default()
+    };
+    set_store_faults(site.store(), outage).await;
+    let operators = site.operators();
+    wait_until("the lease lapses", || async {
+        let mut held = 0.0;
+        for daemon in &operators {
+            let metrics = StatusClient::default().metrics(*daemon).await;
+            held += metrics.get("poplargap_orders_lease_held").unwrap_or(&1.0);
+        }
+        held == 0.0
+    })
+    .await;
+    let address = site.upstreams().stop_engine(0).await;
+    let address = address.expect("the engine runs");
+    let restarted = site.upstreams().restart_engine(0, address).await;
+    restarted.expect("the address is free");
+    time::sleep(Duration::from_secs(2)).await;
+    assert!(ledger(site.upstreams(), 0).await.is_empty());
+    let caller = CallerClient::new("key-of-w01", WAIT_MAX).expect("the caller starts");
+    let turn = ChatTurn {
+        class: Some("w01.notes".to_owned()),
+        content: "pass or fail".to_owned(),
+        deadline: None,
+        max_tokens: 8,
+        request_id: "outage".to_owned(),
+        stream: true,
+    };
+    let mut session = ChatSession::new("outage", "curve");
+    let outcome = caller.chat(site.callers()[0], &mut session, &turn).await;
+    assert_eq!(outcome.verdict, CallVerdict::Complete);
+    set_store_faults(site.store(), StoreFaults::default()).await;
+    let text = text.replace("prefill", "decode");
+    site.apply(&text).await.expect("the edit is accepted");
+    wait_for_orders(site.upstreams(), 0, &["role decode"]).await;
+    site.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_lead_to_no_double_order() {
+    let plan = plan(&["ne1"], 2, 1, FencingCheck::Checked);
+    let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
+    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    site.apply(&text).await.expect("the edit is accepted");
+    let lost = StoreFaults {
+        drop_next_answers: 6,
+        ..StoreFaults::default()
+    };
+    set_store_faults(site.store(), lost).await;
+    wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
+    time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(ledger(site.upstreams(), 0).await.len(), 1);
+    site.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn loads_at_once_holds_over_all_data_centres() {
+    let plan = plan(&["ne1", "ne2"], 2, 4, FencingCheck::Checked);
+    let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
+    let mut text = "[pool curve]\nkind = model\nmultiple = 1.5\nqueue = 256\nslots = 24\n\
+                    loads-at-once = 1\n"
+        .to_owned();
+    let slow = FaultSettings {
+        delay_ms: 300,
+        ..FaultSettings::default()
+    };
+    for number in 0..4 {
+        text += &upstream(site.upstreams(), &plan, number, "model-version = 7").await;
+        let engine = site.upstreams().engines[number].as_ref();
+        engine.expect("the engine runs").set_faults(slow).await;
+    }
+    site.apply(&text).await.expect("the edit is accepted");
+    let end = Instant::now() + WAIT_MAX;
+    let mut seen = 0;
+    loop {
+        let record = stored(site.store(), "poplargap/orders-loads/curve").await;
+        let record = record.and_then(|value| serde_json::from_str::<LoadRecord>(&value).ok());
+        let tickets = record.map_or(0, |record| record.tickets.len());
+        assert!(tickets <= 1, "{tickets} tickets");
+        seen = seen.max(tickets);
+        let mut loaded = 0;
+        let mut partly = 0;
+        for number in 0..4 {
+            let orders = ledger(site.upstreams(), number).await;
+            let kinds = orders.iter().map(|record| record.order.order);
+            match kinds.collect::<Vec<_>>().as_slice() {
+                [] => {}
+                [OrderKind::LoadModel] => partly += 1,
+                _ => loaded += 1,
+            }
+        }
+        assert!(partly <= 1, "{partly} engines load at once");
+        if loaded == 4 {
+            break;
+        }
+        assert!(Instant::now() < end, "{loaded} engines loaded");
+        time::sleep(POLL).await;
+    }
+    assert_eq!(seen, 1);
+    site.close().await;
+}
