--- /dev/null
+++ b/crates/poplargap-core/tests/orders.rs
@@ -0,0 +1,357 @@
+//! Decisions about orders: who may give them, what is due, and how many load weights at once.
+
+use {
+    poplargap_core::{
+        catalogue::{EngineRole, FencingCheck, UpstreamEntry, UpstreamState},
+        instant::MonotonicInstant,
+        name::{DataCentre, UpstreamName},
+        order::{
+            AcknowledgedRecord, HolderPhase, LoadRecord, LoadTicket, OrderBook, OrderHolder,
+            OrderOutcome, OrderStep, OrderTimes, SendPermit,
+        },
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{Config, RngSeed},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const TIMES: OrderTimes = OrderTimes {
+    flight: Duration::from_millis(3000),
+    lease: Duration::from_millis(1000),
+};
+
+fn fixed(seed: u64) -> Config {
+    Config {
+        cases: 2000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    }
+}
+
+/// The store's lease by real time in milliseconds.
+#[derive(Debug, Default)]
+struct StoreLease {
+    ends: u64,
+    fence: u64,
+    owner: Option<usize>,
+}
+
+/// One daemon that tries to hold the lease; its clock has a start and a rate of its own.
+#[derive(Debug)]
+struct Daemon {
+    fence: u64,
+    holder: OrderHolder,
+    paused_until: u64,
+    prepared: Option<SendPermit>,
+    rate_percent: u64,
+    start: u64,
+}
+
+impl Daemon {
+    fn clock(&self, real: u64) -> MonotonicInstant {
+        let millis = self.start + real * self.rate_percent / 100;
+        MonotonicInstant::from_start(Duration::from_millis(millis))
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A daemon looks at its lease; the answer comes late, or is lost.
+    Lease {
+        answer_lost: bool,
+        daemon: usize,
+        delay: u64,
+    },
+    Pass(u64),
+    Pause {
+        daemon: usize,
+        millis: u64,
+    },
+    /// A daemon decides on an order.
+    Prepare(usize),
+    /// A daemon sends what it decided on; the engine carries it out after a delay.
+    Send {
+        daemon: usize,
+        delay: u64,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let daemon = 0..2_usize;
+    let lease = (any::<bool>(), daemon.clone(), 0..600_u64);
+    let flight = 0..=3000_u64;
+    prop_oneof![
+        4 => lease.prop_map(|(answer_lost, daemon, delay)| Event::Lease { answer_lost, daemon, delay }),
+        4 => (0..700_u64).prop_map(Event::Pass),
+        1 => (daemon.clone(), 0..6000_u64).prop_map(|(daemon, millis)| Event::Pause { daemon, millis }),
+        3 => daemon.clone().prop_map(Event::Prepare),
+        4 => (daemon, flight).prop_map(|(daemon, delay)| Event::Send { daemon, delay }),
+    ]
+}
+
+/// Two daemons, a store and an engine that carries out orders in the order of their arrival.
+#[derive(Debug)]
+struct Scene {
+    daemons: [Daemon; 2],
+    fencing: FencingCheck,
+    /// Orders under way: when they are carried out, and their fencing numbers.
+    flying: Vec<(u64, u64)>,
+    lease: StoreLease,
+    real: u64,
+}
+
+impl Scene {
+    fn new(fencing: FencingCheck, rates: [u64; 2]) -> Self {
+        let daemon = |rate_percent, start| Daemon {
+            fence: 0,
+            holder: OrderHolder::new(TIMES),
+            paused_until: 0,
+            prepared: None,
+            rate_percent,
+            start,
+        };
+        Self {
+            daemons: [daemon(rates[0], 0), daemon(rates[1], 77_000)],
+            fencing,
+            flying: Vec::new(),
+            lease: StoreLease::default(),
+            real: 1,
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Lease {
+                answer_lost,
+                daemon,
+                delay,
+            } => self.look_at_lease(daemon, answer_lost, delay),
+            Event::Pass(millis) => self.real += millis,
+            Event::Pause { daemon, millis } => {
+                self.daemons[daemon].paused_until = self.real + millis;
+            }
+            Event::Prepare(number) => {
+                let daemon = &mut self.daemons[number];
+                let now = daemon.clock(self.real);
+                daemon.prepared = daemon.holder.permit(self.fencing, now);
+            }
+            Event::Send { daemon, delay } => self.send(daemon, delay),
+        }
+    }
+
+    fn look_at_lease(&mut self, number: usize, answer_lost: bool, delay: u64) {
+        let (real, answered) = (self.real, self.real + delay);
+        let daemon = &mut self.daemons[number];
+        if real < daemon.paused_until {
+            return;
+        }
+        let (sent, now) = (daemon.clock(real), daemon.clock(answered));
+        if self.lease.ends <= real {
+            self.lease.owner = None;
+        }
+        let lease = u64::try_from(TIMES.lease.as_millis()).expect("the lease is short");
+        if daemon.holder.phase(sent) == HolderPhase::Free {
+            if self.lease.owner.is_none() {
+                self.lease.fence += 1;
+                self.lease.owner = Some(number);
+                self.lease.ends = real + lease;
+                if !answer_lost {
+                    daemon.fence = self.lease.fence;
+                    daemon.holder.acquire(daemon.fence, sent, now);
+                }
+            }
+        } else if self.lease.owner == Some(number) && self.lease.fence == daemon.fence {
+            self.lease.ends = real + lease;
+            if !answer_lost {
+                daemon.holder.renew(sent, now);
+            }
+        }
+        daemon.paused_until = answered;
+    }
+
+    fn send(&mut self, number: usize, delay: u64) {
+        let daemon = &mut self.daemons[number];
+        if self.real < daemon.paused_until {
+            return;
+        }
+        let Some(permit) = daemon.prepared.take() else {
+            return;
+        };
+        if permit.allows(daemon.clock(self.real)) {
+            self.flying.push((self.real + delay, permit.fence));
+        }
+    }
+
+    /// Returns the fencing numbers of the orders that the engine carries out, in their order.
+    fn carried_out(mut self) -> Vec<u64> {
+        self.flying.sort_by_key(|(at, _)| *at);
+        let mut highest = 0;
+        let mut carried_out = Vec::new();
+        for (_, fence) in self.flying {
+            if fence < highest && self.fencing == FencingCheck::Checked {
+                continue;
+            }
+            highest = highest.max(fence);
+            carried_out.push(fence);
+        }
+        carried_out
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(9))]
+
+    #[test]
+    fn no_engine_carries_out_an_older_holders_order_after_a_newer_ones(
+        events in prop::collection::vec(event(), 0..120),
+        ignored: bool,
+        rates in [90..=110_u64, 90..=110_u64],
+    ) {
+        let fencing = if ignored { FencingCheck::Ignored } else { FencingCheck::Checked };
+        let mut scene = Scene::new(fencing, rates);
+        for event in &events {
+            scene.apply(event);
+        }
+        let carried_out = scene.carried_out();
+        prop_assert!(carried_out.is_sorted(), "{carried_out:?}");
+    }
+
+    #[test]
+    fn tickets_never_pass_the_limit(
+        limit in 0..4_usize,
+        looks in prop::collection::vec((0..3_usize, 1..4_u64, any::<[bool; 4]>()), 0..40),
+    ) {
+        let mut record = LoadRecord::default();
+        for (centre, fence, wants) in looks {
+            let centre = DataCentre::try_from(format!("dc{centre}")).expect("the name is valid");
+            let before = record.clone();
+            let wanted: Vec<LoadTicket> = (0..4)
+                .filter(|number| wants[*number])
+                .map(|number| ticket(&centre, fence, number))
+                .collect();
+            record.settle(&centre, fence, &wanted, limit);
+            prop_assert!(record.tickets.len() <= limit, "{record:?}");
+            let others = |record: &LoadRecord| -> Vec<LoadTicket> {
+                let tickets = record.tickets.iter().cloned();
+                tickets.filter(|ticket| ticket.data_centre != centre || ticket.fence != fence).collect()
+            };
+            prop_assert_eq!(others(&before), others(&record));
+        }
+    }
+}
+
+fn ticket(data_centre: &DataCentre, fence: u64, number: usize) -> LoadTicket {
+    LoadTicket {
+        data_centre: data_centre.clone(),
+        fence,
+        upstream: UpstreamName::try_from(format!("curve-{number}")).expect("the name is valid"),
+    }
+}
+
+fn entry(version: &str, role: Option<EngineRole>) -> Arc<UpstreamEntry> {
+    Arc::new(UpstreamEntry {
+        adapters: Vec::new(),
+        address: "127.0.0.1:9".parse().expect("the address is valid"),
+        data_centre: "ne1".parse().expect("the name is valid"),
+        fencing: FencingCheck::Ignored,
+        model_version: Some(version.parse().expect("the version is valid")),
+        name: "curve-0".parse().expect("the name is valid"),
+        pool: "curve".parse().expect("the name is valid"),
+        role,
+        state: UpstreamState::Serving,
+    })
+}
+
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_start(Duration::from_millis(millis))
+}
+
+fn due(book: &OrderBook, now: u64) -> Option<OrderStep> {
+    book.due(at(now)).next().map(|due| due.step)
+}
+
+/// Gives the order that is due and notes its outcome; returns its value.
+fn give(book: &mut OrderBook, now: u64, outcome: OrderOutcome) -> String {
+    let step = due(book, now).expect("an order is due");
+    let name = "curve-0".parse().expect("the name is valid");
+    book.start(&name, &step, at(now));
+    assert_eq!(due(book, now), None, "one order at a time");
+    book.finish(&name, 1, outcome, at(now));
+    step.value
+}
+
+#[test]
+fn next_holder_orders_only_what_is_missing() {
+    let serving = entry("7", Some(EngineRole::Serve));
+    let mut book = OrderBook::new(AcknowledgedRecord::default(), TIMES);
+    book.update([&serving]);
+    assert_eq!(give(&mut book, 0, OrderOutcome::Accepted), "curve");
+    assert_eq!(give(&mut book, 0, OrderOutcome::Accepted), "7");
+    let json = serde_json::to_string(&book.record(1)).expect("a record is JSON");
+    let stored = serde_json::from_str(&json).expect("a record is read");
+    let mut next = OrderBook::new(stored, TIMES);
+    next.update([&serving]);
+    assert_eq!(give(&mut next, 0, OrderOutcome::Accepted), "serve");
+    assert_eq!(due(&next, 0), None);
+    assert!(next.restart(&serving.name));
+    assert_eq!(
+        due(&next, 0).map(|step| step.value),
+        Some("curve".to_owned())
+    );
+}
+
+#[test]
+fn replaced_order_waits_for_the_record_and_for_orders_without_answer() {
+    let mut book = OrderBook::new(AcknowledgedRecord::default(), TIMES);
+    book.update([&entry("7", None)]);
+    give(&mut book, 0, OrderOutcome::Accepted);
+    assert_eq!(give(&mut book, 0, OrderOutcome::Unknown), "7");
+    assert_eq!(book.loading(at(0)).count(), 1);
+    assert_eq!(due(&book, 100), None, "a failure is followed by a pause");
+    book.update([&entry("8", None)]);
+    assert_eq!(due(&book, 2999), None, "version 7 may still be carried out");
+    assert_eq!(
+        due(&book, 3000).map(|step| step.value),
+        Some("8".to_owned())
+    );
+    book.expire(at(3000));
+    give(&mut book, 3000, OrderOutcome::Accepted);
+    book.update([&entry("9", None)]);
+    assert_eq!(due(&book, 3000), None, "the record still says version 8");
+    assert!(book.trim());
+    assert_eq!(
+        due(&book, 3000).map(|step| step.value),
+        Some("9".to_owned())
+    );
+}
+
+#[test]
+fn engine_that_fails_is_tried_again_and_holds_no_ticket_meanwhile() {
+    let mut book = OrderBook::new(AcknowledgedRecord::default(), TIMES);
+    book.update([&entry("7", None)]);
+    give(&mut book, 0, OrderOutcome::NotSent);
+    assert_eq!(book.loading(at(499)).count(), 0);
+    assert_eq!(book.loading(at(500)).count(), 1);
+    give(&mut book, 500, OrderOutcome::Refused);
+    assert_eq!(due(&book, 1499), None);
+    give(&mut book, 1500, OrderOutcome::Accepted);
+    assert_eq!(book.outstanding(), 1);
+}
+
+#[test]
+fn next_holder_frees_its_data_centres_tickets_and_an_edit_those_of_a_lost_one() {
+    let [own, other]: [DataCentre; 2] = ["ne1", "ne2"].map(|name| name.parse().expect("a name"));
+    let mut record = LoadRecord::default();
+    record.settle(&own, 5, &[ticket(&own, 5, 0)], 2);
+    record.settle(&other, 6, &[ticket(&other, 6, 1)], 2);
+    record.forget_former(&own, 7);
+    assert_eq!(record.tickets, [ticket(&other, 6, 1)]);
+    record.forget_data_centres(10, |_| true);
+    record.forget_data_centres(9, |name| *name == own);
+    assert_eq!(record.tickets.len(), 1, "an older catalogue frees nothing");
+    record.forget_data_centres(11, |name| *name == own);
+    assert!(record.tickets.is_empty());
+}
--- a/crates/poplargapd/src/orders/order_task.rs
+++ b/crates/poplargapd/src/orders/order_task.rs
@@ -284,19 +284,26 @@
             .send_replace(self.holder.lease_permit(self.clock.now()));
     }
 
-    /// Stops giving orders; those under way end by themselves.
     fn lose(&mut self, reason: &str) {
-        self.permits.send_replace(None);
-        self.holder.release();
-        if let Some(mut held) = self.held.take() {
-            held.running.detach_all();
-            self.inputs.metrics.lease_held.set(0);
-            self.inputs.metrics.loads_waiting.set(0);
-            self.inputs.metrics.outstanding.set(0);
+        if self.stop() {
             slog::warn!(self.inputs.log, "lease for orders lost"; "reason" => reason);
         }
     }
 
+    /// Stops giving orders; those under way end by themselves. Returns whether any were given.
+    fn stop(&mut self) -> bool {
+        self.permits.send_replace(None);
+        self.holder.release();
+        let Some(mut held) = self.held.take() else {
+            return false;
+        };
+        held.running.detach_all();
+        self.inputs.metrics.lease_held.set(0);
+        self.inputs.metrics.loads_waiting.set(0);
+        self.inputs.metrics.outstanding.set(0);
+        true
+    }
+
     async fn give_up(&mut self, reason: &str) {
         self.take_results();
         if let Some(held) = &mut self.held {
@@ -305,7 +312,9 @@
         if self.holder.phase(self.clock.now()) != HolderPhase::Free {
             let _stored = self.store_record().await;
         }
-        self.lose(reason);
+        if self.stop() {
+            slog::info!(self.inputs.log, "lease for orders given up"; "reason" => reason);
+        }
         self.lease.release().await;
     }
 
--- a/crates/poplargapd/tests/orders.rs
+++ b/crates/poplargapd/tests/orders.rs
@@ -15,7 +15,6 @@
     reqwest::Client,
     serde_json::Value,
     std::{
-        future::Future,
         net::SocketAddr,
         path::Path,
         time::{Duration, Instant},
