--- a/crates/poplargap-core/tests/orders.rs
+++ b/crates/poplargap-core/tests/orders.rs
@@ -18,13 +18,13 @@
 };
 
 const TIMES: OrderTimes = OrderTimes {
-    flight: Duration::from_millis(3000),
-    lease: Duration::from_millis(1000),
+    flight: Duration::from_secs(6),
+    lease: Duration::from_secs(1),
 };
 
 fn fixed(seed: u64) -> Config {
     Config {
-        cases: 2000,
+        cases: 3000,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(seed),
         ..Config::default()
@@ -65,6 +65,11 @@
         daemon: usize,
         delay: u64,
     },
+    /// A daemon decides on an order and sends it at once.
+    Order {
+        daemon: usize,
+        delay: u64,
+    },
     Pass(u64),
     Pause {
         daemon: usize,
@@ -81,14 +86,18 @@
 
 fn event() -> impl Strategy<Value = Event> {
     let daemon = 0..2_usize;
-    let lease = (any::<bool>(), daemon.clone(), 0..600_u64);
-    let flight = 0..=3000_u64;
+    let late = prop_oneof![3 => Just(0), 1 => 0..600_u64];
+    let lease = (prop::bool::weighted(0.1), daemon.clone(), late);
+    let flight = || prop_oneof![Just(0), Just(6000), 0..=6000_u64];
+    let order = (daemon.clone(), flight());
+    let pause = (daemon.clone(), 0..3000_u64);
     prop_oneof![
-        4 => lease.prop_map(|(answer_lost, daemon, delay)| Event::Lease { answer_lost, daemon, delay }),
-        4 => (0..700_u64).prop_map(Event::Pass),
-        1 => (daemon.clone(), 0..6000_u64).prop_map(|(daemon, millis)| Event::Pause { daemon, millis }),
-        3 => daemon.clone().prop_map(Event::Prepare),
-        4 => (daemon, flight).prop_map(|(daemon, delay)| Event::Send { daemon, delay }),
+        6 => lease.prop_map(|(answer_lost, daemon, delay)| Event::Lease { answer_lost, daemon, delay }),
+        2 => order.prop_map(|(daemon, delay)| Event::Order { daemon, delay }),
+        6 => (0..500_u64).prop_map(Event::Pass),
+        1 => pause.prop_map(|(daemon, millis)| Event::Pause { daemon, millis }),
+        1 => daemon.clone().prop_map(Event::Prepare),
+        1 => (daemon, flight()).prop_map(|(daemon, delay)| Event::Send { daemon, delay }),
     ]
 }
 
@@ -101,6 +110,8 @@
     flying: Vec<(u64, u64)>,
     lease: StoreLease,
     real: u64,
+    /// Orders sent by a daemon that didn't hold the lease any more.
+    without_lease: u32,
 }
 
 impl Scene {
@@ -119,6 +130,7 @@
             flying: Vec::new(),
             lease: StoreLease::default(),
             real: 1,
+            without_lease: 0,
         }
     }
 
@@ -129,15 +141,15 @@
                 daemon,
                 delay,
             } => self.look_at_lease(daemon, answer_lost, delay),
+            Event::Order { daemon, delay } => {
+                self.prepare(daemon);
+                self.send(daemon, delay);
+            }
             Event::Pass(millis) => self.real += millis,
             Event::Pause { daemon, millis } => {
                 self.daemons[daemon].paused_until = self.real + millis;
             }
-            Event::Prepare(number) => {
-                let daemon = &mut self.daemons[number];
-                let now = daemon.clock(self.real);
-                daemon.prepared = daemon.holder.permit(self.fencing, now);
-            }
+            Event::Prepare(daemon) => self.prepare(daemon),
             Event::Send { daemon, delay } => self.send(daemon, delay),
         }
     }
@@ -172,6 +184,14 @@
         daemon.paused_until = answered;
     }
 
+    fn prepare(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        if self.real >= daemon.paused_until {
+            let now = daemon.clock(self.real);
+            daemon.prepared = daemon.holder.permit(self.fencing, now);
+        }
+    }
+
     fn send(&mut self, number: usize, delay: u64) {
         let daemon = &mut self.daemons[number];
         if self.real < daemon.paused_until {
@@ -181,6 +201,8 @@
             return;
         };
         if permit.allows(daemon.clock(self.real)) {
+            let held = self.lease.fence == permit.fence && self.real < self.lease.ends;
+            self.without_lease += u32::from(!held);
             self.flying.push((self.real + delay, permit.fence));
         }
     }
@@ -206,7 +228,7 @@
 
     #[test]
     fn no_engine_carries_out_an_older_holders_order_after_a_newer_ones(
-        events in prop::collection::vec(event(), 0..120),
+        events in prop::collection::vec(event(), 0..200),
         ignored: bool,
         rates in [90..=110_u64, 90..=110_u64],
     ) {
@@ -215,6 +237,7 @@
         for event in &events {
             scene.apply(event);
         }
+        prop_assert_eq!(scene.without_lease, 0, "orders went out without the lease");
         let carried_out = scene.carried_out();
         prop_assert!(carried_out.is_sorted(), "{carried_out:?}");
     }
@@ -314,16 +337,16 @@
     book.update([&entry("8", None)]);
     assert_eq!(due(&book, 2999), None, "version 7 may still be carried out");
     assert_eq!(
-        due(&book, 3000).map(|step| step.value),
+        due(&book, 6000).map(|step| step.value),
         Some("8".to_owned())
     );
-    book.expire(at(3000));
-    give(&mut book, 3000, OrderOutcome::Accepted);
+    book.expire(at(6000));
+    give(&mut book, 6000, OrderOutcome::Accepted);
     book.update([&entry("9", None)]);
-    assert_eq!(due(&book, 3000), None, "the record still says version 8");
+    assert_eq!(due(&book, 6000), None, "the record still says version 8");
     assert!(book.trim());
     assert_eq!(
-        due(&book, 3000).map(|step| step.value),
+        due(&book, 6000).map(|step| step.value),
         Some("9".to_owned())
     );
 }
@@ -355,3 +378,29 @@
     record.forget_data_centres(11, |name| *name == own);
     assert!(record.tickets.is_empty());
 }
+
+#[test]
+fn new_holder_waits_out_the_lease_and_the_longest_order_where_fencing_is_ignored() {
+    let mut holder = OrderHolder::new(TIMES);
+    holder.acquire(3, at(0), at(100));
+    for sent in (400..7100).step_by(400) {
+        assert!(holder.permit(FencingCheck::Checked, at(sent)).is_some());
+        assert_eq!(holder.permit(FencingCheck::Ignored, at(sent)), None);
+        holder.renew(at(sent), at(sent));
+    }
+    assert_eq!(holder.phase(at(7099)), HolderPhase::WaitingOut);
+    assert_eq!(holder.phase(at(7100)), HolderPhase::Settled);
+    assert!(holder.permit(FencingCheck::Ignored, at(7100)).is_some());
+}
+
+#[test]
+fn lapsed_lease_stays_lost() {
+    let mut holder = OrderHolder::new(TIMES);
+    holder.acquire(3, at(0), at(0));
+    let permit = holder.permit(FencingCheck::Checked, at(799));
+    let permit = permit.expect("the lease is held");
+    assert!(permit.allows(at(799)) && !permit.allows(at(800)));
+    holder.renew(at(799), at(800));
+    assert_eq!(holder.phase(at(800)), HolderPhase::Free);
+    assert_eq!(holder.lease_permit(at(800)), None);
+}
