--- /dev/null
+++ b/crates/poplargapd/src/orders/held_orders.rs
@@ -0,0 +1,107 @@
+//! What the holder of one lease keeps.
+
+use {
+    super::{
+        OrderInputs,
+        order_client::{OrderClient, SendGate},
+        restart_watch::RestartWatch,
+    },
+    poplargap_core::{
+        catalogue::{CatalogueSnapshot, UpstreamEntry},
+        instant::MonotonicInstant,
+        name::UpstreamName,
+        order::{AcknowledgedRecord, DueOrder, OrderBook, OrderKind, OrderOutcome, OrderTimes},
+    },
+    std::sync::Arc,
+    tokio::{sync::mpsc, task::JoinSet},
+};
+
+#[derive(Debug)]
+pub(super) struct FinishedOrder {
+    fence: u64,
+    kind: OrderKind,
+    outcome: OrderOutcome,
+    upstream: UpstreamName,
+}
+
+/// What one lease's holder keeps; another lease starts anew.
+pub(super) struct HeldOrders {
+    pub(super) book: OrderBook,
+    catalogue: Option<u64>,
+    pub(super) fence: u64,
+    pub(super) must_store: bool,
+    pub(super) next_store: MonotonicInstant,
+    restarts: mpsc::UnboundedReceiver<UpstreamName>,
+    pub(super) running: JoinSet<FinishedOrder>,
+    pub(super) unstored: bool,
+    watch: RestartWatch,
+}
+
+impl HeldOrders {
+    pub(super) fn new(stored: AcknowledgedRecord, fence: u64, times: OrderTimes) -> Self {
+        let (watch, restarts) = RestartWatch::new();
+        Self {
+            book: OrderBook::new(stored, times),
+            catalogue: None,
+            fence,
+            must_store: false,
+            next_store: MonotonicInstant::default(),
+            restarts,
+            running: JoinSet::new(),
+            unstored: false,
+            watch,
+        }
+    }
+
+    pub(super) fn update(&mut self, snapshot: &CatalogueSnapshot, entries: &[Arc<UpstreamEntry>]) {
+        if self.catalogue != Some(snapshot.revision) {
+            self.catalogue = Some(snapshot.revision);
+            self.unstored |= self.book.update(entries);
+            self.watch.update(entries);
+        }
+    }
+
+    /// Sends an order, whose outcome [`Self::take_results`] notes later.
+    pub(super) fn send(&mut self, order: DueOrder, client: OrderClient, gate: SendGate) {
+        let DueOrder { step, upstream } = order;
+        self.book.start(&upstream.name, &step, gate.clock.now());
+        self.running.spawn(async move {
+            let fence = gate.fence;
+            let order = step.with_fence(fence);
+            let outcome = client.send(upstream.address, &order, gate).await;
+            FinishedOrder {
+                fence,
+                kind: step.order,
+                outcome,
+                upstream: upstream.name.clone(),
+            }
+        });
+    }
+
+    /// Notes what became of orders, and which engines started anew.
+    pub(super) fn take_results(&mut self, inputs: &OrderInputs, now: MonotonicInstant) {
+        while let Some(finished) = self.running.try_join_next() {
+            let Ok(finished) = finished else {
+                continue;
+            };
+            let FinishedOrder {
+                fence,
+                kind,
+                outcome,
+                upstream,
+            } = finished;
+            inputs.metrics.count(kind, outcome);
+            if outcome == OrderOutcome::Fenced {
+                slog::warn!(inputs.log, "engine has seen a higher fencing number"; "upstream" => %upstream, "fence" => fence);
+            }
+            self.unstored |= self.book.finish(&upstream, fence, outcome, now);
+        }
+        while let Ok(upstream) = self.restarts.try_recv() {
+            inputs.metrics.restarts.inc();
+            if self.book.restart(&upstream) {
+                self.must_store = true;
+                slog::info!(inputs.log, "engine started anew"; "upstream" => %upstream);
+            }
+        }
+    }
+}
--- a/crates/poplargapd/src/orders/order_task.rs
+++ b/crates/poplargapd/src/orders/order_task.rs
@@ -4,28 +4,25 @@
     super::{
         OrderMetrics,
         acknowledged_store::{AcknowledgedStore, RecordWrite},
+        held_orders::HeldOrders,
         lease_store::{AcquireOutcome, LeaseStore},
         load_gate::{GateContext, LoadGate},
         order_client::{OrderClient, SendGate},
-        restart_watch::RestartWatch,
     },
     crate::{clock::ProcessClock, members::MemberView},
     poplargap_core::{
         catalogue::{CatalogueSnapshot, UpstreamEntry},
         instant::MonotonicInstant,
         membership::MemberState,
-        name::{DataCentre, UpstreamName},
-        order::{
-            AcknowledgedRecord, DueOrder, HolderPhase, OrderBook, OrderHolder, OrderKind,
-            OrderOutcome, OrderTimes, SendPermit, ordered_steps,
-        },
+        name::DataCentre,
+        order::{DueOrder, HolderPhase, OrderHolder, OrderTimes, SendPermit, ordered_steps},
     },
     poplargap_platform::{KeyValueStore, StoreError},
     slog::Logger,
     std::{sync::Arc, time::Duration},
     tokio::{
-        sync::{mpsc, oneshot, watch},
-        task::{JoinHandle, JoinSet},
+        sync::{oneshot, watch},
+        task::JoinHandle,
         time::{self, MissedTickBehavior},
     },
 };
@@ -99,52 +96,6 @@
     }
 }
 
-#[derive(Debug)]
-struct FinishedOrder {
-    fence: u64,
-    kind: OrderKind,
-    outcome: OrderOutcome,
-    upstream: UpstreamName,
-}
-
-/// What one lease's holder keeps; another lease starts anew.
-struct HeldOrders {
-    book: OrderBook,
-    catalogue: Option<u64>,
-    fence: u64,
-    must_store: bool,
-    next_store: MonotonicInstant,
-    restarts: mpsc::UnboundedReceiver<UpstreamName>,
-    running: JoinSet<FinishedOrder>,
-    unstored: bool,
-    watch: RestartWatch,
-}
-
-impl HeldOrders {
-    fn new(stored: AcknowledgedRecord, fence: u64, times: OrderTimes) -> Self {
-        let (watch, restarts) = RestartWatch::new();
-        Self {
-            book: OrderBook::new(stored, times),
-            catalogue: None,
-            fence,
-            must_store: false,
-            next_store: MonotonicInstant::default(),
-            restarts,
-            running: JoinSet::new(),
-            unstored: false,
-            watch,
-        }
-    }
-
-    fn update(&mut self, snapshot: &CatalogueSnapshot, entries: &[Arc<UpstreamEntry>]) {
-        if self.catalogue != Some(snapshot.revision) {
-            self.catalogue = Some(snapshot.revision);
-            self.unstored |= self.book.update(entries);
-            self.watch.update(entries);
-        }
-    }
-}
-
 struct OrderState<S> {
     acknowledged: AcknowledgedStore<S>,
     client: OrderClient,
@@ -191,7 +142,9 @@
     }
 
     async fn step(&mut self) {
-        self.take_results();
+        if let Some(held) = &mut self.held {
+            held.take_results(&self.inputs, self.clock.now());
+        }
         let snapshot = Arc::clone(&self.inputs.catalogue.borrow());
         let entries = self.entries(&snapshot);
         if entries.is_empty() && self.held.is_none() {
@@ -224,8 +177,6 @@
     }
 
     /// Returns the engines of the own data centre whose entries ask for something.
-    ///
-    /// A holder keeps those that asked before, so that an order under way is seen to its end.
     fn entries(&self, snapshot: &CatalogueSnapshot) -> Vec<Arc<UpstreamEntry>> {
         let own = snapshot.upstreams.values();
         own.filter(|entry| entry.data_centre == self.inputs.data_centre)
@@ -305,8 +256,8 @@
     }
 
     async fn give_up(&mut self, reason: &str) {
-        self.take_results();
         if let Some(held) = &mut self.held {
+            held.take_results(&self.inputs, self.clock.now());
             held.next_store = MonotonicInstant::default();
         }
         if self.holder.phase(self.clock.now()) != HolderPhase::Free {
@@ -318,36 +269,6 @@
         self.lease.release().await;
     }
 
-    fn take_results(&mut self) {
-        let Some(held) = &mut self.held else {
-            return;
-        };
-        while let Some(finished) = held.running.try_join_next() {
-            let Ok(finished) = finished else {
-                continue;
-            };
-            let FinishedOrder {
-                fence,
-                kind,
-                outcome,
-                upstream,
-            } = finished;
-            self.inputs.metrics.count(kind, outcome);
-            if outcome == OrderOutcome::Fenced {
-                slog::warn!(self.inputs.log, "engine has seen a higher fencing number"; "upstream" => %upstream, "fence" => fence);
-            }
-            let now = self.clock.now();
-            held.unstored |= held.book.finish(&upstream, fence, outcome, now);
-        }
-        while let Ok(upstream) = held.restarts.try_recv() {
-            self.inputs.metrics.restarts.inc();
-            if held.book.restart(&upstream) {
-                held.must_store = true;
-                slog::info!(self.inputs.log, "engine started anew"; "upstream" => %upstream);
-            }
-        }
-    }
-
     /// Brings the store's record up to date; returns whether orders may build on it.
     async fn store_record(&mut self) -> bool {
         let Some(held) = &mut self.held else {
@@ -410,40 +331,29 @@
         let Some(held) = &mut self.held else {
             return;
         };
-        let now = self.clock.now();
-        let due: Vec<DueOrder> = held.book.due(now).collect();
-        for DueOrder { step, upstream } in due {
+        let due: Vec<DueOrder> = held.book.due(self.clock.now()).collect();
+        for order in due {
             if held.running.len() >= ORDERS_IN_FLIGHT_MAX {
                 return;
             }
+            let upstream = &order.upstream;
             let limited = snapshot
                 .pools
                 .get(&upstream.pool)
                 .is_some_and(|pool| pool.loads_at_once.is_some());
-            let paced = limited && step.order.loads_weights();
+            let paced = limited && order.step.order.loads_weights();
             if paced && !self.gate.allows(&upstream.pool, &upstream.name) {
                 continue;
             }
             let Some(permit) = self.holder.permit(upstream.fencing, self.clock.now()) else {
                 continue;
             };
-            held.book.start(&upstream.name, &step, now);
             let gate = SendGate {
                 clock: self.clock,
                 fence: permit.fence,
                 permits: self.permits.subscribe(),
             };
-            let client = self.client.clone();
-            held.running.spawn(async move {
-                let order = step.with_fence(permit.fence);
-                let outcome = client.send(upstream.address, &order, gate).await;
-                FinishedOrder {
-                    fence: permit.fence,
-                    kind: step.order,
-                    outcome,
-                    upstream: upstream.name.clone(),
-                }
-            });
+            held.send(order, self.client.clone(), gate);
         }
     }
 
--- a/crates/poplargapd/tests/orders.rs
+++ b/crates/poplargapd/tests/orders.rs
@@ -14,18 +14,30 @@
     },
     reqwest::Client,
     serde_json::Value,
+    socket2::{Domain, Socket, Type},
     std::{
         net::SocketAddr,
         path::Path,
+        sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
-    tokio::time,
+    tokio::{io::AsyncReadExt, net::TcpListener, time},
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_poplargapd");
 const POLL: Duration = Duration::from_millis(20);
 const WAIT_MAX: Duration = Duration::from_secs(30);
 
+/// The store refuses all calls.
+const REFUSE: StoreFaults = StoreFaults {
+    delay_ms: 0,
+    drop_answer: false,
+    drop_next_answers: 0,
+    lag_ms: 0,
+    refuse: true,
+    silent: false,
+};
+
 /// Lease and longest order of the sites here.
 const QUICK: &str = "[timeouts]\norder = 1s\norder-lease = 2s\n";
 
@@ -38,12 +50,7 @@
 }
 
 /// Declares the engine with this number, with keys that order something.
-async fn upstream(
-    upstreams: &SiteUpstreams,
-    plan: &SitePlan,
-    number: usize,
-    orders: &str,
-) -> String {
+fn upstream(upstreams: &SiteUpstreams, plan: &SitePlan, number: usize, orders: &str) -> String {
     let data_centre = plan.data_centre_of(number);
     let address = upstreams.engines[number]
         .as_ref()
@@ -121,8 +128,7 @@
         &plan,
         0,
         "model-version = 7\nadapters = hide, leather\nrole = prefill",
-    )
-    .await;
+    );
     site.apply(&text).await.expect("the edit is accepted");
     let all = [
         "load-model curve",
@@ -152,38 +158,41 @@
     site.close().await;
 }
 
-/// Stops the holder, lets another take over, and lets the first go on.
+fn signal(site: &ProcessSite, name: &str, signal: &str) {
+    let daemon = site.daemons.iter().find(|daemon| daemon.name == name);
+    let daemon = daemon.expect("the daemon is one of the site's");
+    daemon.signal(signal).expect("the daemon runs");
+}
+
+/// Stops the holder, lets another take over, and lets the first go on without a store.
+///
+/// The second order adds to the first, so that giving it needs no call to the store.
 async fn check_frozen_holder(fencing: FencingCheck) {
     let plan = plan(&["ne1"], 2, 1, fencing);
     let mut site = ProcessSite::start(&plan, Path::new(PROGRAM))
         .await
         .expect("the site starts");
-    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    let mut text = upstream(site.upstreams(), &plan, 0, "adapters = hide");
     site.apply(&text).await.expect("the edit is accepted");
-    wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
+    wait_for_orders(site.upstreams(), 0, &["adapter hide"]).await;
     let store = site.store();
-    let first = holder(store, "ne1").await.expect("someone holds the lease");
-    let frozen = site.daemons.iter().find(|daemon| daemon.name == first);
-    let frozen = frozen.expect("the holder is a daemon");
-    frozen.signal("STOP").expect("the holder stops");
-    let text = text.replace("prefill", "decode");
-    site.apply(&text).await.expect("the edit is accepted");
-    wait_until("another holder", || async {
-        holder(store, "ne1").await.is_some_and(|name| name != first)
+    wait_until("the store has what the engine acknowledged", || async {
+        let record = stored(store, "poplargap/orders/ne1/acknowledged").await;
+        record.is_some_and(|record| record.contains("hide"))
     })
     .await;
-    let frozen = site.daemons.iter().find(|daemon| daemon.name == first);
-    frozen
-        .expect("the holder is a daemon")
-        .signal("CONT")
-        .expect("the former holder goes on");
-    wait_for_orders(site.upstreams(), 0, &["role prefill", "role decode"]).await;
-    time::sleep(Duration::from_secs(2)).await;
+    let first = holder(store, "ne1").await.expect("someone holds the lease");
+    signal(&site, &first, "STOP");
+    text += "role = decode\n";
+    site.apply(&text).await.expect("the edit is accepted");
+    wait_for_orders(site.upstreams(), 0, &["adapter hide", "role decode"]).await;
+    assert_ne!(holder(store, "ne1").await, Some(first.clone()));
+    set_store_faults(store, REFUSE).await;
+    signal(&site, &first, "CONT");
+    time::sleep(Duration::from_secs(4)).await;
     let orders = ledger(site.upstreams(), 0).await;
     let fences: Vec<u64> = orders.iter().map(|record| record.order.fence).collect();
-    assert!(fences.is_sorted(), "{orders:?}");
-    assert_eq!(orders.len(), 2, "{orders:?}");
-    assert!(fences[0] < fences[1], "{orders:?}");
+    assert!(fences.len() == 2 && fences[0] < fences[1], "{orders:?}");
     site.close().await;
 }
 
@@ -197,18 +206,84 @@
     check_frozen_holder(FencingCheck::Checked).await;
 }
 
+/// Listens with room for one connection only, and fills it, so that others wait.
+fn full_listener() -> (TcpListener, std::net::TcpStream) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&free.into()).expect("a free port");
+    socket.listen(0).expect("the socket listens");
+    socket.set_nonblocking(true).expect("the socket is set");
+    let listener = TcpListener::from_std(socket.into()).expect("the listener starts");
+    let address = listener.local_addr().expect("the listener has an address");
+    let filler = std::net::TcpStream::connect(address).expect("there is room for one");
+    (listener, filler)
+}
+
+/// Accepts all connections and keeps what comes.
+async fn collect(listener: TcpListener, seen: Arc<Mutex<Vec<u8>>>) {
+    while let Ok((mut connection, _)) = listener.accept().await {
+        let seen = Arc::clone(&seen);
+        tokio::spawn(async move {
+            let mut bytes = Vec::new();
+            while connection
+                .read_buf(&mut bytes)
+                .await
+                .is_ok_and(|len| len > 0)
+            {
+                seen.lock().expect("no reader panics").append(&mut bytes);
+            }
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn order_whose_connection_stands_after_the_lease_is_never_given() {
+    let mut plan = plan(&["ne1"], 1, 1, FencingCheck::Checked);
+    plan.extra_settings += "connect = 20s\n";
+    let site = ProcessSite::start(&plan, Path::new(PROGRAM))
+        .await
+        .expect("the site starts");
+    let (listener, filler) = full_listener();
+    let address = listener.local_addr().expect("the listener has an address");
+    let text = format!(
+        "[upstream slow]\npool = curve\naddress = {address}\ndata-centre = ne1\n\
+         fencing = checked\nrole = prefill\n"
+    );
+    site.apply(&text).await.expect("the edit is accepted");
+    let operators = site.daemons[0].operators;
+    wait_until("an order is outstanding", || async {
+        let metrics = StatusClient::default().metrics(operators).await;
+        metrics.get("poplargap_orders_outstanding") == Some(&1.0)
+    })
+    .await;
+    time::sleep(Duration::from_millis(300)).await;
+    site.daemons[0].signal("STOP").expect("the daemon runs");
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let collector = tokio::spawn(collect(listener, Arc::clone(&seen)));
+    set_store_faults(site.store(), REFUSE).await;
+    time::sleep(Duration::from_secs(4)).await;
+    site.daemons[0].signal("CONT").expect("the daemon runs");
+    wait_until("the connection is used or dropped", || async {
+        let metrics = StatusClient::default().metrics(operators).await;
+        metrics.get("poplargap_orders_lease_held") == Some(&0.0)
+    })
+    .await;
+    time::sleep(Duration::from_secs(2)).await;
+    let text = String::from_utf8_lossy(&seen.lock().expect("no reader panics")).into_owned();
+    assert!(!text.contains("fence"), "{text}");
+    drop(filler);
+    collector.abort();
+    site.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage_stops_orders_and_not_work() {
     let plan = plan(&["ne1"], 2, 1, FencingCheck::Checked);
     let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
-    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    let text = upstream(site.upstreams(), &plan, 0, "role = prefill");
     site.apply(&text).await.expect("the edit is accepted");
     wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
-    let outage = StoreFaults {
-        refuse: true,
-        ..StoreFaults::default()
-    };
-    set_store_faults(site.store(), outage).await;
+    set_store_faults(site.store(), REFUSE).await;
     let operators = site.operators();
     wait_until("the lease lapses", || async {
         let mut held = 0.0;
@@ -248,7 +323,7 @@
 async fn lost_answers_of_the_store_lead_to_no_double_order() {
     let plan = plan(&["ne1"], 2, 1, FencingCheck::Checked);
     let mut site = EmbeddedSite::start(&plan).await.expect("the site starts");
-    let text = upstream(site.upstreams(), &plan, 0, "role = prefill").await;
+    let text = upstream(site.upstreams(), &plan, 0, "role = prefill");
     site.apply(&text).await.expect("the edit is accepted");
     let lost = StoreFaults {
         drop_next_answers: 6,
@@ -273,7 +348,7 @@
         ..FaultSettings::default()
     };
     for number in 0..4 {
-        text += &upstream(site.upstreams(), &plan, number, "model-version = 7").await;
+        text += &upstream(site.upstreams(), &plan, number, "model-version = 7");
         let engine = site.upstreams().engines[number].as_ref();
         engine.expect("the engine runs").set_faults(slow).await;
     }
