--- a/crates/poplargapd/tests/orders.rs
+++ b/crates/poplargapd/tests/orders.rs
@@ -239,7 +239,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn order_whose_connection_stands_after_the_lease_is_never_given() {
     let mut plan = plan(&["ne1"], 1, 1, FencingCheck::Checked);
-    plan.extra_settings += "connect = 20s\n";
+    plan.extra_settings = "[timeouts]\nconnect = 20s\norder = 30s\norder-lease = 2s\n".to_owned();
     let site = ProcessSite::start(&plan, Path::new(PROGRAM))
         .await
         .expect("the site starts");
