--- a/crates/poplargap-platform/src/http_pool.rs
+++ b/crates/poplargap-platform/src/http_pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::{StoreCounters, StoreError},
     bytes::Bytes,
-    reqwest::{Client, RequestBuilder, StatusCode, redirect::Policy, retry},
+    reqwest::{Client, RequestBuilder, StatusCode, header::ETAG, redirect::Policy, retry},
     serde::de::DeserializeOwned,
     std::{error::Error, net::SocketAddr, sync::Arc, time::Duration},
     tokio::sync::watch,
@@ -16,6 +16,8 @@
 pub(crate) struct HttpAnswer {
     pub(crate) body: Bytes,
     pub(crate) status: StatusCode,
+    /// The answer's version, if it names one.
+    pub(crate) tag: Option<String>,
 }
 
 impl HttpAnswer {
@@ -41,12 +43,15 @@
     address: SocketAddr,
     client: Arc<watch::Sender<PooledClient>>,
     counters: StoreCounters,
+    kind: &'static str,
     timeout: Duration,
 }
 
 impl HttpPool {
+    /// Creates a pool whose bytes count as control traffic of `kind`.
     pub(crate) fn new(
         address: SocketAddr,
+        kind: &'static str,
         timeout: Duration,
         counters: StoreCounters,
     ) -> Result<Self, StoreError> {
@@ -58,6 +63,7 @@
             address,
             client: Arc::new(watch::Sender::new(client)),
             counters,
+            kind,
             timeout,
         })
     }
@@ -87,7 +93,11 @@
             .timeout(wait.saturating_add(self.timeout))
             .build()
             .map_err(|error| StoreError::NotSent(describe(&error)))?;
-        match exchange(&pooled.client, request).await {
+        let sent = request_len(&request);
+        let result = exchange(&pooled.client, request).await;
+        let received = result.as_ref().map_or(0, |answer| answer.body.len());
+        self.counters.bytes.add_exchange(self.kind, sent, received);
+        match result {
             Ok(answer) => Ok(answer),
             Err(error) if error.is_connect() => Err(StoreError::NotSent(describe(&error))),
             Err(error) => {
@@ -117,11 +127,20 @@
     }
 }
 
+/// Returns the length of a request's path, query and body.
+fn request_len(request: &reqwest::Request) -> usize {
+    let body = request.body().and_then(reqwest::Body::as_bytes);
+    let url = request.url();
+    url.path().len() + url.query().map_or(0, str::len) + body.map_or(0, <[u8]>::len)
+}
+
 async fn exchange(client: &Client, request: reqwest::Request) -> reqwest::Result<HttpAnswer> {
     let response = client.execute(request).await?;
     let status = response.status();
+    let tag = response.headers().get(ETAG);
+    let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
     let body = response.bytes().await?;
-    Ok(HttpAnswer { body, status })
+    Ok(HttpAnswer { body, status, tag })
 }
 
 /// Builds a client whose connect timeout ends before the whole call's.
--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for the platform and the upstreams, and a load tool.
 
 pub mod caller;
+pub mod capacity;
 pub mod desk;
 pub mod engine;
 pub mod fault;
 pub mod load;
 pub mod relay;
 pub mod site;
+pub mod soak;
 pub mod store;
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -2,24 +2,27 @@
 
 mod daemon_base;
 mod daemon_listeners;
+mod daemon_orders;
 
 use {
     crate::{
         feed::{self, CatalogueFeed, FeedChannels, FeedInputs, PeerClients},
         home::{ChatTask, HomeActor, HomeInputs, HomeSettings, RefreshHomes, UpstreamClients},
+        limits::{LimitActor, LimitInputs, LimitLink, RefreshLimits},
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
         operators::OperatorServer,
-        orders::{OrderInputs, OrderMetrics, OrderTask},
+        orders::OrderTask,
         path::{AdmitGate, CallerServer, ClaimStore, PathContext, RouteDirectory, TraceRing},
         relay::{RelayClient, RelayServer, RelaySettings},
         rpc_server::{RpcServer, RpcSources},
     },
     daemon_base::{DaemonBase, DaemonStore, own_report, progress},
     daemon_listeners::{DaemonListeners, bind_error},
+    daemon_orders::start_orders,
     displaydoc::Display,
     poplargap_core::{
-        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState, order::OrderTimes,
+        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
         settings::DaemonSettings,
     },
     poplargap_link::heartbeat::ShardReport,
@@ -40,6 +43,9 @@
 /// Time for idle connections to end after the last request.
 const IDLE_GRACE: Duration = Duration::from_millis(200);
 
+/// Time between two looks at the loans of limits.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Time between two looks at the requests in flight while closing.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -80,6 +86,7 @@
     feed: CatalogueFeed,
     heartbeats: Arc<HeartbeatTask>,
     home: Address<HomeActor>,
+    limit_refresher: JoinHandle<()>,
     log: Logger,
     operators: OperatorServer,
     orders: OrderTask,
@@ -101,9 +108,13 @@
         let listeners = DaemonListeners::bind(&settings).await?;
         let base = DaemonBase::new(&settings, log.clone())?;
         let proof = base.key.rpc_proof();
-        let peers = PeerClients::new(proof.clone());
-        let (vms, vm_view) =
-            VmTask::start(base.vm_list.clone(), settings.vm_list.poll, log.clone());
+        let peers = PeerClients::new(proof.clone(), base.metrics.control.clone());
+        let (vms, vm_view) = VmTask::start(
+            base.vm_list.clone(),
+            settings.daemon.data_centre.clone(),
+            settings.vm_list.poll,
+            log.clone(),
+        );
         let (channels, catalogue, revision) = feed::channels();
         let (reports, shards) = watch::channel(Vec::new());
         let inputs = HeartbeatInputs {
@@ -119,7 +130,9 @@
             vms: vm_view,
         };
         let feed = start_feed(&settings, &base, &views, peers.clone(), channels);
-        let clients = UpstreamClients::new(progress(&settings)).map_err(StartError::Http)?;
+        let control = base.metrics.control.clone();
+        let clients =
+            UpstreamClients::new(progress(&settings), control).map_err(StartError::Http)?;
         let home = start_home(&settings, &base, &views, clients.clone(), reports);
         let refresher = tokio::spawn(refresh(
             home.clone(),
@@ -129,6 +142,9 @@
         let orders = start_orders(&settings, &base, &views)?;
         let ready = tokio::spawn(announce_ready(Arc::clone(&heartbeats), revision));
 
+        let link = LimitLink::new(views.members.clone(), peers.clone(), views.vms.clone());
+        let limits = start_limits(&settings, &base, &views, link.clone());
+        let limit_refresher = tokio::spawn(refresh_limits(limits.clone()));
         let task = ChatTask {
             clients,
             clock: base.clock,
@@ -141,12 +157,15 @@
             &base,
             &views,
             (peers, relays),
+            limits.clone(),
             task.clone(),
         ));
         let members = views.members.clone();
         let metrics = Arc::clone(&base.metrics);
         let sources = RpcSources {
             catalogue,
+            limit_link: link,
+            limits,
             members,
             metrics: Arc::clone(&metrics),
             proof: proof.clone(),
@@ -170,6 +189,7 @@
             feed,
             heartbeats,
             home,
+            limit_refresher,
             log,
             operators,
             orders,
@@ -208,6 +228,7 @@
         self.relay.close(IDLE_GRACE).await;
         self.rpc.close();
         self.refresher.abort();
+        self.limit_refresher.abort();
         self.feed.close();
         self.vms.close();
         if let Some(heartbeats) = Arc::into_inner(self.heartbeats) {
@@ -319,25 +340,22 @@
     )
 }
 
-fn start_orders(
+fn start_limits(
     settings: &DaemonSettings,
     base: &DaemonBase,
     views: &DaemonViews,
-) -> Result<OrderTask, StartError> {
-    let metrics = OrderMetrics::new(base.metrics.registry()).map_err(StartError::Metrics)?;
-    let inputs = OrderInputs {
+    link: LimitLink,
+) -> Address<LimitActor> {
+    let inputs = LimitInputs {
         catalogue: views.catalogue.clone(),
-        connect: settings.timeouts.connect,
+        clock: base.clock,
+        daemon: settings.daemon.name.clone(),
         data_centre: settings.daemon.data_centre.clone(),
-        log: base.log.clone(),
-        members: views.members.clone(),
-        metrics,
-        times: OrderTimes {
-            flight: settings.timeouts.order,
-            lease: settings.timeouts.order_lease,
-        },
+        incarnation: views.members.borrow().own.incarnation,
+        link,
+        suspect: settings.timeouts.suspect,
     };
-    OrderTask::start(base.store.clone(), base.clock, inputs).map_err(StartError::Http)
+    xtra::spawn_tokio(LimitActor::new(inputs), Mailbox::unbounded())
 }
 
 fn path_context(
@@ -345,6 +363,7 @@
     base: &DaemonBase,
     views: &DaemonViews,
     (peers, relays): (PeerClients, RelayClient),
+    limits: Address<LimitActor>,
     task: ChatTask,
 ) -> PathContext<DaemonStore> {
     PathContext {
@@ -357,6 +376,7 @@
         data_centre: settings.daemon.data_centre.clone(),
         homed: settings.placement.policy == PolicyKind::Homed,
         invariants: base.invariants.clone(),
+        limits,
         members: views.members.clone(),
         metrics: Arc::clone(&base.metrics),
         peers,
@@ -386,6 +406,18 @@
     }
 }
 
+/// Makes the limit actor look at its loans from time to time.
+async fn refresh_limits(limits: Address<LimitActor>) {
+    let mut ticks = time::interval(LIMITS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if limits.send(RefreshLimits).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Declares the daemon ready once it has a catalogue.
 async fn announce_ready(heartbeats: Arc<HeartbeatTask>, mut revision: watch::Receiver<u64>) {
     if revision.wait_for(|revision| *revision > 0).await.is_ok() {
--- a/crates/poplargapd/src/home/service_task.rs
+++ b/crates/poplargapd/src/home/service_task.rs
@@ -5,7 +5,7 @@
         AttemptResult, ChatTask, PlaceReply, ServiceAnswer, ServiceRequest,
         chat_task::{AttemptFailure, RAN_HEADER, place},
     },
-    poplargap_core::{catalogue::UpstreamEntry, outcome::RunOutcome},
+    poplargap_core::{catalogue::UpstreamEntry, retry::RunOutcome},
     poplargap_link::envelope::{RefusalReason, RelayRefusal, RelayWork},
     reqwest::{Method, RequestBuilder, Response, header::CONTENT_TYPE},
     std::time::Duration,
@@ -33,7 +33,7 @@
         let PlaceReply { permit, upstream } = reply;
         let deadline = Duration::from_millis(call.envelope.deadline_ms);
         let wait = if call.envelope.repeatable {
-            deadline.min(self.0.clients.limits().first_byte)
+            self.0.clients.limits().repeatable_first_byte(deadline)
         } else {
             deadline
         };
--- a/crates/poplargapd/src/rpc_server.rs
+++ b/crates/poplargapd/src/rpc_server.rs
@@ -1,19 +1,30 @@
 //! Answers calls of other daemons.
 
 use {
-    crate::{feed::CatalogueReader, members::MemberView, metrics::DaemonMetrics},
+    crate::{
+        feed::CatalogueReader,
+        limits::{AnswerLoan, LimitActor, LimitLink},
+        members::MemberView,
+        metrics::DaemonMetrics,
+    },
     jsonrpsee::{
         core::async_trait,
         server::{ServerBuilder, ServerConfig, ServerHandle},
         types::ErrorObjectOwned,
     },
-    poplargap_core::shard::ShardId,
+    poplargap_core::{
+        limit::{LoanReply, LoanRequest},
+        shard::ShardId,
+    },
     poplargap_link::{
         proof::FleetProof,
-        rpc::{CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply},
+        rpc::{
+            CODE_NOT_HOME, CODE_PROOF, CatalogueDelta, FleetRpcServer, HomeReply, RPC_REQUEST_LEN,
+        },
     },
     std::{io, net::TcpListener as StdListener, sync::Arc},
     tokio::{net::TcpListener, sync::watch},
+    xtra::Address,
 };
 
 const CONNECTIONS_MAX: u32 = 1_024;
@@ -24,6 +35,10 @@
 pub struct RpcSources {
     /// The catalogue in force.
     pub catalogue: CatalogueReader,
+    /// Finds homes of classes.
+    pub limit_link: LimitLink,
+    /// The actor that lends shares of limits.
+    pub limits: Address<LimitActor>,
     /// The members of the own data centre.
     pub members: watch::Receiver<Arc<MemberView>>,
     /// The daemon's metrics.
@@ -85,15 +100,37 @@
     ) -> Result<CatalogueDelta, ErrorObjectOwned> {
         self.check(&proof)?;
         let delta = self.catalogue.since(revision, after.as_deref());
-        let len: usize = delta.buckets.iter().map(|bucket| bucket.value.len()).sum();
-        let sent = u64::try_from(len).unwrap_or_default();
+        let received = RPC_REQUEST_LEN + after.as_ref().map_or(0, String::len);
         self.metrics
-            .control_sent
-            .with_label_values(&["catalogue"])
-            .inc_by(sent);
+            .control
+            .add_exchange("catalogue", delta.wire_len(), received);
         Ok(delta)
     }
 
+    async fn lend(
+        &self,
+        proof: FleetProof,
+        request: LoanRequest,
+        far: bool,
+    ) -> Result<LoanReply, ErrorObjectOwned> {
+        self.check(&proof)?;
+        self.metrics
+            .control
+            .add_exchange("limits", RPC_REQUEST_LEN, RPC_REQUEST_LEN);
+        let reply = if far && !self.limit_link.is_home_of(&request.class) {
+            self.limit_link.pass_on(request).await
+        } else {
+            self.limits.send(AnswerLoan(request)).await.ok().flatten()
+        };
+        reply.ok_or_else(|| {
+            ErrorObjectOwned::owned(
+                CODE_NOT_HOME,
+                "the daemon isn't the class's home",
+                None::<()>,
+            )
+        })
+    }
+
     async fn home_of(
         &self,
         proof: FleetProof,
@@ -102,6 +139,9 @@
         self.check(&proof)?;
         let members = self.members.borrow();
         let relay = members.home_of(&shard).map(|member| member.relay);
+        self.metrics
+            .control
+            .add_exchange("home", RPC_REQUEST_LEN, RPC_REQUEST_LEN);
         Ok(HomeReply { relay })
     }
 }
