--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod membership;
 pub mod name;
+pub mod order;
 pub mod queue;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -2,6 +2,7 @@
 
 mod daemon_base;
 mod daemon_listeners;
+mod daemon_orders;
 
 use {
     crate::{
@@ -11,12 +12,14 @@
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
         operators::OperatorServer,
+        orders::OrderTask,
         path::{AdmitGate, CallerServer, ClaimStore, PathContext, RouteDirectory, TraceRing},
         relay::{RelayClient, RelayServer, RelaySettings},
         rpc_server::{RpcServer, RpcSources},
     },
     daemon_base::{DaemonBase, DaemonStore, own_report, progress},
     daemon_listeners::{DaemonListeners, bind_error},
+    daemon_orders::start_orders,
     displaydoc::Display,
     poplargap_core::{
         catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
@@ -86,6 +89,7 @@
     limit_refresher: JoinHandle<()>,
     log: Logger,
     operators: OperatorServer,
+    orders: OrderTask,
     ready: JoinHandle<()>,
     refresher: JoinHandle<()>,
     relay: RelayServer,
@@ -143,6 +147,7 @@
             views.clone(),
             settings.timeouts.heartbeat,
         ));
+        let orders = start_orders(&settings, &base, &views)?;
         let ready = tokio::spawn(announce_ready(Arc::clone(&heartbeats), revision));
 
         let link = LimitLink::new(views.members.clone(), peers.clone(), views.vms.clone());
@@ -195,6 +200,7 @@
             limit_refresher,
             log,
             operators,
+            orders,
             ready,
             refresher,
             relay,
@@ -218,6 +224,7 @@
         self.ready.abort();
         slog::info!(self.log, "daemon is leaving");
         self.heartbeats.set_state(MemberState::Leaving).await;
+        self.orders.close().await;
         time::sleep(LEAVE_PAUSE).await;
         self.context.admit.shut();
         let end = time::Instant::now() + self.settings.timeouts.drain;
