Count a home's wait from its place among the ready daemons

Ruled out: the windows of the borrowers (the simulation of the core serves its limit). Change: the wait counts from the last change of the ready daemons and the longest tenure of a passed-over home; lost replies are noted at once; a home asks others for the one class that was asked for, for all once a second.

--- a/crates/poplargapd/src/limits/limit_actor.rs
+++ b/crates/poplargapd/src/limits/limit_actor.rs
@@ -52,19 +52,25 @@
     gates: HashMap<ClassName, ClassGate>,
     homes: HashMap<ClassName, LimitHome>,
     inputs: LimitInputs,
+    lenders_asked: MonotonicInstant,
+    ready: Vec<DaemonName>,
     refreshed: MonotonicInstant,
+    since: MonotonicInstant,
 }
 
 impl LimitActor {
     /// Creates an actor that holds and lends nothing.
     #[must_use]
     pub fn new(inputs: LimitInputs) -> Self {
-        let refreshed = inputs.clock.now();
+        let now = inputs.clock.now();
         Self {
             gates: HashMap::new(),
             homes: HashMap::new(),
             inputs,
-            refreshed,
+            lenders_asked: now,
+            ready: Vec::new(),
+            refreshed: now,
+            since: now,
         }
     }
 
@@ -87,9 +93,7 @@
         let now = self.inputs.clock.now();
         let paused = now.since(self.refreshed) > self.inputs.suspect;
         self.refreshed = now;
-        if paused {
-            self.homes.clear();
-        }
+        self.note_ready(paused, now);
         let catalogue = Arc::clone(&self.inputs.catalogue.borrow_and_update());
         let link = self.inputs.link.clone();
         self.homes
@@ -102,7 +106,26 @@
             gate.borrower.set_limits(limits.unwrap_or_default());
         }
         self.renew(address, now);
-        self.ask_lenders(address, now);
+        if now.since(self.lenders_asked) >= LENDERS_INTERVAL {
+            self.lenders_asked = now;
+            let classes: Vec<ClassName> = self.homes.keys().cloned().collect();
+            for class in classes {
+                self.ask_lenders(&class, address, now);
+            }
+        }
+    }
+
+    /// Notes since when this daemon has the place that it has among the ready ones.
+    fn note_ready(&mut self, paused: bool, now: MonotonicInstant) {
+        let ready = self.inputs.link.ready();
+        if paused {
+            self.homes.clear();
+        }
+        if paused || ready != self.ready {
+            // A home that was passed over may have lent until its tenure ended.
+            self.since = now + self.inputs.suspect;
+            self.ready = ready;
+        }
     }
 
     /// Serves waiting requests, and renews, lowers or returns loans that are due.
@@ -117,23 +140,28 @@
         }
     }
 
-    fn ask_lenders(&mut self, address: &WeakAddress<Self>, now: MonotonicInstant) {
-        for (class, home) in &mut self.homes {
-            let Some((lender, request)) = home.ask_lender(now) else {
-                continue;
-            };
+    /// Asks the homes of a class in other data centres for what they leave idle.
+    fn ask_lenders(
+        &mut self,
+        class: &ClassName,
+        address: &WeakAddress<Self>,
+        now: MonotonicInstant,
+    ) {
+        let Some(home) = self.homes.get_mut(class) else {
+            return;
+        };
+        while let Some((lender, request)) = home.ask_lender(now) {
             let (link, address, class) = (self.inputs.link.clone(), address.clone(), class.clone());
+            let sequence = request.sequence;
             tokio::spawn(async move {
                 let reply = link.ask_far(&lender, request).await;
-                drop(
-                    address
-                        .send(LenderAnswered {
-                            class,
-                            lender,
-                            reply,
-                        })
-                        .await,
-                );
+                let message = LenderAnswered {
+                    class,
+                    lender,
+                    reply,
+                    sequence,
+                };
+                drop(address.send(message).await);
             });
         }
     }
@@ -143,16 +171,21 @@
         match self.inputs.link.home_of(&request.class) {
             ClassHome::Local => {
                 let reply = self.answer(&request);
-                self.ask_lenders(address, self.inputs.clock.now());
-                self.take(&request.class, reply.as_ref(), address);
+                self.ask_lenders(&request.class, address, self.inputs.clock.now());
+                self.take(&request.class, reply.as_ref(), request.sequence, address);
             }
-            ClassHome::None => {}
+            ClassHome::None => self.take(&request.class, None, request.sequence, address),
             ClassHome::Remote(home) => {
                 let (link, address) = (self.inputs.link.clone(), address.clone());
                 tokio::spawn(async move {
-                    let class = request.class.clone();
+                    let (class, sequence) = (request.class.clone(), request.sequence);
                     let reply = link.ask_near(home, request).await;
-                    drop(address.send(LoanAnswered { class, reply }).await);
+                    let message = LoanAnswered {
+                        class,
+                        reply,
+                        sequence,
+                    };
+                    drop(address.send(message).await);
                 });
             }
         }
@@ -165,24 +198,31 @@
             return None;
         }
         let catalogue = Arc::clone(&self.inputs.catalogue.borrow());
-        let tenure = self.tenure();
+        let (since, tenure) = (self.since, self.tenure());
         let holder = self.holder(Some(self.inputs.data_centre.clone()));
         let home = self
             .homes
             .entry(request.class.clone())
-            .or_insert_with(|| LimitHome::open(request.class.clone(), holder, now));
+            .or_insert_with(|| LimitHome::open(request.class.clone(), holder, since));
         set_share(home, &catalogue, &request.class, &self.inputs.data_centre);
         Some(home.answer(request, tenure, now))
     }
 
     /// Takes the reply to a loan request and serves what waited for it.
-    fn take(&mut self, class: &ClassName, reply: Option<&LoanReply>, address: &WeakAddress<Self>) {
+    fn take(
+        &mut self,
+        class: &ClassName,
+        reply: Option<&LoanReply>,
+        sequence: u64,
+        address: &WeakAddress<Self>,
+    ) {
         let now = self.inputs.clock.now();
         let Some(gate) = self.gates.get_mut(class) else {
             return;
         };
-        if let Some(reply) = reply {
-            gate.borrower.loan(reply, now);
+        match reply {
+            Some(reply) => gate.borrower.loan(reply, now),
+            None => gate.borrower.loan_lost(sequence, now),
         }
         // A request that is needed again waits for the next refresh, so that a refusal doesn't spin.
         let admitted_all = gate.serve(address, now);
@@ -196,6 +236,9 @@
     }
 }
 
+/// Time between two looks at what homes need from other data centres.
+const LENDERS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Pause before a loan is asked for again.
 const RESEND_PAUSE: Duration = Duration::from_millis(5);
 
@@ -276,7 +319,8 @@
 
     async fn handle(&mut self, message: AnswerLoan, ctx: &mut Context<Self>) -> Option<LoanReply> {
         let reply = self.answer(&message.0);
-        self.ask_lenders(&ctx.mailbox().address(), self.inputs.clock.now());
+        let now = self.inputs.clock.now();
+        self.ask_lenders(&message.0.class, &ctx.mailbox().address(), now);
         reply
     }
 }
@@ -285,10 +329,12 @@
     type Return = ();
 
     async fn handle(&mut self, message: LoanAnswered, ctx: &mut Context<Self>) {
+        let address = ctx.mailbox().address();
         self.take(
             &message.class,
             message.reply.as_ref(),
-            &ctx.mailbox().address(),
+            message.sequence,
+            &address,
         );
     }
 }
@@ -305,8 +351,12 @@
     type Return = ();
 
     async fn handle(&mut self, message: LenderAnswered, _ctx: &mut Context<Self>) {
-        if let (Some(home), Some(reply)) = (self.homes.get_mut(&message.class), &message.reply) {
-            home.lender_reply(&message.lender, reply);
+        let Some(home) = self.homes.get_mut(&message.class) else {
+            return;
+        };
+        match &message.reply {
+            Some(reply) => home.lender_reply(&message.lender, reply),
+            None => home.lender_lost(&message.lender, message.sequence),
         }
     }
 }
--- a/crates/poplargapd/src/limits/limit_link.rs
+++ b/crates/poplargapd/src/limits/limit_link.rs
@@ -7,7 +7,7 @@
     },
     poplargap_core::{
         limit::{LoanReply, LoanRequest},
-        name::{ClassName, DataCentre},
+        name::{ClassName, DaemonName, DataCentre},
     },
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::watch,
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Returns the ready daemons of the own data centre, by name.
+    pub(super) fn ready(&self) -> Vec<DaemonName> {
+        let members = self.members.borrow();
+        members
+            .ready
+            .iter()
+            .map(|member| member.name.clone())
+            .collect()
+    }
+
     /// Finds the home of a class in the own data centre.
     pub(super) fn home_of(&self, class: &ClassName) -> ClassHome {
         let members = self.members.borrow();
--- a/crates/poplargapd/src/limits/messages.rs
+++ b/crates/poplargapd/src/limits/messages.rs
@@ -42,6 +42,7 @@
 pub(super) struct LoanAnswered {
     pub(super) class: ClassName,
     pub(super) reply: Option<LoanReply>,
+    pub(super) sequence: u64,
 }
 
 /// Brings the reply of the class's home in another data centre, or `None` when none came.
@@ -50,6 +51,7 @@
     pub(super) class: ClassName,
     pub(super) lender: DataCentre,
     pub(super) reply: Option<LoanReply>,
+    pub(super) sequence: u64,
 }
 
 /// Makes the actor look at catalogue, members and time.
