--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -3,6 +3,7 @@
 mod daemon_base;
 mod daemon_listeners;
 mod daemon_orders;
+mod daemon_servers;
 
 use {
     crate::{
@@ -11,15 +12,14 @@
         limits::{LimitActor, LimitInputs, LimitLink, RefreshLimits},
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
-        operators::OperatorServer,
         orders::OrderTask,
-        path::{AdmitGate, CallerServer, ClaimStore, PathContext, RouteDirectory, TraceRing},
-        relay::{RelayClient, RelayServer, RelaySettings},
-        rpc_server::{RpcServer, RpcSources},
+        path::{AdmitGate, ClaimStore, PathContext, RouteDirectory, TraceRing},
+        relay::RelayClient,
     },
     daemon_base::{DaemonBase, DaemonStore, own_report, progress},
-    daemon_listeners::{DaemonListeners, bind_error},
+    daemon_listeners::DaemonListeners,
     daemon_orders::start_orders,
+    daemon_servers::DaemonServers,
     displaydoc::Display,
     poplargap_core::{
         catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
@@ -40,9 +40,6 @@
 /// Time for peers to hear that the daemon is leaving.
 const LEAVE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time for idle connections to end after the last request.
-const IDLE_GRACE: Duration = Duration::from_millis(200);
-
 /// Time between two looks at the loans of limits.
 const LIMITS_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -81,19 +78,16 @@
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
-    callers: CallerServer,
     context: Arc<PathContext<DaemonStore>>,
     feed: CatalogueFeed,
     heartbeats: Arc<HeartbeatTask>,
     home: Address<HomeActor>,
     limit_refresher: JoinHandle<()>,
     log: Logger,
-    operators: OperatorServer,
     orders: OrderTask,
     ready: JoinHandle<()>,
     refresher: JoinHandle<()>,
-    relay: RelayServer,
-    rpc: RpcServer,
+    servers: DaemonServers,
     settings: DaemonSettings,
     vms: VmTask,
 }
@@ -165,46 +159,29 @@
             &base,
             &views,
             (peers, relays),
-            limits.clone(),
-            task.clone(),
-        ));
-        let members = views.members.clone();
-        let metrics = Arc::clone(&base.metrics);
-        let sources = RpcSources {
-            catalogue,
-            limit_link: link,
             limits,
-            members,
-            metrics: Arc::clone(&metrics),
-            proof: proof.clone(),
-        };
-        let rpc = RpcServer::start(sources, listeners.rpc)
-            .map_err(|source| bind_error("peers", settings.daemon.peers, source))?;
-        let relay_settings = RelaySettings {
-            body_max: settings.limits.body_max.bytes(),
-            metrics,
-            proof,
             task,
-        };
-        let relay = RelayServer::start(relay_settings, listeners.relay);
-        let token = settings.operators.token.clone();
-        let operators = OperatorServer::start(Arc::clone(&context), token, listeners.operators);
-        let callers = CallerServer::start(Arc::clone(&context), listeners.callers);
+        ));
+        let servers = DaemonServers::start(
+            &settings,
+            &base,
+            listeners.served,
+            &context,
+            catalogue,
+            link,
+        )?;
         slog::info!(log, "daemon started"; "daemon" => %settings.daemon.name, "callers" => %settings.daemon.callers);
         Ok(Self {
-            callers,
             context,
             feed,
             heartbeats,
             home,
             limit_refresher,
             log,
-            operators,
             orders,
             ready,
             refresher,
-            relay,
-            rpc,
+            servers,
             settings,
             vms,
         })
@@ -232,9 +209,7 @@
             time::sleep(DRAIN_POLL).await;
         }
         let cut = in_flight(&self.context);
-        self.callers.close(IDLE_GRACE).await;
-        self.relay.close(IDLE_GRACE).await;
-        self.rpc.close();
+        self.servers.close().await;
         self.refresher.abort();
         self.limit_refresher.abort();
         self.feed.close();
@@ -243,7 +218,6 @@
             heartbeats.close();
         }
         drop(self.home);
-        self.operators.close(IDLE_GRACE).await;
         slog::info!(self.log, "daemon closed"; "cut" => cut);
         CloseReport { cut }
     }
--- a/crates/poplargapd/src/daemon/daemon_listeners.rs
+++ b/crates/poplargapd/src/daemon/daemon_listeners.rs
@@ -8,15 +8,22 @@
     tokio::net::{TcpListener, UdpSocket},
 };
 
-/// One listener for each kind of caller.
-pub(super) struct DaemonListeners {
+/// The listeners that servers take over.
+#[derive(Debug)]
+pub(super) struct ServedListeners {
     pub(super) callers: TcpListener,
-    pub(super) heartbeats: UdpSocket,
     pub(super) operators: TcpListener,
     pub(super) relay: TcpListener,
     pub(super) rpc: TcpListener,
 }
 
+/// One listener for each kind of sender.
+#[derive(Debug)]
+pub(super) struct DaemonListeners {
+    pub(super) heartbeats: UdpSocket,
+    pub(super) served: ServedListeners,
+}
+
 impl DaemonListeners {
     /// Binds all listeners.
     pub(super) async fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
@@ -27,13 +34,13 @@
         let heartbeats = UdpSocket::bind(daemon.peers)
             .await
             .map_err(|source| bind_error("peers", daemon.peers, source))?;
-        Ok(Self {
+        let served = ServedListeners {
             callers: bind("callers", daemon.callers)?,
-            heartbeats,
             operators: bind("operators", daemon.operators)?,
             relay: bind("relay", daemon.relay)?,
             rpc: bind("peers", daemon.peers)?,
-        })
+        };
+        Ok(Self { heartbeats, served })
     }
 }
 
