Judge the length of events, not of chunks, when splitting a stream

Cause: the splitter compared the 1 MiB limit with the unfinished event plus the whole next chunk, and compared nothing when no event was unfinished. So short events after an unfinished one in a large chunk were refused, and a too long event in one chunk was let through. Change: a chunk above the limit is searched event by event; shorter chunks cost one comparison as before.

--- a/crates/poplargap-core/src/answer/event_splitter.rs
+++ b/crates/poplargap-core/src/answer/event_splitter.rs
@@ -35,7 +35,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when an unfinished event grows too long.
+    /// Returns an error when an event, finished or not, is too long.
     pub fn push(&mut self, chunk: Bytes) -> Result<(), SplitError> {
         debug_assert!(
             self.chunk.is_empty(),
@@ -43,13 +43,14 @@
         );
         if self.rest.is_empty() {
             self.chunk = chunk;
-            return Ok(());
+        } else {
+            self.rest.extend_from_slice(&chunk);
+            self.chunk = self.rest.split().freeze();
         }
-        self.rest.extend_from_slice(&chunk);
-        if self.rest.len() > EVENT_LEN_MAX {
+        if holds_long_event(&self.chunk) {
+            self.chunk.clear();
             return Err(SplitError::TooLong);
         }
-        self.chunk = self.rest.split().freeze();
         Ok(())
     }
 
@@ -69,3 +70,19 @@
         (!rest.is_empty()).then_some(rest)
     }
 }
+
+/// Returns whether an event of `chunk` is too long; a short chunk is not searched.
+fn holds_long_event(chunk: &[u8]) -> bool {
+    let mut rest = chunk;
+    while rest.len() > EVENT_LEN_MAX {
+        let Some(position) = memmem::find(rest, EVENT_END) else {
+            return true;
+        };
+        let len = position + EVENT_END.len();
+        if len > EVENT_LEN_MAX {
+            return true;
+        }
+        rest = &rest[len..];
+    }
+    false
+}
