--- /dev/null
+++ b/crates/poplargap-core/tests/answer.rs
@@ -0,0 +1,249 @@
+//! Tests of streamed answers: cuts at any byte, lost and repeated events, resumed attempts.
+
+use {
+    bytes::Bytes,
+    poplargap_core::{
+        answer::{AnswerTracker, EventSplitter, EventVerdict, SplitError, WholeAnswer},
+        name::RequestId,
+    },
+    proptest::{collection::vec, prelude::*, sample::Index, test_runner::RngSeed},
+};
+
+const DONE: &[u8] = b"data: [DONE]\n\n";
+const EVENT_LEN_MAX: usize = 1024 * 1024;
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+fn id(text: &str) -> RequestId {
+    text.try_into().expect("a checked name")
+}
+
+fn token(id: &str, index: u64) -> Vec<u8> {
+    let data = format!(
+        "{{\"id\":\"{id}\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"t{index} \"}}}}]}}"
+    );
+    format!("id: {index}\ndata: {data}\n\n").into_bytes()
+}
+
+fn usage(id: &str, tokens: u64) -> Vec<u8> {
+    let data = format!(
+        "{{\"id\":\"{id}\",\"choices\":[],\"usage\":{{\"prompt_tokens\":7,\"completion_tokens\":{tokens}}}}}"
+    );
+    format!("data: {data}\n\n").into_bytes()
+}
+
+/// Takes all events out of a stream that comes in `chunks`; the last item is what is left.
+fn split(chunks: &[&[u8]]) -> Result<(Vec<Bytes>, Option<Bytes>), SplitError> {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        splitter.push(Bytes::copy_from_slice(chunk))?;
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    Ok((events, splitter.take_rest()))
+}
+
+fn cut<'a>(stream: &'a [u8], cuts: &[Index]) -> Vec<&'a [u8]> {
+    let mut positions: Vec<usize> = cuts.iter().map(|at| at.index(stream.len() + 1)).collect();
+    positions.extend([0, stream.len()]);
+    positions.sort_unstable();
+    positions
+        .windows(2)
+        .map(|pair| &stream[pair[0]..pair[1]])
+        .collect()
+}
+
+/// What an upstream or the network does to a stream, event by event.
+#[derive(Clone, Debug)]
+enum StreamStep {
+    Comment,
+    Foreign(u64),
+    Repeat(u64),
+    Send,
+    Skip,
+}
+
+fn stream_step() -> impl Strategy<Value = StreamStep> {
+    prop_oneof![
+        1 => Just(StreamStep::Comment),
+        1 => (0_u64..40).prop_map(StreamStep::Foreign),
+        1 => (0_u64..40).prop_map(StreamStep::Repeat),
+        6 => Just(StreamStep::Send),
+        1 => Just(StreamStep::Skip),
+    ]
+}
+
+/// Sends one attempt's events from the tracker's next index; returns whether the answer ended.
+fn attempt(
+    tracker: &mut AnswerTracker,
+    steps: &[StreamStep],
+    total: u64,
+    forwarded: &mut Vec<Vec<u8>>,
+) -> bool {
+    let mut index = tracker.next_index();
+    for step in steps {
+        let event = match step {
+            StreamStep::Comment => b": keep-alive\n\n".to_vec(),
+            StreamStep::Foreign(at) => token("other", *at),
+            StreamStep::Repeat(at) => token("r1", (*at).min(index.saturating_sub(1))),
+            StreamStep::Send if index < total => token("r1", index),
+            StreamStep::Send => DONE.to_vec(),
+            StreamStep::Skip => {
+                index = (index + 1).min(total.saturating_sub(1));
+                continue;
+            }
+        };
+        let next = tracker.next_index();
+        match (tracker.judge(&event), step) {
+            (EventVerdict::Forward, StreamStep::Send | StreamStep::Repeat(_)) => {
+                assert_eq!(event, token("r1", next), "only the next event is forwarded");
+                forwarded.push(event);
+            }
+            (EventVerdict::End, StreamStep::Send) => return true,
+            // A caller of the tracker ends the attempt here and resumes.
+            (EventVerdict::Gap, StreamStep::Send | StreamStep::Repeat(_)) => return false,
+            (EventVerdict::Duplicate, StreamStep::Repeat(_) | StreamStep::Send)
+            | (EventVerdict::Foreign, StreamStep::Foreign(_))
+            | (EventVerdict::Comment, StreamStep::Comment) => {}
+            (verdict, step) => panic!("{verdict:?} of {step:?}"),
+        }
+        if matches!(step, StreamStep::Send) {
+            index += 1;
+        }
+    }
+    false
+}
+
+proptest! {
+    #![proptest_config(config(2))]
+
+    #[test]
+    fn any_cut_gives_the_same_events(
+        stream in vec(prop_oneof![3 => Just(b'\n'), 2 => Just(b'a'), 1 => any::<u8>()], 0..200),
+        cuts in vec(any::<Index>(), 0..40),
+    ) {
+        let whole = split(&[&stream]).expect("the stream is short");
+        let parts = split(&cut(&stream, &cuts)).expect("the stream is short");
+        let single: Vec<&[u8]> = stream.chunks(1).collect();
+        prop_assert_eq!(&parts, &whole);
+        prop_assert_eq!(&split(&single).expect("the stream is short"), &whole);
+        let (events, rest) = whole;
+        prop_assert!(events.iter().all(|event| event.ends_with(b"\n\n")));
+        let mut joined = events.concat();
+        joined.extend_from_slice(&rest.unwrap_or_default());
+        prop_assert_eq!(joined, stream);
+    }
+
+    #[test]
+    fn forwarded_events_are_in_order_once_each(
+        total in 1_u64..20,
+        attempts in vec(vec(stream_step(), 0..30), 0..6),
+    ) {
+        let mut tracker = AnswerTracker::new(id("r1"));
+        let mut forwarded = Vec::new();
+        let mut ended = false;
+        for steps in &attempts {
+            ended = attempt(&mut tracker, steps, total, &mut forwarded);
+            if ended {
+                break;
+            }
+        }
+        if !ended {
+            let rest = vec![StreamStep::Send; 25];
+            ended = attempt(&mut tracker, &rest, total, &mut forwarded);
+        }
+        prop_assert!(ended && tracker.is_complete());
+        prop_assert_eq!(tracker.next_index(), total);
+        let expected: Vec<Vec<u8>> = (0..total).map(|index| token("r1", index)).collect();
+        prop_assert_eq!(forwarded, expected);
+    }
+
+    #[test]
+    fn any_bytes_are_judged_without_a_panic(event in vec(any::<u8>(), 0..200)) {
+        let mut tracker = AnswerTracker::new(id("r1"));
+        let verdict = tracker.judge(&event);
+        prop_assert_ne!(verdict, EventVerdict::Forward);
+        prop_assert_eq!(tracker.next_index(), 0);
+        let mut answer = WholeAnswer::default();
+        answer.push(&event);
+        answer.push(&[b"data: ", event.as_slice()].concat());
+    }
+
+    #[test]
+    fn events_become_one_completion(total in 0_u64..20) {
+        let mut answer = WholeAnswer::default();
+        (0..total).for_each(|index| answer.push(&token("r1", index)));
+        answer.push(&usage("r1", total));
+        answer.push(DONE);
+        let completion = serde_json::to_value(answer.into_completion()).expect("it is JSON");
+        let text: String = (0..total).map(|index| format!("t{index} ")).collect();
+        prop_assert_eq!(&completion["id"], "r1");
+        prop_assert_eq!(&completion["usage"]["completion_tokens"], total);
+        if total > 0 {
+            let message = &completion["choices"][0]["message"];
+            prop_assert_eq!(&message["content"], &text);
+            prop_assert_eq!(&message["role"], "assistant");
+        }
+    }
+}
+
+#[test]
+fn usage_is_forwarded_once_over_all_attempts() {
+    let mut tracker = AnswerTracker::new(id("r1"));
+    assert_eq!(tracker.judge(&token("r1", 0)), EventVerdict::Forward);
+    assert_eq!(tracker.judge(&usage("other", 9)), EventVerdict::Foreign);
+    assert_eq!(tracker.judge(&usage("r1", 1)), EventVerdict::Forward);
+    assert_eq!(tracker.judge(&usage("r1", 1)), EventVerdict::Duplicate);
+    let usage = tracker.usage().expect("the usage was told");
+    assert_eq!(usage.completion_tokens, 1);
+}
+
+#[test]
+fn error_event_fails_the_attempt() {
+    let mut tracker = AnswerTracker::new(id("r1"));
+    let event = b"event: error\ndata: {\"id\":\"r1\"}\n\n";
+    assert_eq!(tracker.judge(event), EventVerdict::Failed);
+    assert!(!tracker.is_complete());
+}
+
+#[test]
+fn too_long_event_is_an_error() {
+    let chunk = vec![b'a'; 64 * 1024];
+    let chunks = vec![chunk.as_slice(); EVENT_LEN_MAX / chunk.len() + 1];
+    assert_eq!(split(&chunks), Err(SplitError::TooLong));
+}
+
+#[test]
+fn too_long_event_in_one_chunk_is_an_error() {
+    let unfinished = vec![b'a'; EVENT_LEN_MAX + 1];
+    assert!(split(&[&unfinished]).is_err());
+    let finished = [unfinished.as_slice(), b"\n\n"].concat();
+    assert!(split(&[&finished]).is_err());
+}
+
+#[test]
+fn many_events_in_one_chunk_after_an_unfinished_one_are_no_error() {
+    let event = token("r1", 0);
+    let (start, end) = event.split_at(5);
+    let mut chunk = end.to_vec();
+    while chunk.len() <= EVENT_LEN_MAX {
+        chunk.extend_from_slice(&event);
+    }
+    let whole = [start, &chunk].concat();
+    assert!(
+        split(&[start, &chunk]) == split(&[&whole]),
+        "the cut changed the events"
+    );
+    let (events, rest) = split(&[start, &chunk]).expect("every event is short");
+    assert_eq!(events.len(), whole.len() / event.len());
+    assert_eq!(rest, None);
+}
