--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -226,6 +226,18 @@
         &self.daemons
     }
 
+    /// Returns the daemons' listeners for RPC and heartbeats.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.base.places.iter().map(|place| place.peers).collect()
+    }
+
+    /// Returns the daemons' listeners for requests between daemons.
+    #[must_use]
+    pub fn relays(&self) -> Vec<SocketAddr> {
+        self.base.places.iter().map(|place| place.relay).collect()
+    }
+
     /// Returns the address of the platform's store.
     #[must_use]
     pub fn store(&self) -> SocketAddr {
