--- a/crates/poplargap-core/tests/answer.rs
+++ b/crates/poplargap-core/tests/answer.rs
@@ -185,7 +185,8 @@
         answer.push(&usage("r1", total));
         answer.push(DONE);
         let completion = serde_json::to_value(answer.into_completion()).expect("it is JSON");
-        let text: String = (0..total).map(|index| format!("t{index} ")).collect();
+        let words: Vec<String> = (0..total).map(|index| format!("t{index} ")).collect();
+        let text = words.concat();
         prop_assert_eq!(&completion["id"], "r1");
         prop_assert_eq!(&completion["usage"]["completion_tokens"], total);
         if total > 0 {
@@ -225,9 +226,9 @@
 #[test]
 fn too_long_event_in_one_chunk_is_an_error() {
     let unfinished = vec![b'a'; EVENT_LEN_MAX + 1];
-    assert!(split(&[&unfinished]).is_err());
+    assert_eq!(split(&[&unfinished]).err(), Some(SplitError::TooLong));
     let finished = [unfinished.as_slice(), b"\n\n"].concat();
-    assert!(split(&[&finished]).is_err());
+    assert_eq!(split(&[&finished]).err(), Some(SplitError::TooLong));
 }
 
 #[test]
--- a/crates/poplargap-core/tests/membership.rs
+++ b/crates/poplargap-core/tests/membership.rs
@@ -100,12 +100,13 @@
                 TableStep::Hear { incarnation, number, sequence } => {
                     let effect = table.hear(report(number, incarnation, sequence), at(now));
                     let order = (incarnation, sequence);
-                    let expected = match peers.get(&number) {
-                        _ if number == 0 => HeartbeatEffect::Stale,
-                        None => HeartbeatEffect::Changed,
-                        Some(peer) if order <= peer.order => HeartbeatEffect::Stale,
-                        Some(peer) if incarnation == peer.order.0 => HeartbeatEffect::Refreshed,
-                        Some(_) => HeartbeatEffect::Changed,
+                    let former = peers.get(&number).map(|peer| peer.order);
+                    let is_stale = number == 0 || former.is_some_and(|former| order <= former);
+                    let is_restart = former.is_none_or(|former| former.0 != incarnation);
+                    let expected = match (is_stale, is_restart) {
+                        (true, _) => HeartbeatEffect::Stale,
+                        (false, true) => HeartbeatEffect::Changed,
+                        (false, false) => HeartbeatEffect::Refreshed,
                     };
                     prop_assert_eq!(effect, expected);
                     if effect != HeartbeatEffect::Stale {
@@ -126,7 +127,9 @@
                 TableStep::Pause(elapsed) => {
                     now += elapsed;
                     prop_assert_eq!(table.expire(at(now)), Vec::new(), "a pause expires nobody");
-                    peers.values_mut().for_each(|peer| peer.heard_ms += elapsed);
+                    for peer in peers.values_mut() {
+                        peer.heard_ms += elapsed;
+                    }
                 }
             }
             let expected: Vec<DaemonName> = peers.keys().map(|number| name(*number)).collect();
--- a/crates/poplargap-link/tests/datagrams.rs
+++ b/crates/poplargap-link/tests/datagrams.rs
@@ -19,6 +19,7 @@
     },
     proptest::{collection::vec, option, prelude::*, sample::Index, test_runner::RngSeed},
     std::{
+        fmt::Debug,
         net::{Ipv4Addr, SocketAddr},
         str::FromStr,
     },
@@ -35,10 +36,10 @@
     }
 }
 
-fn name<T: FromStr>() -> impl Strategy<Value = T>
+fn name<T>() -> impl Strategy<Value = T>
 where
-    T::Err: std::fmt::Debug,
-    T: std::fmt::Debug,
+    T: Debug + FromStr,
+    T::Err: Debug,
 {
     "[a-zA-Z0-9._:-]{1,20}".prop_map(|text| text.parse().expect("a checked name"))
 }
--- a/crates/poplargapd/tests/bad_input.rs
+++ b/crates/poplargapd/tests/bad_input.rs
@@ -45,7 +45,7 @@
 
 fn plan() -> SitePlan {
     let mut plan = SitePlan::new(&["ne1"], 1, 1, 1, 2);
-    plan.extra_settings = "[timeouts]\ndrain = 2s\nwrite = 1s\n".to_owned();
+    plan.extra_settings = String::from("[timeouts]\ndrain = 2s\nwrite = 1s\n");
     plan.engine.decode_base = Duration::from_millis(1);
     plan.engine.decode_slope = Duration::ZERO;
     plan
