--- a/crates/poplargapd/src/orders/held_orders.rs
+++ b/crates/poplargapd/src/orders/held_orders.rs
@@ -30,8 +30,11 @@
     catalogue: Option<u64>,
     pub(super) fence: u64,
     pub(super) must_store: bool,
+    /// When acknowledged orders are stored at the earliest.
     pub(super) next_store: MonotonicInstant,
     restarts: mpsc::UnboundedReceiver<UpstreamName>,
+    /// When a record that orders wait for is written again at the earliest.
+    pub(super) retry_store: MonotonicInstant,
     pub(super) running: JoinSet<FinishedOrder>,
     pub(super) unstored: bool,
     watch: RestartWatch,
@@ -47,6 +50,7 @@
             must_store: false,
             next_store: MonotonicInstant::default(),
             restarts,
+            retry_store: MonotonicInstant::default(),
             running: JoinSet::new(),
             unstored: false,
             watch,
--- a/crates/poplargapd/src/orders/order_task.rs
+++ b/crates/poplargapd/src/orders/order_task.rs
@@ -259,6 +259,7 @@
         if let Some(held) = &mut self.held {
             held.take_results(&self.inputs, self.clock.now());
             held.next_store = MonotonicInstant::default();
+            held.retry_store = MonotonicInstant::default();
         }
         if self.holder.phase(self.clock.now()) != HolderPhase::Free {
             let _stored = self.store_record().await;
@@ -276,8 +277,12 @@
         };
         held.must_store |= held.book.trim();
         let now = self.clock.now();
-        let store_now = held.must_store || held.unstored;
-        if !store_now || now < held.next_store {
+        let earliest = if held.must_store {
+            held.retry_store
+        } else {
+            held.next_store
+        };
+        if !(held.must_store || held.unstored) || now < earliest {
             return !held.must_store;
         }
         held.next_store = now + STORE_PAUSE;
@@ -287,7 +292,10 @@
                 self.lose("a newer holder has written");
                 false
             }
-            RecordWrite::Unsure => !held.must_store,
+            RecordWrite::Unsure => {
+                held.retry_store = now + STORE_PAUSE;
+                !held.must_store
+            }
             RecordWrite::Written => {
                 held.must_store = false;
                 held.unstored = false;
--- a/crates/poplargapd/tests/orders.rs
+++ b/crates/poplargapd/tests/orders.rs
@@ -158,6 +158,15 @@
     site.close().await;
 }
 
+/// Waits until the store has an acknowledged order: one that it lacks is given again.
+async fn wait_for_record(store: SocketAddr, value: &str) {
+    wait_until("the store has what the engine acknowledged", || async {
+        let record = stored(store, "poplargap/orders/ne1/acknowledged").await;
+        record.is_some_and(|record| record.contains(value))
+    })
+    .await;
+}
+
 fn signal(site: &ProcessSite, name: &str, signal: &str) {
     let daemon = site.daemons.iter().find(|daemon| daemon.name == name);
     let daemon = daemon.expect("the daemon is one of the site's");
@@ -176,11 +185,7 @@
     site.apply(&text).await.expect("the edit is accepted");
     wait_for_orders(site.upstreams(), 0, &["adapter hide"]).await;
     let store = site.store();
-    wait_until("the store has what the engine acknowledged", || async {
-        let record = stored(store, "poplargap/orders/ne1/acknowledged").await;
-        record.is_some_and(|record| record.contains("hide"))
-    })
-    .await;
+    wait_for_record(store, "hide").await;
     let first = holder(store, "ne1").await.expect("someone holds the lease");
     signal(&site, &first, "STOP");
     text += "role = decode\n";
@@ -283,6 +288,7 @@
     let text = upstream(site.upstreams(), &plan, 0, "role = prefill");
     site.apply(&text).await.expect("the edit is accepted");
     wait_for_orders(site.upstreams(), 0, &["role prefill"]).await;
+    wait_for_record(site.store(), "prefill").await;
     set_store_faults(site.store(), REFUSE).await;
     let operators = site.operators();
     wait_until("the lease lapses", || async {
