--- a/crates/poplargap-core/src/limit/limit_home.rs
+++ b/crates/poplargap-core/src/limit/limit_home.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Allowance, HomeHandover, LOAN_TTL, LoanAmount, LoanHolder, LoanOutcome, LoanReply,
-        LoanRequest,
+        LoanRequest, LoanStamp,
         borrowed_share::{BorrowedShare, ShareDemand},
         known_from::KnownFrom,
         loan_record::{LOAN_MARGIN, LoanRecord},
@@ -63,15 +63,17 @@
 impl LimitHome {
     /// Creates a home that knows nothing of its predecessor's loans.
     ///
-    /// `holder` names the daemon as a borrower for its data centre. Until the loans of an earlier
-    /// home have ended the home only confirms what borrowers say that they hold.
+    /// `holder` names the daemon as a borrower for its data centre. `since` is the time from which
+    /// no other home can have lent: when the daemon took the class's place as home, which may be
+    /// long before the class's first request. Until the loans of an earlier home have ended the
+    /// home only confirms what borrowers say that they hold.
     #[must_use]
-    pub fn open(class: ClassName, holder: LoanHolder, now: MonotonicInstant) -> Self {
+    pub fn open(class: ClassName, holder: LoanHolder, since: MonotonicInstant) -> Self {
         Self {
             borrowed: BorrowedShare::default(),
             class,
             holder,
-            known: KnownFrom::after_wait(now),
+            known: KnownFrom::after_wait(since),
             limits: LimitSet::default(),
             records: HashMap::default(),
             share: Allowance::ZERO,
@@ -139,6 +141,27 @@
         }
     }
 
+    /// Returns the stamp of `holder`'s loan, when it can be renewed together with others.
+    #[must_use]
+    pub fn stamp(&self, holder: &LoanHolder, now: MonotonicInstant) -> Option<LoanStamp> {
+        let record = self.records.get(holder)?;
+        let class = self.class.clone();
+        let sequence = record.sequence;
+        record
+            .is_plain(now)
+            .then_some(LoanStamp { class, sequence })
+    }
+
+    /// Renews `holder`'s loan after its stamps were found equal, and returns whether it is scarce.
+    ///
+    /// Without a tenure nothing may be renewed.
+    pub fn renew(&mut self, holder: &LoanHolder, now: MonotonicInstant) -> bool {
+        if let Some(record) = self.records.get_mut(holder) {
+            record.renew(now);
+        }
+        self.is_scarce(now)
+    }
+
     /// Returns the next request to the class's home in another data centre, when one is due.
     pub fn ask_lender(&mut self, now: MonotonicInstant) -> Option<(DataCentre, LoanRequest)> {
         self.advance(now);
@@ -151,6 +174,11 @@
         self.borrowed.accept(lender, reply);
     }
 
+    /// Notes that the reply to request `sequence` to another data centre won't come.
+    pub fn lender_lost(&mut self, lender: &DataCentre, sequence: u64) {
+        self.borrowed.lose(lender, sequence);
+    }
+
     /// Returns what all holders together may use at `now`.
     #[must_use]
     pub fn lent(&self, now: MonotonicInstant) -> Allowance {
@@ -290,12 +318,12 @@
         wait.as_millis() as u32
     }
 
-    /// Returns whether a holder went short lately or more than half of the share is lent.
+    /// Returns whether a holder went short lately or less than a quarter is left to lend.
     fn is_scarce(&self, now: MonotonicInstant) -> bool {
         let short = self
             .short_at
             .is_some_and(|at| now.since(at) < SCARCE_PERIOD);
-        let lent = self.lent(now).bound_by(&self.limits);
-        short || !self.share.covers(lent.plus(lent))
+        let spare = self.share.quarter().bound_by(&self.limits);
+        short || !self.share.covers(self.lent(now).plus(spare))
     }
 }
--- a/crates/poplargap-core/src/limit/loan_account.rs
+++ b/crates/poplargap-core/src/limit/loan_account.rs
@@ -17,6 +17,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PendingRequest {
+    lost: bool,
     sent: MonotonicInstant,
     sequence: u64,
     want: Allowance,
@@ -77,12 +78,13 @@
     /// Returns whether a reply may still come.
     pub fn is_pending(&self, now: MonotonicInstant) -> bool {
         self.pending
-            .is_some_and(|pending| now.since(pending.sent) < REPLY_TIMEOUT)
+            .is_some_and(|pending| !pending.lost && now.since(pending.sent) < REPLY_TIMEOUT)
     }
 
     /// Returns whether a reply was given up, so that the lender may count more than is held.
     pub fn is_unanswered(&self, now: MonotonicInstant) -> bool {
-        self.pending.is_some() && !self.is_pending(now)
+        self.pending
+            .is_some_and(|pending| now.since(pending.sent) >= REPLY_TIMEOUT)
     }
 
     /// Returns whether the last request is old enough for a renewal.
@@ -96,6 +98,33 @@
         !self.is_pending(now) && (self.satisfied || self.is_renewal_due(now))
     }
 
+    /// Returns the number of the last request, when nothing of the loan is lent on.
+    ///
+    /// A lender that has answered that request counts at least what is held now.
+    pub fn plain_sequence(&self, now: MonotonicInstant) -> Option<u64> {
+        let amount = self.amount(now);
+        let plain = amount.backed == Allowance::ZERO && amount.own != Allowance::ZERO;
+        plain.then_some(self.sequence)
+    }
+
+    /// Takes a renewal asked for at `sent` of the loan given for request `sequence`.
+    pub fn renew(&mut self, sequence: u64, sent: MonotonicInstant) {
+        if self.plain_sequence(sent) == Some(sequence) {
+            self.asked = Some(sent);
+            self.until = self.until.max(sent + LOAN_TTL);
+        }
+    }
+
+    /// Gives up the reply to request `sequence`; what the lender decided is unknown.
+    pub fn lose(&mut self, sequence: u64) {
+        if let Some(pending) = self.pending.as_mut()
+            && pending.sequence == sequence
+        {
+            pending.lost = true;
+            self.satisfied = false;
+        }
+    }
+
     /// Builds a request; from now on only its reply counts.
     pub fn ask(
         &mut self,
@@ -108,6 +137,7 @@
         self.amount = self.amount(now).at_most(wish.want);
         self.asked = Some(now);
         self.pending = Some(PendingRequest {
+            lost: false,
             sent: now,
             sequence: self.sequence,
             want: wish.want,
