--- a/crates/poplargap-core/src/catalogue.rs
+++ b/crates/poplargap-core/src/catalogue.rs
@@ -10,7 +10,9 @@
 mod history;
 mod key_digest;
 mod load_multiple;
+mod shared_entry;
 mod snapshot;
+mod snapshot_patch;
 
 pub use {
     bucket::{BUCKET_COUNT, BUCKET_PREFIX, BucketRecord, EntryRecord, bucket_key},
@@ -24,5 +26,6 @@
     history::{HISTORY_LEN_MAX, HISTORY_PREFIX, HistoryRecord, history_key},
     key_digest::{DigestError, KeyDigest},
     load_multiple::{LoadMultiple, MultipleError},
+    shared_entry::SharedEntry,
     snapshot::CatalogueSnapshot,
 };
--- a/crates/poplargap-core/src/catalogue/bucket_table.rs
+++ b/crates/poplargap-core/src/catalogue/bucket_table.rs
@@ -1,11 +1,14 @@
 //! Buckets of the catalogue as one process has seen them; none ever goes back.
 
 use {
-    super::{BucketRecord, CatalogueSnapshot},
+    super::{BucketRecord, CatalogueSnapshot, SharedEntry, snapshot_patch::SnapshotPatch},
     displaydoc::Display,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, mem, sync::Arc},
 };
 
+/// Most changed buckets for which the last snapshot is patched instead of a new one built.
+const CHANGES_PATCHED_MAX: usize = 64;
+
 /// A bucket that can't be taken in.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum BucketError {
@@ -23,19 +26,28 @@
 /// One bucket at the revision of its last change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VersionedBucket {
-    /// The bucket's content.
-    pub record: BucketRecord,
+    /// The bucket's entries, without removed ones.
+    pub entries: Vec<SharedEntry>,
     /// Revision of the last change.
     pub revision: u64,
     /// The value as the store keeps it.
     pub value: String,
 }
 
+/// Entries of one bucket before and after a change.
+#[derive(Clone, Debug)]
+struct BucketChange {
+    after: Vec<SharedEntry>,
+    before: Vec<SharedEntry>,
+}
+
 /// All buckets, and the revision up to which they are complete.
 #[derive(Clone, Debug, Default)]
 pub struct BucketTable {
     buckets: BTreeMap<String, VersionedBucket>,
+    changes: Vec<BucketChange>,
     revision: u64,
+    snapshot: Arc<CatalogueSnapshot>,
 }
 
 impl BucketTable {
@@ -52,19 +64,27 @@
         {
             return Ok(false);
         }
-        let record = serde_json::from_str(value).map_err(|source| BucketError::Malformed {
-            key: key.to_owned(),
-            message: source.to_string(),
-        })?;
-        let value = value.to_owned();
-        self.buckets.insert(
-            key.to_owned(),
-            VersionedBucket {
-                record,
-                revision,
-                value,
-            },
-        );
+        let record: BucketRecord =
+            serde_json::from_str(value).map_err(|source| BucketError::Malformed {
+                key: key.to_owned(),
+                message: source.to_string(),
+            })?;
+        let entries: Vec<SharedEntry> = record
+            .entries
+            .into_values()
+            .filter_map(|record| record.entry)
+            .map(SharedEntry::from)
+            .collect();
+        let bucket = VersionedBucket {
+            entries: entries.clone(),
+            revision,
+            value: value.to_owned(),
+        };
+        let before = self.buckets.insert(key.to_owned(), bucket);
+        self.changes.push(BucketChange {
+            after: entries,
+            before: before.map(|bucket| bucket.entries).unwrap_or_default(),
+        });
         Ok(true)
     }
 
@@ -92,10 +112,31 @@
             .filter(move |(_, bucket)| bucket.revision > revision)
     }
 
-    /// Builds the snapshot of all buckets.
-    #[must_use]
-    pub fn snapshot(&self) -> CatalogueSnapshot {
-        let records = self.buckets.values().map(|bucket| &bucket.record);
-        CatalogueSnapshot::from_buckets(self.revision, records)
+    /// Returns the snapshot of all buckets, made from the last one when few buckets changed.
+    pub fn snapshot(&mut self) -> Arc<CatalogueSnapshot> {
+        let changes = mem::take(&mut self.changes);
+        let snapshot = if changes.len() <= CHANGES_PATCHED_MAX {
+            self.patch(&changes)
+        } else {
+            let entries = self.buckets.values().flat_map(|bucket| &bucket.entries);
+            CatalogueSnapshot::from_entries(self.revision, entries)
+        };
+        self.snapshot = Arc::new(snapshot);
+        Arc::clone(&self.snapshot)
+    }
+
+    fn patch(&self, changes: &[BucketChange]) -> CatalogueSnapshot {
+        let mut patch = SnapshotPatch::new(&self.snapshot, self.revision);
+        for change in changes {
+            let removed = change.before.iter();
+            removed
+                .filter(|entry| !change.after.contains(entry))
+                .for_each(|entry| patch.remove(entry));
+            let added = change.after.iter();
+            added
+                .filter(|entry| !change.before.contains(entry))
+                .for_each(|entry| patch.insert(entry));
+        }
+        patch.finish()
     }
 }
--- a/crates/poplargap-core/src/catalogue/snapshot.rs
+++ b/crates/poplargap-core/src/catalogue/snapshot.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        BucketRecord, CatalogueEntry, ClassEntry, DataCentreEntry, KeyDigest, PoolEntry,
-        UpstreamEntry, WorkspaceEntry,
+        ClassEntry, DataCentreEntry, KeyDigest, PoolEntry, SharedEntry, UpstreamEntry,
+        WorkspaceEntry,
     },
     crate::{
         collections::HashMap,
@@ -28,26 +28,22 @@
     pub upstreams: BTreeMap<UpstreamName, Arc<UpstreamEntry>>,
     /// Workspaces by name.
     pub workspaces: BTreeMap<WorkspaceName, Arc<WorkspaceEntry>>,
-    classes_by_owner: HashMap<WorkspaceName, Vec<Arc<ClassEntry>>>,
-    shards: HashMap<PoolName, BTreeMap<DataCentre, Vec<PoolShard>>>,
-    workspaces_by_digest: HashMap<String, Arc<WorkspaceEntry>>,
+    pub(super) classes_by_owner: HashMap<WorkspaceName, Vec<Arc<ClassEntry>>>,
+    pub(super) shards: HashMap<PoolName, BTreeMap<DataCentre, Vec<PoolShard>>>,
+    pub(super) workspaces_by_digest: HashMap<String, Arc<WorkspaceEntry>>,
 }
 
 impl CatalogueSnapshot {
-    /// Builds the snapshot of `buckets` at `revision`.
-    pub fn from_buckets<'a>(
+    /// Builds the snapshot of `entries` at `revision`.
+    pub fn from_entries<'a>(
         revision: u64,
-        buckets: impl IntoIterator<Item = &'a BucketRecord>,
+        entries: impl IntoIterator<Item = &'a SharedEntry>,
     ) -> Self {
         let mut snapshot = Self {
             revision,
             ..Self::default()
         };
-        buckets
-            .into_iter()
-            .flat_map(|bucket| bucket.entries.values())
-            .filter_map(|record| record.entry.as_ref())
-            .for_each(|entry| snapshot.insert(entry));
+        entries.into_iter().for_each(|entry| snapshot.insert(entry));
         snapshot.index();
         snapshot
     }
@@ -129,23 +125,25 @@
         }
     }
 
-    fn insert(&mut self, entry: &CatalogueEntry) {
-        match entry.clone() {
-            CatalogueEntry::Class(entry) => {
-                self.classes.insert(entry.name.clone(), Arc::new(entry));
+    /// Puts an entry in, without the indexes.
+    pub(super) fn insert(&mut self, entry: &SharedEntry) {
+        match entry {
+            SharedEntry::Class(entry) => {
+                self.classes.insert(entry.name.clone(), Arc::clone(entry));
             }
-            CatalogueEntry::DataCentre(entry) => {
+            SharedEntry::DataCentre(entry) => {
                 self.data_centres
-                    .insert(entry.name.clone(), Arc::new(entry));
+                    .insert(entry.name.clone(), Arc::clone(entry));
             }
-            CatalogueEntry::Pool(entry) => {
-                self.pools.insert(entry.name.clone(), Arc::new(entry));
+            SharedEntry::Pool(entry) => {
+                self.pools.insert(entry.name.clone(), Arc::clone(entry));
             }
-            CatalogueEntry::Upstream(entry) => {
-                self.upstreams.insert(entry.name.clone(), Arc::new(entry));
+            SharedEntry::Upstream(entry) => {
+                self.upstreams.insert(entry.name.clone(), Arc::clone(entry));
             }
-            CatalogueEntry::Workspace(entry) => {
-                self.workspaces.insert(entry.name.clone(), Arc::new(entry));
+            SharedEntry::Workspace(entry) => {
+                self.workspaces
+                    .insert(entry.name.clone(), Arc::clone(entry));
             }
         }
     }
--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -313,7 +313,7 @@
                 format!("revision {revision} after {before}")
             });
         if let Some(snapshot) = snapshot {
-            self.channels.snapshots.send_replace(Arc::new(snapshot));
+            self.channels.snapshots.send_replace(snapshot);
             self.channels.revision.send_replace(revision);
             self.inputs
                 .metrics
