--- a/crates/poplargap-testbed/src/site/site_plan.rs
+++ b/crates/poplargap-testbed/src/site/site_plan.rs
@@ -77,6 +77,8 @@
     pub log_level: String,
     /// How daemons choose upstreams.
     pub policy: PolicyKind,
+    /// Whether relays stand before the store and the daemons' listeners for peers.
+    pub relays: bool,
     /// The workspaces.
     pub workspaces: Vec<WorkspacePlan>,
 }
@@ -99,11 +101,12 @@
 }
 
 impl WorkspacePlan {
-    /// Creates a workspace with notes and reports of `model` and lookups and bookings of `service`.
+    /// Creates a workspace with chats of `model` and lookups and bookings of `service`.
     #[must_use]
     pub fn new(name: &str, model: &str, service: &str) -> Self {
         Self {
             classes: vec![
+                class(name, "checks", model, PriorityClass::Interactive, true),
                 class(name, "notes", model, PriorityClass::Interactive, true),
                 class(name, "reports", model, PriorityClass::Batch, true),
                 class(name, "lookups", service, PriorityClass::Interactive, true),
@@ -146,6 +149,7 @@
             fencing: FencingCheck::Checked,
             log_level: "warning".to_owned(),
             policy: PolicyKind::Homed,
+            relays: false,
             workspaces: workspaces.collect(),
         }
     }
@@ -155,4 +159,9 @@
     pub fn data_centre_of(&self, number: usize) -> &str {
         &self.data_centres[number % self.data_centres.len()]
     }
+    /// Returns the name of a pool's upstream with this number.
+    #[must_use]
+    pub fn upstream_name(&self, pool: &PoolPlan, number: usize) -> String {
+        format!("{}-{}-{number:02}", pool.name, self.data_centre_of(number))
+    }
 }
--- a/crates/poplargapd/src/path/problem.rs
+++ b/crates/poplargapd/src/path/problem.rs
@@ -1,7 +1,7 @@
 //! Refusals as callers see them: RFC 9457 problem details with what is known of the effects.
 
 use {
-    poplargap_core::{name::RequestId, outcome::RunOutcome},
+    poplargap_core::{name::RequestId, retry::RunOutcome},
     serde::Serialize,
     std::time::Duration,
     strum::{Display, IntoStaticStr},
--- a/crates/poplargapd/src/path/relay.rs
+++ b/crates/poplargapd/src/path/relay.rs
@@ -12,7 +12,7 @@
         answer::{AnswerTracker, EventSplitter, EventVerdict, TokenUsage},
         home::PlaceRequest,
         name::{ChatId, RequestId, UpstreamName},
-        outcome::RunOutcome,
+        retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     std::{sync::Arc, time::Duration},
@@ -43,6 +43,8 @@
     pub identity: Identity,
     /// Text that stays the same over the turns of the chat.
     pub key: String,
+    /// Most prompt and answer tokens.
+    pub tokens_max: u64,
 }
 
 /// Follows one chat's answer over all its attempts.
