--- a/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
+++ b/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
@@ -153,11 +153,14 @@
     }
     for number in 0..size.upstreams {
         entries.push(CatalogueEntry::Upstream(UpstreamEntry {
+            adapters: Vec::new(),
             address: upstream,
             data_centre: data_centre_name(number % size.data_centres).parse()?,
             fencing: FencingCheck::Checked,
+            model_version: None,
             name: format!("engine-{number:05}").parse()?,
             pool: pool_name(number / size.data_centres % size.pools).parse()?,
+            role: None,
             state: UpstreamState::Serving,
         }));
     }
@@ -174,6 +177,7 @@
 fn pool(number: usize) -> Result<CatalogueEntry, NameError> {
     Ok(CatalogueEntry::Pool(PoolEntry {
         kind: PoolKind::Model,
+        loads_at_once: None,
         multiple: LoadMultiple::try_from(1.5).expect("1.5 is in range"),
         name: pool_name(number).parse()?,
         queue: 256,
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -2,6 +2,7 @@
 
 mod daemon_base;
 mod daemon_listeners;
+mod daemon_orders;
 
 use {
     crate::{
@@ -11,18 +12,20 @@
         members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmTask, VmView},
         metrics::DaemonMetrics,
         operators::OperatorServer,
+        orders::OrderTask,
         path::{AdmitGate, CallerServer, ClaimStore, PathContext, RouteDirectory, TraceRing},
         relay::{RelayClient, RelayServer, RelaySettings},
         rpc_server::{RpcServer, RpcSources},
     },
     daemon_base::{DaemonBase, DaemonStore, own_report, progress},
     daemon_listeners::{DaemonListeners, bind_error},
+    daemon_orders::start_orders,
     displaydoc::Display,
     poplargap_core::{
         catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
         settings::DaemonSettings,
     },
-    poplargap_link::heartbeat::ShardReport,
+    poplargap_link::heartbeat::{PoolSummary, ShardReport},
     slog::Logger,
     std::{io, net::SocketAddr, num::NonZeroUsize, sync::Arc, time::Duration},
     tokio::{
@@ -86,6 +89,7 @@
     limit_refresher: JoinHandle<()>,
     log: Logger,
     operators: OperatorServer,
+    orders: OrderTask,
     ready: JoinHandle<()>,
     refresher: JoinHandle<()>,
     relay: RelayServer,
@@ -113,7 +117,9 @@
         );
         let (channels, catalogue, revision) = feed::channels();
         let (reports, shards) = watch::channel(Vec::new());
+        let (pool_loads, pools) = watch::channel(Vec::new());
         let inputs = HeartbeatInputs {
+            pools,
             revision: revision.clone(),
             shards,
             vms: vm_view.clone(),
@@ -129,12 +135,19 @@
         let control = base.metrics.control.clone();
         let clients =
             UpstreamClients::new(progress(&settings), control).map_err(StartError::Http)?;
-        let home = start_home(&settings, &base, &views, clients.clone(), reports);
+        let home = start_home(
+            &settings,
+            &base,
+            &views,
+            clients.clone(),
+            (pool_loads, reports),
+        );
         let refresher = tokio::spawn(refresh(
             home.clone(),
             views.clone(),
             settings.timeouts.heartbeat,
         ));
+        let orders = start_orders(&settings, &base, &views)?;
         let ready = tokio::spawn(announce_ready(Arc::clone(&heartbeats), revision));
 
         let link = LimitLink::new(views.members.clone(), peers.clone(), views.vms.clone());
@@ -187,6 +200,7 @@
             limit_refresher,
             log,
             operators,
+            orders,
             ready,
             refresher,
             relay,
@@ -210,6 +224,7 @@
         self.ready.abort();
         slog::info!(self.log, "daemon is leaving");
         self.heartbeats.set_state(MemberState::Leaving).await;
+        self.orders.close().await;
         time::sleep(LEAVE_PAUSE).await;
         self.context.admit.shut();
         let end = time::Instant::now() + self.settings.timeouts.drain;
@@ -314,7 +329,10 @@
     base: &DaemonBase,
     views: &DaemonViews,
     clients: UpstreamClients,
-    reports: watch::Sender<Vec<ShardReport>>,
+    (pools, reports): (
+        watch::Sender<Vec<PoolSummary>>,
+        watch::Sender<Vec<ShardReport>>,
+    ),
 ) -> Address<HomeActor> {
     let inputs = HomeInputs {
         catalogue: views.catalogue.clone(),
@@ -324,6 +342,7 @@
         log: base.log.clone(),
         members: views.members.clone(),
         metrics: Arc::clone(&base.metrics),
+        pools,
         reports,
         vms: views.vms.clone(),
     };
