--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         PeerClients,
-        store_watch::{self, BucketUpdate},
+        store_watch::{self, BucketUpdate, StoreUpdate},
     },
     crate::{
         invariant::{Invariant, InvariantMonitor},
@@ -13,13 +13,11 @@
     poplargap_core::{
         catalogue::{BucketTable, CatalogueSnapshot},
         name::DataCentre,
-        rendezvous,
     },
     poplargap_link::rpc::{CatalogueBucket, CatalogueDelta, DELTA_LEN_MAX},
     poplargap_platform::{KeyValueStore, StoreError},
     slog::Logger,
     std::{
-        mem,
         net::SocketAddr,
         sync::{Arc, PoisonError, RwLock},
         time::Duration,
@@ -143,7 +141,6 @@
         channels: FeedChannels,
     ) -> Self {
         let state = FeedState {
-            changed: false,
             channels,
             inputs,
             reachable: true,
@@ -160,8 +157,6 @@
 }
 
 struct FeedState<S> {
-    /// Whether the table holds buckets that no published snapshot has.
-    changed: bool,
     channels: FeedChannels,
     inputs: FeedInputs,
     reachable: bool,
@@ -185,8 +180,11 @@
 
     /// Takes the first catalogue from the store, or from any peer when the store doesn't answer.
     async fn start_up(&mut self) {
-        match self.list_store().await {
-            Ok(()) => self.note_store(None),
+        match store_watch::list(&self.store).await {
+            Ok(update) => {
+                self.note_store(None);
+                self.take(&update);
+            }
             Err(error) => {
                 self.note_store(Some(&error));
                 self.follow_remote().await;
@@ -213,18 +211,18 @@
     }
 
     async fn watch_store(&mut self) {
-        let result = match store_watch::watch(&self.store, self.revision()).await {
+        let update = match store_watch::watch(&self.store, self.revision()).await {
             // After no answer the store's client uses a fresh connection.
-            Err(StoreError::Compacted(_) | StoreError::NoAnswer(_)) => self.list_store().await,
-            Err(error) => Err(error),
-            Ok(update) => {
-                self.accept(&update.buckets);
-                self.publish(update.revision);
-                Ok(())
+            Err(StoreError::Compacted(_) | StoreError::NoAnswer(_)) => {
+                store_watch::list(&self.store).await
             }
+            result => result,
         };
-        match result {
-            Ok(()) => self.note_store(None),
+        match update {
+            Ok(update) => {
+                self.note_store(None);
+                self.take(&update);
+            }
             Err(error) => {
                 self.note_store(Some(&error));
                 self.follow_peers().await;
@@ -234,36 +232,14 @@
         }
     }
 
-    /// Takes all buckets from the store, page by page, so that one page is held at a time.
-    ///
-    /// The pages may come from several revisions; the listing is complete up to the first.
-    async fn list_store(&mut self) -> Result<(), StoreError> {
-        let mut after: Option<String> = None;
-        let mut revision = None;
-        loop {
-            let page = store_watch::list_page(&self.store, after.as_deref()).await?;
-            revision.get_or_insert(page.update.revision);
-            self.accept(&page.update.buckets);
-            after = page.next;
-            if after.is_none() {
-                self.publish(revision.unwrap_or_default());
-                return Ok(());
-            }
-        }
-    }
-
-    /// Learns from a peer with the highest revision, if that is higher than the own one.
-    ///
-    /// Daemons choose different ones of these peers, so that none answers them all.
+    /// Learns from the peer with the highest revision, if that is higher than the own one.
     async fn follow_peers(&mut self) {
         let best = {
             let members = self.inputs.members.borrow();
-            let highest = members.peers.iter().map(|peer| peer.revision).max();
             members
                 .peers
                 .iter()
-                .filter(|peer| Some(peer.revision) == highest)
-                .max_by_key(|peer| rendezvous::score(members.own.name.as_str(), peer.name.as_str()))
+                .max_by_key(|peer| peer.revision)
                 .map(|peer| (peer.revision, peer.peers))
         };
         if let Some((revision, peer)) = best
@@ -294,51 +270,43 @@
         let own = self.revision();
         let mut after = None;
         let mut revision = None;
+        let mut buckets = Vec::new();
         loop {
             let Some(delta) = self.inputs.peers.catalogue_since(peer, own, after).await else {
                 return;
             };
             revision.get_or_insert(delta.revision);
-            let buckets = delta.buckets.into_iter().map(|bucket| BucketUpdate {
+            buckets.extend(delta.buckets.into_iter().map(|bucket| BucketUpdate {
                 key: bucket.key,
                 revision: bucket.revision,
                 value: bucket.value,
-            });
-            self.accept(&buckets.collect::<Vec<_>>());
+            }));
             after = delta.next;
             if after.is_none() {
                 break;
             }
         }
-        self.publish(revision.unwrap_or_default());
+        let revision = revision.unwrap_or_default();
+        self.take(&StoreUpdate { buckets, revision });
     }
 
-    fn accept(&mut self, buckets: &[BucketUpdate]) {
+    fn take(&mut self, update: &StoreUpdate) {
+        let before = self.revision();
         let mut table = self
             .channels
             .table
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        for bucket in buckets {
+        let mut changed = false;
+        for bucket in &update.buckets {
             match table.accept(&bucket.key, bucket.revision, &bucket.value) {
-                Ok(accepted) => self.changed |= accepted,
+                Ok(accepted) => changed |= accepted,
                 Err(error) => {
                     slog::error!(self.inputs.log, "bucket can't be read"; "error" => %error);
                 }
             }
         }
-    }
-
-    /// Puts what was accepted in force, complete up to `revision`.
-    fn publish(&mut self, revision: u64) {
-        let before = self.revision();
-        let changed = mem::take(&mut self.changed);
-        let mut table = self
-            .channels
-            .table
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        table.complete(revision);
+        table.complete(update.revision);
         let revision = table.revision();
         let snapshot = (changed || revision > before).then(|| table.snapshot());
         drop(table);
--- a/crates/poplargapd/src/feed/store_watch.rs
+++ b/crates/poplargapd/src/feed/store_watch.rs
@@ -24,32 +24,27 @@
     pub(super) revision: u64,
 }
 
-/// One page of a listing.
-#[derive(Debug)]
-pub(super) struct StorePage {
-    /// Key to continue after, or `None` on the last page.
-    pub(super) next: Option<String>,
-    pub(super) update: StoreUpdate,
-}
-
-/// Lists one page of the buckets after the key `after`.
-pub(super) async fn list_page<S: KeyValueStore>(
-    store: &S,
-    after: Option<&str>,
-) -> Result<StorePage, StoreError> {
-    let page = store.list(BUCKET_PREFIX, after).await?;
-    let buckets = page.values.into_iter().map(|value| BucketUpdate {
-        key: value.key,
-        revision: value.revision.0,
-        value: value.value,
-    });
-    Ok(StorePage {
-        next: page.next,
-        update: StoreUpdate {
-            buckets: buckets.collect(),
-            revision: page.revision.0,
-        },
-    })
+/// Lists all buckets.
+///
+/// The listing's pages may come from several revisions; it is complete up to the first.
+pub(super) async fn list<S: KeyValueStore>(store: &S) -> Result<StoreUpdate, StoreError> {
+    let mut buckets = Vec::new();
+    let mut revision = None;
+    let mut after: Option<String> = None;
+    loop {
+        let page = store.list(BUCKET_PREFIX, after.as_deref()).await?;
+        revision.get_or_insert(page.revision.0);
+        buckets.extend(page.values.into_iter().map(|value| BucketUpdate {
+            key: value.key,
+            revision: value.revision.0,
+            value: value.value,
+        }));
+        after = page.next;
+        if after.is_none() {
+            let revision = revision.unwrap_or_default();
+            return Ok(StoreUpdate { buckets, revision });
+        }
+    }
 }
 
 /// Waits for buckets that change after `revision`.
