--- a/crates/poplargap-core/tests/snapshot_patch.rs
+++ b/crates/poplargap-core/tests/snapshot_patch.rs
@@ -46,6 +46,7 @@
         }),
         2 => CatalogueEntry::Pool(PoolEntry {
             kind: PoolKind::Model,
+            loads_at_once: None,
             multiple: LoadMultiple::try_from(1.5).expect("it is in range"),
             name: name("pool", number),
             queue: 8,
@@ -53,11 +54,14 @@
             slots: 4,
         }),
         3 => CatalogueEntry::Upstream(UpstreamEntry {
+            adapters: Vec::new(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
             data_centre: name("centre", other),
             fencing: FencingCheck::Checked,
+            model_version: None,
             name: name("upstream", number),
             pool: name("pool", third),
+            role: None,
             state: UpstreamState::Serving,
         }),
         _ => CatalogueEntry::Workspace(WorkspaceEntry {
