Write bookings' outcomes until the store has them, also while closing

Cause: the write of a claim's outcome ended for good at the first try that provably didn't reach the store (a refused connection), and a closing daemon didn't wait for such writes. The claim then stayed pending, and a repeated send of an answered booking got `unknown` after its deadline. Ruled out: the at-most-once rule itself (the desk ran the booking once in every case). Change: an outcome's write is tried again for two minutes; closing waits for it within the drain time. A relay answer in the 500s no longer counts as a proof that the home didn't begin.

--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -183,8 +183,8 @@
     pub async fn start(plan: &SitePlan) -> Result<Self, SiteError> {
         let base = SiteBase::start(plan).await?;
         let mut daemons = Vec::new();
-        for place in &base.places {
-            let text = place.settings(plan, base.store.address());
+        for (number, place) in base.places.iter().enumerate() {
+            let text = place.settings(plan, base.store_for(number));
             let settings = DaemonSettings::read(&place.name, &text)
                 .map_err(|findings| SiteError::Daemon(findings.to_string()))?;
             let log = log::create(&settings.log);
@@ -226,6 +226,12 @@
         &self.daemons
     }
 
+    /// Returns the site's relays, if its plan asks for them.
+    #[must_use]
+    pub fn relays(&self) -> Option<&SiteRelays> {
+        self.base.relays.as_ref()
+    }
+
     /// Returns the address of the platform's store.
     #[must_use]
     pub fn store(&self) -> SocketAddr {
@@ -237,12 +243,24 @@
         &mut self.base.upstreams
     }
 
+    /// Closes one of the daemons that run; returns the requests that were cut off.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no daemon with this number runs.
+    pub async fn close_daemon(&mut self, number: usize) -> usize {
+        self.daemons.remove(number).close().await.cut
+    }
+
     /// Closes daemons, upstreams and platform; returns the requests that were cut off.
     pub async fn close(self) -> usize {
         let mut cut = 0;
         for daemon in self.daemons {
             cut += daemon.close().await.cut;
         }
+        if let Some(relays) = self.base.relays {
+            relays.close().await;
+        }
         self.base.upstreams.close().await;
         self.base.store.close().await;
         cut
--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -195,7 +195,7 @@
         time::sleep(LEAVE_PAUSE).await;
         self.context.admit.shut();
         let end = time::Instant::now() + self.settings.timeouts.drain;
-        while in_flight(&self.context) > 0 && time::Instant::now() < end {
+        while is_busy(&self.context) && time::Instant::now() < end {
             time::sleep(DRAIN_POLL).await;
         }
         let cut = in_flight(&self.context);
@@ -221,6 +221,11 @@
     }
 }
 
+/// Returns whether requests are in flight or claims' outcomes have yet to be written.
+fn is_busy(context: &PathContext<DaemonStore>) -> bool {
+    in_flight(context) > 0 || context.claims.unsettled() > 0
+}
+
 /// Counts callers' requests here and other daemons' requests at this daemon's homes.
 fn in_flight(context: &PathContext<DaemonStore>) -> usize {
     let homed = usize::try_from(context.metrics.homed_in_flight.get()).unwrap_or_default();
--- a/crates/poplargapd/src/path.rs
+++ b/crates/poplargapd/src/path.rs
@@ -12,6 +12,7 @@
 mod service;
 mod settle;
 mod trace;
+mod unsettled_count;
 
 pub use {
     accept::CallerServer,
--- a/crates/poplargapd/src/path/claim.rs
+++ b/crates/poplargapd/src/path/claim.rs
@@ -4,7 +4,7 @@
 //! daemon finds the claim and never runs the call again. A claim whose outcome isn't known stays.
 
 use {
-    super::{PathProblem, ProblemCode},
+    super::{PathProblem, ProblemCode, unsettled_count::UnsettledCount},
     poplargap_core::name::{DaemonName, IdempotencyKey, RequestId, WorkspaceName},
     poplargap_platform::{
         KeyValueStore, SettleLimit, StoreRevision, StoredValue, SwapOutcome, SwapWrite,
@@ -27,6 +27,7 @@
 
 /// Time over which a settled outcome is written again and again while the store is out of reach.
 const SETTLE_DEADLINE: Duration = Duration::from_mins(2);
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 const SETTLE_ROUNDS: u32 = 64;
 
 /// Time between two looks at a claim that another request holds.
@@ -91,12 +92,18 @@
 pub struct ClaimStore<S> {
     daemon: DaemonName,
     store: S,
+    unsettled: UnsettledCount,
 }
 
 impl<S: KeyValueStore> ClaimStore<S> {
     /// Creates claims for `daemon` in `store`.
     pub fn new(daemon: DaemonName, store: S) -> Self {
-        Self { daemon, store }
+        let unsettled = UnsettledCount::default();
+        Self {
+            daemon,
+            store,
+            unsettled,
+        }
     }
 
     /// Claims a call before it is sent, or finds what became of an earlier send.
@@ -166,23 +173,41 @@
     /// The task goes on in the background, so that the caller's answer doesn't wait for the store.
     pub fn settle(&self, ticket: ClaimTicket, outcome: ClaimOutcome) {
         let claims = self.clone();
+        let guard = self.unsettled.enter();
         tokio::spawn(async move {
-            let ClaimTicket {
-                key,
-                mut record,
-                revision,
-            } = ticket;
-            record.outcome = outcome;
-            record.write_id.push_str("/settled");
-            let limit = SettleLimit {
-                deadline: Instant::now() + SETTLE_DEADLINE,
-                pause: WRITE_PAUSE,
-                rounds_max: SETTLE_ROUNDS,
-            };
-            claims.write(&key, &record, Some(revision), limit).await
+            claims.write_settled(ticket, outcome).await;
+            drop(guard);
         });
     }
 
+    /// Returns the claims whose outcome isn't written yet.
+    #[must_use]
+    pub fn unsettled(&self) -> usize {
+        self.unsettled.get()
+    }
+
+    async fn write_settled(&self, ticket: ClaimTicket, outcome: ClaimOutcome) {
+        let ClaimTicket {
+            key,
+            mut record,
+            revision,
+        } = ticket;
+        record.outcome = outcome;
+        record.write_id.push_str("/settled");
+        let limit = SettleLimit {
+            deadline: Instant::now() + SETTLE_DEADLINE,
+            pause: WRITE_PAUSE,
+            rounds_max: SETTLE_ROUNDS,
+        };
+        // A write that provably didn't reach the store may be tried again as a new one.
+        while let SwapOutcome::Failed(_) = self.write(&key, &record, Some(revision), limit).await {
+            if Instant::now() + SETTLE_PAUSE > limit.deadline {
+                return;
+            }
+            time::sleep(SETTLE_PAUSE).await;
+        }
+    }
+
     async fn write(
         &self,
         key: &str,
--- /dev/null
+++ b/crates/poplargapd/src/path/unsettled_count.rs
@@ -0,0 +1,33 @@
+//! Counts claims whose outcome isn't in the store yet.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+/// Number of claims whose outcome isn't in the store yet; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnsettledCount(Arc<AtomicUsize>);
+
+/// Counts one claim until it is dropped.
+#[derive(Debug)]
+pub(super) struct UnsettledGuard(Arc<AtomicUsize>);
+
+impl UnsettledCount {
+    /// Counts one more claim.
+    pub(super) fn enter(&self) -> UnsettledGuard {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        UnsettledGuard(Arc::clone(&self.0))
+    }
+
+    /// Returns the number of claims.
+    pub(super) fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for UnsettledGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/poplargapd/src/relay/relay_client.rs
+++ b/crates/poplargapd/src/relay/relay_client.rs
@@ -229,10 +229,15 @@
 }
 
 async fn read_refusal(response: Response) -> RelayRefusal {
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+    let status = response.status();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return response.json().await.unwrap_or_else(|_source| lost());
+    }
+    // Only a refusal in the 400s proves that the home didn't begin.
+    if status.is_client_error() {
         return RelayRefusal::not_run(RefusalReason::Unreadable);
     }
-    response.json().await.unwrap_or_else(|_source| lost())
+    lost()
 }
 
 async fn read_answer(response: Response) -> Result<ServiceAnswer, RelayRefusal> {
