--- a/crates/poplargap-link/src/rpc.rs
+++ b/crates/poplargap-link/src/rpc.rs
@@ -3,7 +3,10 @@
 use {
     crate::proof::FleetProof,
     jsonrpsee::{proc_macros::rpc, types::ErrorObjectOwned},
-    poplargap_core::shard::ShardId,
+    poplargap_core::{
+        limit::{LoanReply, LoanRequest},
+        shard::ShardId,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -11,11 +14,17 @@
 /// Most bytes of values in one page of a catalogue delta.
 pub const DELTA_LEN_MAX: usize = 512 * 1024;
 
+/// Bytes of a call's JSON without long arguments, and of a short answer.
+pub const RPC_REQUEST_LEN: usize = 160;
+
+/// Bytes of a bucket's JSON without key and value.
+const BUCKET_FRAME_LEN: usize = 40;
+
 /// Error code of a call without the fleet's proof.
 pub const CODE_PROOF: i32 = -32001;
 
-/// Error code of a call that the daemon can't answer yet.
-pub const CODE_NOT_READY: i32 = -32002;
+/// Error code of a call for a class or shard that another daemon is home to.
+pub const CODE_NOT_HOME: i32 = -32002;
 
 /// One bucket of the catalogue as the store keeps it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -41,6 +50,19 @@
     pub revision: u64,
 }
 
+impl CatalogueDelta {
+    /// Returns the length of the answer that carries the delta.
+    #[must_use]
+    pub fn wire_len(&self) -> usize {
+        let escaped = |text: &str| text.bytes().filter(|byte| b"\"\\".contains(byte)).count();
+        let len = |bucket: &CatalogueBucket| {
+            let value = bucket.value.len() + escaped(&bucket.value);
+            BUCKET_FRAME_LEN + bucket.key.len() + value
+        };
+        RPC_REQUEST_LEN + self.buckets.iter().map(len).sum::<usize>()
+    }
+}
+
 /// Where the home of a shard takes requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -68,4 +90,15 @@
         proof: FleetProof,
         shard: ShardId,
     ) -> Result<HomeReply, ErrorObjectOwned>;
+
+    /// Asks the home of a class for a loan.
+    ///
+    /// A request from another data centre is passed on to the class's home when `far` is set.
+    #[method(name = "lend")]
+    async fn lend(
+        &self,
+        proof: FleetProof,
+        request: LoanRequest,
+        far: bool,
+    ) -> Result<LoanReply, ErrorObjectOwned>;
 }
--- a/crates/poplargap-platform/src/lib.rs
+++ b/crates/poplargap-platform/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_kind;
 mod call_outcome;
 mod call_record;
+mod control_bytes;
 mod http_pool;
 mod http_store;
 mod http_vm_list;
@@ -12,12 +13,14 @@
 mod store;
 mod store_counters;
 mod vm_list;
+mod vm_query;
 pub mod wire;
 
 pub use {
     call_bucket::{CallBucket, CallRate},
     call_kind::CallKind,
     call_outcome::CallOutcome,
+    control_bytes::ControlBytes,
     http_store::HttpStore,
     http_vm_list::HttpVmList,
     paced_store::PacedStore,
@@ -28,4 +31,5 @@
     },
     store_counters::StoreCounters,
     vm_list::{VmEntry, VmList, VmListError, VmRole, VmState},
+    vm_query::{VmAnswer, VmQuery, VmTag},
 };
--- a/crates/poplargap-testbed/src/site.rs
+++ b/crates/poplargap-testbed/src/site.rs
@@ -17,6 +17,6 @@
     site_error::SiteError,
     site_plan::{ClassPlan, PoolPlan, SitePlan, WorkspacePlan},
     site_relays::{PeerLink, SiteRelays},
-    site_upstreams::SiteUpstreams,
+    site_upstreams::{EngineAddresses, SiteUpstreams},
     status_client::{DaemonStatus, StatusClient},
 };
--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -29,7 +29,7 @@
     pub(super) relays: Option<SiteRelays>,
     pub(super) store: StoreStandIn,
     pub(super) upstreams: SiteUpstreams,
-    vms: Vec<VmEntry>,
+    pub(super) vms: Vec<VmEntry>,
 }
 
 impl SiteBase {
--- a/crates/poplargap-testbed/src/soak/fault_driver.rs
+++ b/crates/poplargap-testbed/src/soak/fault_driver.rs
@@ -6,11 +6,11 @@
         daemon_state::DaemonState, run_collector::SoakEvent,
     },
     crate::{
-        site::{ProcessSite, SitePlan},
+        site::{EngineAddresses, ProcessSite, SitePlan},
         store::StoreFaults,
     },
     poplargap_core::collections::HashMap,
-    std::{collections::VecDeque, net::SocketAddr, time::Duration},
+    std::{collections::VecDeque, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         time::{self, Instant},
@@ -59,7 +59,7 @@
     pub(super) started: Instant,
     pub(super) states: watch::Sender<Vec<DaemonState>>,
     /// Addresses of engines that are stopped, by number.
-    pub(super) stopped: HashMap<usize, SocketAddr>,
+    pub(super) stopped: HashMap<usize, EngineAddresses>,
     pub(super) store_faults: StoreFaults,
     pub(super) surge: watch::Sender<Option<usize>>,
 }
--- a/crates/poplargapd/src/home/service_task.rs
+++ b/crates/poplargapd/src/home/service_task.rs
@@ -5,7 +5,7 @@
         AttemptResult, ChatTask, PlaceReply, ServiceAnswer, ServiceRequest,
         chat_task::{AttemptFailure, RAN_HEADER, place},
     },
-    poplargap_core::{catalogue::UpstreamEntry, outcome::RunOutcome},
+    poplargap_core::{catalogue::UpstreamEntry, retry::RunOutcome},
     poplargap_link::envelope::{RefusalReason, RelayRefusal, RelayWork},
     reqwest::{Method, RequestBuilder, Response, header::CONTENT_TYPE},
     std::time::Duration,
