Place no work after a pause before the catalogue was read anew

Cause: a daemon that was paused (SIGSTOP) woke with the catalogue of before, took its homes again at once and placed what waited in its sockets; an engine that an edit had drained meanwhile got new work. Ruled out: the feed (it had the edit some 10 ms after waking); a bound on the pause alone doesn't help, as the placement comes first. Change: the feed publishes the instant at which its catalogue was known to be current. After a pause longer than the suspect time the home actor is home to nothing until the catalogue was confirmed since the wake, or for 3 s when the store doesn't answer. A feed whose step took longer than 2 s lists the store at once. Left: the VM list's view has no such confirmation.

--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -19,8 +19,8 @@
     daemon_listeners::{DaemonListeners, bind_error},
     displaydoc::Display,
     poplargap_core::{
-        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
-        settings::DaemonSettings,
+        catalogue::CatalogueSnapshot, home::PolicyKind, instant::MonotonicInstant,
+        membership::MemberState, settings::DaemonSettings,
     },
     poplargap_link::heartbeat::ShardReport,
     slog::Logger,
@@ -122,6 +122,7 @@
             start_heartbeats(&settings, &base, listeners.heartbeats, inputs);
         let views = DaemonViews {
             catalogue: catalogue.snapshots(),
+            confirmed: catalogue.confirmed(),
             members,
             vms: vm_view,
         };
@@ -265,6 +266,7 @@
 #[derive(Clone, Debug)]
 struct DaemonViews {
     catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    confirmed: watch::Receiver<MonotonicInstant>,
     members: watch::Receiver<Arc<MemberView>>,
     vms: watch::Receiver<Arc<VmView>>,
 }
@@ -303,6 +305,7 @@
     channels: FeedChannels,
 ) -> CatalogueFeed {
     let inputs = FeedInputs {
+        clock: base.clock,
         data_centre: settings.daemon.data_centre.clone(),
         invariants: base.invariants.clone(),
         log: base.log.clone(),
@@ -325,6 +328,7 @@
         catalogue: views.catalogue.clone(),
         clients,
         clock: base.clock,
+        confirmed: views.confirmed.clone(),
         invariants: base.invariants.clone(),
         log: base.log.clone(),
         members: views.members.clone(),
@@ -395,6 +399,7 @@
         let changed = tokio::select! {
             _ = ticks.tick() => Ok(()),
             changed = views.catalogue.changed() => changed,
+            changed = views.confirmed.changed() => changed,
             changed = views.members.changed() => changed,
             changed = views.vms.changed() => changed,
         };
--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -6,12 +6,14 @@
         store_watch::{self, BucketUpdate, StoreUpdate},
     },
     crate::{
+        clock::ProcessClock,
         invariant::{Invariant, InvariantMonitor},
         members::{MemberView, VmView},
         metrics::DaemonMetrics,
     },
     poplargap_core::{
         catalogue::{BucketTable, CatalogueSnapshot},
+        instant::MonotonicInstant,
         name::DataCentre,
     },
     poplargap_link::rpc::{CatalogueBucket, CatalogueDelta, DELTA_LEN_MAX},
@@ -37,9 +39,14 @@
 /// Time between two readings from other data centres while the store is out of reach.
 const REMOTE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Longest step of the feed without a pause of the daemon; a watch and its pause are shorter.
+const STEP_MAX: Duration = Duration::from_secs(2);
+
 /// What the feed needs of other tasks.
 #[derive(Debug)]
 pub struct FeedInputs {
+    /// The daemon's clock.
+    pub clock: ProcessClock,
     /// The own data centre.
     pub data_centre: DataCentre,
     /// Asserts that the revision never goes back.
@@ -59,6 +66,7 @@
 /// Reads the catalogue in force; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct CatalogueReader {
+    confirmed: watch::Receiver<MonotonicInstant>,
     snapshots: watch::Receiver<Arc<CatalogueSnapshot>>,
     table: Arc<RwLock<BucketTable>>,
 }
@@ -92,6 +100,12 @@
         }
     }
 
+    /// Returns a receiver of the last instant at which the snapshot was known to be current.
+    #[must_use]
+    pub fn confirmed(&self) -> watch::Receiver<MonotonicInstant> {
+        self.confirmed.clone()
+    }
+
     /// Returns a receiver of the snapshots in force.
     #[must_use]
     pub fn snapshots(&self) -> watch::Receiver<Arc<CatalogueSnapshot>> {
@@ -110,12 +124,15 @@
     let table = Arc::new(RwLock::new(BucketTable::default()));
     let (snapshots, receiver) = watch::channel(Arc::new(CatalogueSnapshot::default()));
     let (revision, revisions) = watch::channel(0);
+    let (confirmed, confirmations) = watch::channel(MonotonicInstant::default());
     let reader = CatalogueReader {
+        confirmed: confirmations,
         snapshots: receiver,
         table: Arc::clone(&table),
     };
     (
         FeedChannels {
+            confirmed,
             revision,
             snapshots,
             table,
@@ -128,6 +145,7 @@
 /// Where the feed publishes.
 #[derive(Debug)]
 pub(crate) struct FeedChannels {
+    confirmed: watch::Sender<MonotonicInstant>,
     revision: watch::Sender<u64>,
     snapshots: watch::Sender<Arc<CatalogueSnapshot>>,
     table: Arc<RwLock<BucketTable>>,
@@ -169,12 +187,35 @@
             self.start_up().await;
         }
         loop {
+            let began = self.inputs.clock.now();
             if self.is_watcher() {
                 self.watch_store().await;
             } else {
                 self.follow_peers().await;
                 time::sleep(PEER_INTERVAL).await;
             }
+            let step = self.inputs.clock.now().since(began);
+            if step <= STEP_MAX {
+                self.confirm(began);
+            } else {
+                self.catch_up().await;
+            }
+        }
+    }
+
+    /// Reads the catalogue anew after a step in which the daemon may have been paused.
+    async fn catch_up(&mut self) {
+        let began = self.inputs.clock.now();
+        if let Ok(update) = store_watch::list(&self.store).await {
+            self.take(&update);
+            self.confirm(began);
+        }
+    }
+
+    /// Notes that the catalogue was current at `instant`.
+    fn confirm(&self, instant: MonotonicInstant) {
+        if self.reachable {
+            self.channels.confirmed.send_replace(instant);
         }
     }
 
--- a/crates/poplargapd/src/home/home_actor.rs
+++ b/crates/poplargapd/src/home/home_actor.rs
@@ -33,6 +33,9 @@
     xtra::prelude::{Actor, Context, Handler},
 };
 
+/// Longest time after a pause in which the catalogue must be read before work is placed.
+const CATCH_UP_MAX: Duration = Duration::from_secs(3);
+
 /// What the home actor needs to know.
 #[derive(Debug)]
 pub struct HomeSettings {
@@ -54,6 +57,7 @@
     pub(crate) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
     pub(crate) clients: UpstreamClients,
     pub(crate) clock: ProcessClock,
+    pub(crate) confirmed: watch::Receiver<MonotonicInstant>,
     pub(crate) invariants: InvariantMonitor,
     pub(crate) log: Logger,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
@@ -64,6 +68,7 @@
     policy: PolicyChoice,
     random: SmallRng,
     refreshed: MonotonicInstant,
+    resumed: MonotonicInstant,
     shards: HashMap<ShardId, HomedShard>,
 }
 
@@ -73,6 +78,7 @@
     pub(crate) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
     pub(crate) clients: UpstreamClients,
     pub(crate) clock: ProcessClock,
+    pub(crate) confirmed: watch::Receiver<MonotonicInstant>,
     pub(crate) invariants: InvariantMonitor,
     pub(crate) log: Logger,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
@@ -91,6 +97,7 @@
             catalogue: inputs.catalogue,
             clients: inputs.clients,
             clock: inputs.clock,
+            confirmed: inputs.confirmed,
             invariants: inputs.invariants,
             log: inputs.log,
             members: inputs.members,
@@ -99,6 +106,7 @@
             random,
             refreshed,
             reports: inputs.reports,
+            resumed: MonotonicInstant::default(),
             settings,
             shards: HashMap::new(),
             vms: inputs.vms,
@@ -119,7 +127,7 @@
         let members = Arc::clone(&self.members.borrow_and_update());
         let data_centre = self.settings.data_centre.clone();
         for shard in catalogue.shards_in(&data_centre) {
-            if self.is_home(&members, &shard.id) {
+            if self.is_caught_up(now) && self.is_home(&members, &shard.id) {
                 self.keep(shard, &catalogue, &members, ctx, now);
             } else {
                 self.give_up(&shard.id, now);
@@ -140,11 +148,17 @@
             return;
         }
         slog::warn!(self.log, "daemon was paused"; "pause_ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+        self.resumed = now;
         for shard in self.shards.values_mut() {
             shard.phase = HomePhase::Former;
         }
     }
 
+    /// Returns whether the catalogue was read since the last pause, or can't be read for long.
+    fn is_caught_up(&self, now: MonotonicInstant) -> bool {
+        *self.confirmed.borrow() >= self.resumed || now.since(self.resumed) > CATCH_UP_MAX
+    }
+
     fn keep(
         &mut self,
         shard: &PoolShard,
