--- a/crates/poplargapd/src/members/heartbeat_task.rs
+++ b/crates/poplargapd/src/members/heartbeat_task.rs
@@ -1,7 +1,7 @@
 //! Sends and hears heartbeats within the own data centre.
 
 use {
-    super::{MemberView, PeerShard, VmView, centre_table::CentreTable},
+    super::{MemberView, PeerShard, SendTurns, VmView, centre_table::CentreTable},
     crate::{clock::ProcessClock, metrics::DaemonMetrics},
     poplargap_core::{
         collections::{HashMap, HashMapExt},
@@ -105,6 +105,7 @@
             settings,
             socket,
             table,
+            turns: SendTurns::default(),
         };
         let handle = tokio::spawn(state.run(command_receiver));
         (Self { commands, handle }, receiver)
@@ -133,6 +134,7 @@
     settings: HeartbeatSettings,
     socket: UdpSocket,
     table: MemberTable,
+    turns: SendTurns,
 }
 
 impl HeartbeatState {
@@ -144,7 +146,7 @@
             tokio::select! {
                 received = self.socket.recv_from(&mut datagram) => {
                     if let Ok((len, _)) = received {
-                        self.hear(&datagram[..len]);
+                        self.hear(&datagram[..len]).await;
                     }
                 }
                 _ = ticks.tick() => self.tick().await,
@@ -152,7 +154,8 @@
                     Some(HeartbeatCommand::SetState(state)) => {
                         self.table.own_mut().state = state;
                         self.publish();
-                        self.send().await;
+                        let addresses = self.addresses();
+                        self.send(addresses).await;
                     }
                     None => return,
                 },
@@ -160,9 +163,11 @@
         }
     }
 
-    fn hear(&mut self, datagram: &[u8]) {
+    async fn hear(&mut self, datagram: &[u8]) {
+        let len = datagram.len() + DATAGRAM_OVERHEAD;
+        self.metrics.control.add_received("heartbeat", len);
         match FleetDatagram::decode(datagram, &self.settings.key) {
-            Ok(FleetDatagram::Heartbeat(message)) => self.hear_peer(message),
+            Ok(FleetDatagram::Heartbeat(message)) => self.hear_peer(message).await,
             Ok(FleetDatagram::Summary(summary)) => {
                 self.centres.hear_direct(summary, self.clock.now());
             }
@@ -173,19 +178,21 @@
         }
     }
 
-    fn hear_peer(&mut self, message: HeartbeatMessage) {
+    async fn hear_peer(&mut self, message: HeartbeatMessage) {
         let now = self.clock.now();
         let (name, state) = (message.report.name.clone(), message.report.state);
-        match self.table.hear(message.report, now) {
-            HeartbeatEffect::Stale => return,
-            HeartbeatEffect::Refreshed => {}
-            HeartbeatEffect::Changed => {
-                slog::info!(self.log, "member heard"; "daemon" => %name, "state" => %state);
-            }
+        let peer = message.report.peers;
+        let effect = self.table.hear(message.report, now);
+        if effect == HeartbeatEffect::Stale {
+            return;
         }
         self.centres.hear_relayed(message.centres, now);
-        self.reports.insert(name, message.shards);
+        self.reports.insert(name.clone(), message.shards);
         self.publish();
+        if effect == HeartbeatEffect::Changed {
+            slog::info!(self.log, "member heard"; "daemon" => %name, "state" => %state);
+            self.send(vec![peer]).await;
+        }
     }
 
     async fn tick(&mut self) {
@@ -194,7 +201,19 @@
             self.reports.remove(&name);
         }
         self.publish();
-        self.send().await;
+        let addresses = self.addresses();
+        let HeartbeatSettings {
+            interval, suspect, ..
+        } = self.settings;
+        let suspect = SendTurns::suspect(interval, suspect, addresses.len());
+        self.table.set_suspect(suspect);
+        let joining = self.table.own().state == MemberState::Joining;
+        let due = if joining {
+            addresses
+        } else {
+            self.turns.next(&addresses)
+        };
+        self.send(due).await;
         if self.table.own().sequence.is_multiple_of(SUMMARY_EVERY) {
             self.send_summaries().await;
         }
@@ -223,7 +242,7 @@
         self.sender.send_replace(Arc::new(view));
     }
 
-    async fn send(&mut self) {
+    async fn send(&mut self, addresses: Vec<SocketAddr>) {
         let revision = *self.inputs.revision.borrow();
         let own = self.table.own_mut();
         own.sequence += 1;
@@ -236,7 +255,6 @@
             report,
             shards,
         };
-        let addresses = self.addresses();
         self.send_to(&FleetDatagram::Heartbeat(message), "heartbeat", addresses)
             .await;
     }
@@ -264,11 +282,12 @@
             data_centre: own,
             pools,
         };
+        let targets = targets.into_iter().collect();
         self.send_to(&FleetDatagram::Summary(summary), "summary", targets)
             .await;
     }
 
-    async fn send_to(&self, datagram: &FleetDatagram, kind: &str, addresses: BTreeSet<SocketAddr>) {
+    async fn send_to(&self, datagram: &FleetDatagram, kind: &str, addresses: Vec<SocketAddr>) {
         let datagram = match datagram.encode(&self.settings.key) {
             Ok(datagram) => datagram,
             Err(error) => {
@@ -284,7 +303,7 @@
         }
     }
 
-    fn addresses(&self) -> BTreeSet<SocketAddr> {
+    fn addresses(&self) -> Vec<SocketAddr> {
         let vms = self.inputs.vms.borrow();
         let listed = vms
             .daemons
@@ -298,7 +317,7 @@
             .chain(self.settings.seeds.iter().copied())
             .collect();
         addresses.remove(&self.settings.own.peers);
-        addresses
+        addresses.into_iter().collect()
     }
 }
 
