--- a/crates/poplargapd/src/path.rs
+++ b/crates/poplargapd/src/path.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod chat;
 mod claim;
+mod home_search;
 mod identify;
 mod place;
 mod problem;
--- /dev/null
+++ b/crates/poplargapd/src/path/home_search.rs
@@ -0,0 +1,193 @@
+//! The search for a home that serves a request, over all its rounds and attempts.
+
+use {
+    super::{Identity, PathContext, PathProblem, ProblemCode, Settlement, TraceStep},
+    poplargap_core::{
+        home::PlaceRequest,
+        instant::MonotonicInstant,
+        name::{RequestId, UpstreamName},
+        retry::RunOutcome,
+        shard::ShardId,
+    },
+    poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
+    std::{sync::Arc, time::Duration},
+    tokio::time,
+};
+
+/// Pause before all homes are tried again.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest search for a home that takes a request.
+const SEARCH_MAX: Duration = Duration::from_secs(5);
+
+/// Most attempts at upstreams for one request.
+const ATTEMPTS_MAX: u32 = 8;
+
+/// What one request's search has met so far.
+#[derive(Debug)]
+pub(super) struct HomeSearch<S> {
+    pub(super) context: Arc<PathContext<S>>,
+    pub(super) id: RequestId,
+    pub(super) identity: Identity,
+    attempts: u32,
+    avoid: Vec<UpstreamName>,
+    end: MonotonicInstant,
+    sent: u32,
+}
+
+impl<S> HomeSearch<S> {
+    /// Creates the search of a request that was sent nowhere yet.
+    pub(super) fn new(context: Arc<PathContext<S>>, id: RequestId, identity: Identity) -> Self {
+        let end = context.clock.now() + SEARCH_MAX;
+        Self {
+            attempts: 0,
+            avoid: Vec::new(),
+            context,
+            end,
+            id,
+            identity,
+            sent: 0,
+        }
+    }
+
+    /// Starts the time of a search anew, after an answer that broke off.
+    pub(super) fn restart(&mut self) {
+        self.end = self.context.clock.now() + SEARCH_MAX;
+    }
+
+    /// Returns how often the request may have reached an upstream.
+    pub(super) fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Keeps the next attempts away from an upstream.
+    pub(super) fn avoid(&mut self, upstream: UpstreamName) {
+        self.avoid.push(upstream);
+    }
+
+    /// Notes that an upstream works on the request.
+    pub(super) fn note_answer(
+        &mut self,
+        shard: &ShardId,
+        upstream: &UpstreamName,
+        settlement: &mut Settlement<S>,
+    ) {
+        self.attempts += 1;
+        self.sent += 1;
+        self.count("answering");
+        settlement.note(TraceStep::Placed {
+            shard: shard.to_string(),
+            upstream: upstream.clone(),
+        });
+    }
+
+    /// Notes a home's refusal.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem when the request may have run and can't be repeated.
+    pub(super) fn note_refusal(
+        &mut self,
+        shard: &ShardId,
+        refusal: &RelayRefusal,
+        settlement: &mut Settlement<S>,
+    ) -> Result<(), PathProblem> {
+        self.count(refusal.reason.into());
+        settlement.note(TraceStep::Refused {
+            reason: refusal.reason,
+            shard: shard.to_string(),
+        });
+        match (refusal.reason, refusal.home) {
+            (RefusalReason::Moved, Some(home)) => self.context.routes.learn(shard, home),
+            (RefusalReason::Moved | RefusalReason::Unreachable, _) => {
+                self.context.routes.forget(shard);
+            }
+            _ => {}
+        }
+        if let Some(upstream) = &refusal.upstream {
+            self.attempts += 1;
+            self.avoid.push(upstream.clone());
+        }
+        if refusal.ran == RunOutcome::NotRun {
+            return Ok(());
+        }
+        self.sent += 1;
+        if self.identity.class.repeatable {
+            return Ok(());
+        }
+        Err(lost())
+    }
+
+    /// Decides after a round in which no home took the request, and pauses before the next one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when another round is of no use.
+    pub(super) async fn next_round(&mut self, refusal: &RelayRefusal) -> Result<(), PathProblem> {
+        let now = self.context.clock.now();
+        if now >= self.identity.deadline || refusal.reason == RefusalReason::Expired {
+            let detail = "no home can answer before the deadline";
+            return Err(self.problem(ProblemCode::DeadlineExceeded, detail));
+        }
+        if refusal.reason == RefusalReason::QueueFull {
+            let mut problem = self.problem(ProblemCode::QueueFull, "the queue of the pool is full");
+            problem.retry_after = refusal.retry_after_ms.map(Duration::from_millis);
+            return Err(problem);
+        }
+        if now >= self.end || self.attempts >= ATTEMPTS_MAX {
+            return Err(self.problem(ProblemCode::NoUpstream, refusal.reason.to_string()));
+        }
+        self.avoid.clear();
+        time::sleep(ROUND_PAUSE).await;
+        Ok(())
+    }
+
+    /// Writes the headers for a home.
+    pub(super) fn envelope(
+        &self,
+        shard: &ShardId,
+        wait: bool,
+        key: &str,
+        hint: Option<UpstreamName>,
+        work: RelayWork,
+    ) -> RelayEnvelope {
+        let class = &self.identity.class;
+        let left = self.identity.deadline.since(self.context.clock.now());
+        RelayEnvelope {
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            hops: 0,
+            place: PlaceRequest {
+                avoid: self.avoid.clone(),
+                hint,
+                key: key.to_owned(),
+            },
+            priority: class.priority,
+            repeatable: class.repeatable,
+            request_id: self.id.clone(),
+            shard: shard.clone(),
+            wait,
+            work,
+            workspace: class.owner.clone(),
+        }
+    }
+
+    /// Creates a problem that says whether anything may have run.
+    fn problem(&self, code: ProblemCode, detail: impl Into<String>) -> PathProblem {
+        if self.sent > 0 {
+            PathProblem::unknown(code, detail)
+        } else {
+            PathProblem::not_run(code, detail)
+        }
+    }
+
+    fn count(&self, outcome: &str) {
+        let attempts = &self.context.metrics.attempts;
+        attempts.with_label_values(&[outcome]).inc();
+    }
+}
+
+/// Returns the problem of a request whose answer was lost and that may not be repeated.
+pub(super) fn lost() -> PathProblem {
+    let detail = "the request was sent and its answer was lost; it may not be repeated";
+    PathProblem::unknown(ProblemCode::UpstreamLost, detail)
+}
--- a/crates/poplargapd/src/path/relay.rs
+++ b/crates/poplargapd/src/path/relay.rs
@@ -2,32 +2,22 @@
 
 use {
     super::{
-        Identity, PathContext, PathProblem, Placement, ProblemCode, RouteHint, Settlement,
-        TraceStep,
+        Identity, PathContext, PathProblem, Placement, RouteHint, Settlement, TraceStep,
+        home_search::{self, HomeSearch},
         place::{self, HomeLocation},
     },
     crate::{home::HomeFrame, invariant::Invariant},
     bytes::Bytes,
     poplargap_core::{
         answer::{AnswerTracker, EventSplitter, EventVerdict, TokenUsage},
-        home::PlaceRequest,
-        name::{ChatId, RequestId, UpstreamName},
+        name::{ChatId, RequestId},
         retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
-    std::{sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time},
+    std::sync::Arc,
+    tokio::sync::mpsc,
 };
 
-/// Pause before all homes are tried again.
-pub(super) const ROUND_PAUSE: Duration = Duration::from_millis(50);
-
-/// Longest search for a home that takes a request.
-pub(super) const SEARCH_MAX: Duration = Duration::from_secs(5);
-
-/// Most attempts at upstreams for one request.
-pub(super) const ATTEMPTS_MAX: u32 = 8;
-
 /// One chat on its way through the fleet.
 #[derive(Clone, Debug)]
 pub struct ChatWork {
@@ -50,11 +40,8 @@
 /// Follows one chat's answer over all its attempts.
 #[derive(Debug)]
 pub struct AnswerRelay<S> {
-    attempts: u32,
-    avoid: Vec<UpstreamName>,
-    context: Arc<PathContext<S>>,
     frames: Option<mpsc::Receiver<HomeFrame>>,
-    sent: bool,
+    search: HomeSearch<S>,
     splitter: EventSplitter,
     tracker: AnswerTracker,
     upstream: Option<RouteHint>,
@@ -74,11 +61,8 @@
     pub fn new(context: Arc<PathContext<S>>, work: ChatWork) -> Self {
         let tracker = AnswerTracker::new(work.id.clone());
         Self {
-            attempts: 0,
-            avoid: Vec::new(),
-            context,
             frames: None,
-            sent: false,
+            search: HomeSearch::new(context, work.id.clone(), work.identity.clone()),
             splitter: EventSplitter::default(),
             tracker,
             upstream: None,
@@ -102,37 +86,10 @@
     ///
     /// Returns the refusal when no home takes it in time.
     pub async fn open(&mut self, settlement: &mut Settlement<S>) -> Result<(), PathProblem> {
-        let search_end = self.context.clock.now() + SEARCH_MAX;
-        loop {
-            let refusal = self.open_round(settlement).await?;
-            let Some(refusal) = refusal else {
-                return Ok(());
-            };
-            let now = self.context.clock.now();
-            if now >= self.work.identity.deadline {
-                return Err(self.problem(
-                    ProblemCode::DeadlineExceeded,
-                    "no home took the request before its deadline",
-                ));
-            }
-            if refusal.reason == RefusalReason::QueueFull {
-                let mut problem =
-                    self.problem(ProblemCode::QueueFull, "the queue of the pool is full");
-                problem.retry_after = refusal.retry_after_ms.map(Duration::from_millis);
-                return Err(problem);
-            }
-            if refusal.reason == RefusalReason::Expired {
-                return Err(self.problem(
-                    ProblemCode::DeadlineExceeded,
-                    "the wait would pass the deadline",
-                ));
-            }
-            if now >= search_end || self.attempts >= ATTEMPTS_MAX {
-                return Err(self.problem(ProblemCode::NoUpstream, refusal.reason.to_string()));
-            }
-            self.avoid.clear();
-            time::sleep(ROUND_PAUSE).await;
+        while let Some(refusal) = self.open_round(settlement).await? {
+            self.search.next_round(&refusal).await?;
         }
+        Ok(())
     }
 
     /// Returns the next events for the caller, or `None` once the answer is whole.
@@ -174,15 +131,17 @@
 
     /// Asserts at the end that a whole answer was forwarded.
     pub fn close(self) {
-        self.context
-            .invariants
-            .check(Invariant::WholeAnswer, self.tracker.is_complete(), || {
+        self.search.context.invariants.check(
+            Invariant::WholeAnswer,
+            self.tracker.is_complete(),
+            || {
                 format!(
                     "request {} ended at event {}",
                     self.work.id,
                     self.tracker.next_index()
                 )
-            });
+            },
+        );
     }
 
     fn judge(&mut self, chunk: Bytes) -> (Vec<Bytes>, bool) {
@@ -214,7 +173,8 @@
     }
 
     fn count_dropped(&self, reason: &str) {
-        self.context
+        self.search
+            .context
             .metrics
             .events_dropped
             .with_label_values(&[reason])
@@ -229,18 +189,16 @@
     async fn resume(&mut self, settlement: &mut Settlement<S>) -> Result<(), PathProblem> {
         self.break_off();
         if !self.work.identity.class.repeatable {
-            return Err(PathProblem::unknown(
-                ProblemCode::UpstreamLost,
-                "the chat may not be repeated",
-            ));
+            return Err(home_search::lost());
         }
         if let Some(route) = self.upstream.take() {
-            self.avoid.push(route.upstream);
+            self.search.avoid(route.upstream);
         }
-        self.context.metrics.resumes.inc();
+        self.search.context.metrics.resumes.inc();
         settlement.note(TraceStep::Resumed {
             index: self.tracker.next_index(),
         });
+        self.search.restart();
         self.open(settlement).await
     }
 
@@ -249,9 +207,9 @@
         &mut self,
         settlement: &mut Settlement<S>,
     ) -> Result<Option<RelayRefusal>, PathProblem> {
-        let catalogue = Arc::clone(&self.context.catalogue.borrow());
+        let catalogue = Arc::clone(&self.search.context.catalogue.borrow());
         let pool = &self.work.identity.pool.name;
-        let own = &self.context.data_centre;
+        let own = &self.search.context.data_centre;
         let placements = place::candidates(
             &catalogue,
             own,
@@ -292,30 +250,23 @@
         let shard = &placement.shard;
         let envelope = self.envelope(placement, wait);
         let body = self.work.body.clone();
-        let mut frames = match self.context.locate(shard).await {
-            HomeLocation::Local => self.context.task.start(envelope, body),
-            HomeLocation::Remote(home) => self.context.relays.start_chat(home, envelope, body),
+        let context = &self.search.context;
+        let mut frames = match context.locate(shard).await {
+            HomeLocation::Local => context.task.start(envelope, body),
+            HomeLocation::Remote(home) => context.relays.start_chat(home, envelope, body),
             HomeLocation::Unknown => {
-                return Err(AttemptEnd::Refused(RelayRefusal::not_run(
-                    RefusalReason::Unreachable,
-                )));
+                let refusal = RelayRefusal::not_run(RefusalReason::Unreachable);
+                return Err(AttemptEnd::Refused(refusal));
             }
         };
         let refusal = match frames.recv().await {
             Some(HomeFrame::Upstream(upstream)) => {
-                let shard_name = shard.to_string();
-                settlement.note(TraceStep::Placed {
-                    shard: shard_name,
-                    upstream: upstream.clone(),
-                });
+                self.search.note_answer(shard, &upstream, settlement);
                 let data_centre = shard.data_centre.clone();
                 self.upstream = Some(RouteHint {
                     data_centre,
                     upstream,
                 });
-                self.attempts += 1;
-                self.sent = true;
-                self.count_attempt("answering");
                 self.frames = Some(frames);
                 return Ok(());
             }
@@ -326,83 +277,22 @@
                 refusal
             }
         };
-        let reason: &str = refusal.reason.into();
-        self.count_attempt(reason);
-        settlement.note(TraceStep::Refused {
-            reason: refusal.reason,
-            shard: shard.to_string(),
-        });
-        self.note_refusal(placement, &refusal)?;
+        let noted = self.search.note_refusal(shard, &refusal, settlement);
+        noted.map_err(AttemptEnd::Problem)?;
         Err(AttemptEnd::Refused(refusal))
     }
 
-    fn note_refusal(
-        &mut self,
-        placement: &Placement,
-        refusal: &RelayRefusal,
-    ) -> Result<(), AttemptEnd> {
-        match (refusal.reason, refusal.home) {
-            (RefusalReason::Moved, Some(home)) => self.context.routes.learn(&placement.shard, home),
-            (RefusalReason::Moved | RefusalReason::Unreachable, _) => {
-                self.context.routes.forget(&placement.shard);
-            }
-            _ => {}
-        }
-        if let Some(upstream) = &refusal.upstream {
-            self.attempts += 1;
-            self.avoid.push(upstream.clone());
-        }
-        if refusal.ran != RunOutcome::NotRun {
-            self.sent = true;
-            if !self.work.identity.class.repeatable {
-                let problem =
-                    PathProblem::unknown(ProblemCode::UpstreamLost, "the chat may not be repeated");
-                return Err(AttemptEnd::Problem(problem));
-            }
-        }
-        Ok(())
-    }
-
     fn envelope(&self, placement: &Placement, wait: bool) -> RelayEnvelope {
-        let identity = &self.work.identity;
-        let catalogue = self.context.catalogue.borrow();
-        let left = identity.deadline.since(self.context.clock.now());
-        let hint = place::hinted(&catalogue, &identity.pool.name, self.work.hint.as_ref());
-        RelayEnvelope {
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            hops: 0,
-            place: PlaceRequest {
-                avoid: self.avoid.clone(),
-                hint,
-                key: self.work.key.clone(),
-            },
-            priority: identity.class.priority,
-            repeatable: identity.class.repeatable,
-            request_id: self.work.id.clone(),
-            shard: placement.shard.clone(),
-            wait,
-            work: RelayWork::Chat {
-                chat: self.work.chat.clone(),
-                resume_from: self.tracker.next_index(),
-            },
-            workspace: identity.class.owner.clone(),
-        }
-    }
-
-    fn count_attempt(&self, outcome: &str) {
-        self.context
-            .metrics
-            .attempts
-            .with_label_values(&[outcome])
-            .inc();
-    }
-
-    /// Creates a problem that says whether anything may have run.
-    fn problem(&self, code: ProblemCode, detail: impl Into<String>) -> PathProblem {
-        if self.sent {
-            PathProblem::unknown(code, detail)
-        } else {
-            PathProblem::not_run(code, detail)
-        }
+        let hint = {
+            let catalogue = self.search.context.catalogue.borrow();
+            let pool = &self.work.identity.pool.name;
+            place::hinted(&catalogue, pool, self.work.hint.as_ref())
+        };
+        let work = RelayWork::Chat {
+            chat: self.work.chat.clone(),
+            resume_from: self.tracker.next_index(),
+        };
+        self.search
+            .envelope(&placement.shard, wait, &self.work.key, hint, work)
     }
 }
--- a/crates/poplargapd/src/path/service.rs
+++ b/crates/poplargapd/src/path/service.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         CallTarget, CallerRequest, ClaimOutcome, Identity, PathContext, PathProblem, Placement,
-        ProblemCode, RouteHint, Settlement, TraceStep,
+        ProblemCode, RouteHint, Settlement,
         chat::refuse,
         claim::{ClaimAttempt, ClaimTicket},
+        home_search::HomeSearch,
         place::{self, HomeLocation},
         problem::REQUEST_ID_HEADER,
-        relay::{ATTEMPTS_MAX, ROUND_PAUSE, SEARCH_MAX},
     },
     crate::{
         home::{ServiceAnswer, ServiceRequest, ServiceTask},
@@ -17,14 +17,13 @@
     bytes::Bytes,
     poplargap_core::{
         catalogue::PoolKind,
-        home::PlaceRequest,
-        name::{IdempotencyKey, RequestId, UpstreamName},
+        name::{IdempotencyKey, RequestId},
         retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
     poplargap_platform::KeyValueStore,
-    std::{sync::Arc, time::Duration},
-    tokio::time::{self, Instant},
+    std::sync::Arc,
+    tokio::time::Instant,
     warp::{
         Reply,
         http::{HeaderValue, StatusCode, header::CONTENT_TYPE},
@@ -51,10 +50,7 @@
 /// Follows one call over all its attempts.
 #[derive(Debug)]
 struct ServiceRelay<S> {
-    attempts: u32,
-    avoid: Vec<UpstreamName>,
-    context: Arc<PathContext<S>>,
-    sent: u32,
+    search: HomeSearch<S>,
     work: ServiceWork,
 }
 
@@ -130,13 +126,8 @@
         Ok(Claim::Earlier(outcome)) => return replay(outcome, &id, settlement),
         Err(problem) => return refuse(problem, &id, settlement),
     };
-    let mut relay = ServiceRelay {
-        attempts: 0,
-        avoid: Vec::new(),
-        context: Arc::clone(&context),
-        sent: 0,
-        work,
-    };
+    let search = HomeSearch::new(Arc::clone(&context), id.clone(), work.identity.clone());
+    let mut relay = ServiceRelay { search, work };
     let result = relay.run(&mut settlement).await;
     if let Some(ticket) = ticket {
         context.claims.settle(ticket, outcome_of(&result));
@@ -266,38 +257,25 @@
         &mut self,
         settlement: &mut Settlement<S>,
     ) -> Result<(ServiceAnswer, RouteHint), PathProblem> {
-        let search_end = self.context.clock.now() + SEARCH_MAX;
         loop {
-            let refusal = match self.run_round(settlement).await? {
+            match self.run_round(settlement).await? {
                 RoundEnd::Answered(answer, route) => return Ok((answer, route)),
-                RoundEnd::Refused(refusal) => refusal,
-            };
-            let now = self.context.clock.now();
-            if now >= self.work.identity.deadline || refusal.reason == RefusalReason::Expired {
-                return Err(self.problem(
-                    ProblemCode::DeadlineExceeded,
-                    "the wait would pass the deadline",
-                ));
-            }
-            if refusal.reason == RefusalReason::QueueFull {
-                let mut problem =
-                    self.problem(ProblemCode::QueueFull, "the queue of the pool is full");
-                problem.retry_after = refusal.retry_after_ms.map(Duration::from_millis);
-                return Err(problem);
+                RoundEnd::Refused(refusal) => self.search.next_round(&refusal).await?,
             }
-            if now >= search_end || self.attempts >= ATTEMPTS_MAX {
-                return Err(self.problem(ProblemCode::NoUpstream, refusal.reason.to_string()));
-            }
-            self.avoid.clear();
-            time::sleep(ROUND_PAUSE).await;
         }
     }
 
     async fn run_round(&mut self, settlement: &mut Settlement<S>) -> Result<RoundEnd, PathProblem> {
-        let catalogue = Arc::clone(&self.context.catalogue.borrow());
+        let catalogue = Arc::clone(&self.search.context.catalogue.borrow());
         let pool = &self.work.identity.pool.name;
         let key = self.work.id.as_str();
-        let placements = place::candidates(&catalogue, &self.context.data_centre, pool, key, None);
+        let placements = place::candidates(
+            &catalogue,
+            &self.search.context.data_centre,
+            pool,
+            key,
+            None,
+        );
         let mut full: Option<Placement> = None;
         let mut last = RelayRefusal::not_run(RefusalReason::NoUpstream);
         for placement in placements {
@@ -323,120 +301,51 @@
         wait: bool,
         settlement: &mut Settlement<S>,
     ) -> Result<RoundEnd, PathProblem> {
-        let repeatable = self.work.identity.class.repeatable;
-        self.context
+        let (repeatable, sent) = (self.work.identity.class.repeatable, self.search.sent());
+        let context = &self.search.context;
+        context
             .invariants
-            .check(Invariant::AtMostOnce, repeatable || self.sent == 0, || {
-                format!("request {} was sent {} times", self.work.id, self.sent)
+            .check(Invariant::AtMostOnce, repeatable || sent == 0, || {
+                format!("request {} was sent {sent} times", self.work.id)
             });
+        let shard = &placement.shard;
         let call = ServiceRequest {
             body: self.work.body.clone(),
             envelope: self.envelope(placement, wait),
         };
-        let result = match self.context.locate(&placement.shard).await {
-            HomeLocation::Local => ServiceTask::new(self.context.task.clone()).run(&call).await,
-            HomeLocation::Remote(home) => self.context.relays.call(home, &call).await,
+        let result = match context.locate(shard).await {
+            HomeLocation::Local => ServiceTask::new(context.task.clone()).run(&call).await,
+            HomeLocation::Remote(home) => context.relays.call(home, &call).await,
             HomeLocation::Unknown => Err(RelayRefusal::not_run(RefusalReason::Unreachable)),
         };
-        let shard = placement.shard.to_string();
         match result {
             Ok(answer) => {
-                self.context
-                    .metrics
-                    .attempts
-                    .with_label_values(&["answering"])
-                    .inc();
                 let upstream = answer.upstream.clone();
-                settlement.note(TraceStep::Placed {
-                    shard,
-                    upstream: upstream.clone(),
-                });
-                let data_centre = placement.shard.data_centre.clone();
-                Ok(RoundEnd::Answered(
-                    answer,
-                    RouteHint {
-                        data_centre,
-                        upstream,
-                    },
-                ))
+                self.search.note_answer(shard, &upstream, settlement);
+                let data_centre = shard.data_centre.clone();
+                let route = RouteHint {
+                    data_centre,
+                    upstream,
+                };
+                Ok(RoundEnd::Answered(answer, route))
             }
             Err(refusal) => {
-                let reason: &str = refusal.reason.into();
-                self.context
-                    .metrics
-                    .attempts
-                    .with_label_values(&[reason])
-                    .inc();
-                settlement.note(TraceStep::Refused {
-                    reason: refusal.reason,
-                    shard,
-                });
-                self.note_refusal(placement, &refusal)?;
+                self.search.note_refusal(shard, &refusal, settlement)?;
                 Ok(RoundEnd::Refused(refusal))
             }
         }
     }
 
-    fn note_refusal(
-        &mut self,
-        placement: &Placement,
-        refusal: &RelayRefusal,
-    ) -> Result<(), PathProblem> {
-        match (refusal.reason, refusal.home) {
-            (RefusalReason::Moved, Some(home)) => self.context.routes.learn(&placement.shard, home),
-            (RefusalReason::Moved | RefusalReason::Unreachable, _) => {
-                self.context.routes.forget(&placement.shard);
-            }
-            _ => {}
-        }
-        if let Some(upstream) = &refusal.upstream {
-            self.attempts += 1;
-            self.avoid.push(upstream.clone());
-        }
-        if refusal.ran == RunOutcome::NotRun {
-            return Ok(());
-        }
-        self.sent += 1;
-        if self.work.identity.class.repeatable {
-            return Ok(());
-        }
-        let detail = "the call was sent and its answer was lost; it may not be repeated";
-        Err(PathProblem::unknown(ProblemCode::UpstreamLost, detail))
-    }
-
     fn envelope(&self, placement: &Placement, wait: bool) -> RelayEnvelope {
-        let class = &self.work.identity.class;
-        let now = self.context.clock.now();
-        let left = self.work.identity.deadline.since(now);
-        RelayEnvelope {
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            hops: 0,
-            place: PlaceRequest {
-                avoid: self.avoid.clone(),
-                hint: None,
-                key: self.work.id.to_string(),
-            },
-            priority: class.priority,
-            repeatable: class.repeatable,
-            request_id: self.work.id.clone(),
-            shard: placement.shard.clone(),
-            wait,
-            work: RelayWork::Service {
-                content_type: self.work.content_type.clone(),
-                idempotency_key: self.work.idempotency_key.clone(),
-                method: self.work.method.clone(),
-                path: self.work.path.clone(),
-            },
-            workspace: class.owner.clone(),
-        }
-    }
-
-    fn problem(&self, code: ProblemCode, detail: impl Into<String>) -> PathProblem {
-        if self.sent > 0 {
-            PathProblem::unknown(code, detail)
-        } else {
-            PathProblem::not_run(code, detail)
-        }
+        let work = RelayWork::Service {
+            content_type: self.work.content_type.clone(),
+            idempotency_key: self.work.idempotency_key.clone(),
+            method: self.work.method.clone(),
+            path: self.work.path.clone(),
+        };
+        let key = self.work.id.as_str();
+        self.search
+            .envelope(&placement.shard, wait, key, None, work)
     }
 }
 
