--- a/crates/poplargap-testbed/src/capacity/capacity_report.rs
+++ b/crates/poplargap-testbed/src/capacity/capacity_report.rs
@@ -86,9 +86,9 @@
         changes_per_second,
         daemons,
         data_centres,
-        pools: _,
         upstreams,
         workspaces,
+        ..
     } = size;
     write!(
         f,
--- a/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
+++ b/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
@@ -11,7 +11,7 @@
         name::NameError,
     },
     poplargap_platform::{HttpStore, KeyValueStore, StoreRevision, SwapOutcome, SwapWrite},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, fmt::Display, net::SocketAddr, time::Duration},
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -138,8 +138,8 @@
     }
 }
 
-fn fault(error: impl ToString) -> CapacityError {
-    CapacityError::Catalogue(error.to_string())
+fn fault<E: Display>(error: E) -> CapacityError {
+    CapacityError::Catalogue(format!("{error}"))
 }
 
 fn entries(size: &FleetSize, upstream: SocketAddr) -> Result<Vec<CatalogueEntry>, NameError> {
--- a/crates/poplargap-testbed/src/capacity/data_probe.rs
+++ b/crates/poplargap-testbed/src/capacity/data_probe.rs
@@ -49,7 +49,7 @@
 /// Returns an error when the site can't start or a request isn't answered whole.
 pub async fn measure_data(program: &Path, load: &DataLoad) -> Result<[DataCost; 2], CapacityError> {
     let mut plan = SitePlan::new(&["centre-00"], 2, 2, 1, 1);
-    plan.log_level = "error".to_owned();
+    "error".clone_into(&mut plan.log_level);
     plan.engine.decode_base = DECODE_STEP;
     plan.engine.decode_slope = Duration::ZERO;
     plan.engine.prefill_per_token = Duration::ZERO;
--- a/crates/poplargap-testbed/src/capacity/fleet_probe.rs
+++ b/crates/poplargap-testbed/src/capacity/fleet_probe.rs
@@ -20,30 +20,30 @@
 /// Longer than a watch's wait, so that daemons that follow peers have left the store.
 const SETTLE_TIME: Duration = Duration::from_secs(12);
 
-/// Measures a fleet of `size` for `window`.
+/// Measures `fleet` for `window`.
 ///
 /// # Errors
 ///
 /// Returns an error when a part can't start or the daemons don't take the catalogue in time.
 pub async fn measure_fleet(
     program: &Path,
-    size: &FleetSize,
+    fleet: &FleetSize,
     window: Duration,
 ) -> Result<FleetCost, CapacityError> {
     let centre = data_centre_name(0);
-    let mut plan = SitePlan::new(&[&centre], size.daemons, 1, 1, 1);
-    plan.log_level = "error".to_owned();
+    let mut plan = SitePlan::new(&[&centre], fleet.daemons, 1, 1, 1);
+    "error".clone_into(&mut plan.log_level);
     let mut site = ProcessSite::start(&plan, program).await?;
     let upstream = site.upstreams().desks[0].address();
     let engine = site.upstreams().engines[0].as_ref();
     let upstream = engine.map_or(upstream, crate::engine::EngineStandIn::address);
-    let vms = vm_listing::extend(site.vms().to_vec(), size, upstream)?;
+    let vms = vm_listing::extend(site.vms().to_vec(), fleet, upstream)?;
     site.set_vms(&vms).await?;
     let mut filler = CatalogueFiller::read(site.store()).await?;
-    let revision = filler.fill(size, upstream).await?;
+    let revision = filler.fill(fleet, upstream).await?;
     catch_up(&site, revision).await?;
     time::sleep(SETTLE_TIME).await;
-    let cost = watch(&site, &mut filler, size, window).await;
+    let cost = watch(&site, &mut filler, fleet, window).await;
     site.close().await;
     cost
 }
@@ -69,7 +69,7 @@
 async fn watch(
     site: &ProcessSite,
     filler: &mut CatalogueFiller,
-    size: &FleetSize,
+    fleet: &FleetSize,
     window: Duration,
 ) -> Result<FleetCost, CapacityError> {
     let mut before = Vec::new();
@@ -78,7 +78,7 @@
     }
     let counts = store_counts(site.store()).await?;
     let begin = Instant::now();
-    change(filler, size.changes_per_second, window).await?;
+    change(filler, fleet.changes_per_second, window).await?;
     let counts_after = store_counts(site.store()).await?;
     let mut after = Vec::new();
     for daemon in &site.daemons {
@@ -92,7 +92,7 @@
             .map(|(daemon, (before, after))| (daemon.name.clone(), before.cost(after)))
             .collect(),
         store_reads: rate(counts.reads, counts_after.reads),
-        store_writes: rate(counts.writes, counts_after.writes) - size.changes_per_second,
+        store_writes: rate(counts.writes, counts_after.writes) - fleet.changes_per_second,
         window_s: seconds,
     })
 }
