Split the home actor: messages and reports in modules of their own

Change: the actor holds its inputs as one field; handlers and reports stand in home_handlers.rs and home_reports.rs; no behaviour changes.

--- a/crates/poplargapd/src/home.rs
+++ b/crates/poplargapd/src/home.rs
@@ -3,6 +3,8 @@
 mod chat_task;
 mod home_actor;
 mod home_frame;
+mod home_handlers;
+mod home_reports;
 mod homed_shard;
 mod messages;
 mod place_permit;
--- a/crates/poplargapd/src/home/home_actor.rs
+++ b/crates/poplargapd/src/home/home_actor.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        AttemptResult, PlacePermit, UpstreamClients,
+        PlacePermit, UpstreamClients,
+        home_reports::{pool_digest, upstream_digest},
         homed_shard::{HomePhase, HomedShard, WaitingWork, answer},
-        messages::{PlaceReply, PlaceWork, RefreshHomes, ReleaseWork, TakeoverLoads},
+        messages::{PlaceReply, TakeoverLoads},
     },
     crate::{
         clock::ProcessClock,
@@ -19,18 +20,17 @@
         instant::MonotonicInstant,
         name::{DataCentre, PoolName},
         queue::{RetryPolicy, WorkItem, WorkQueue},
-        rendezvous,
         shard::{PoolShard, ShardId},
     },
     poplargap_link::{
         envelope::{RefusalReason, RelayRefusal},
-        heartbeat::{PoolSummary, ResidualLoad, ShardReport},
+        heartbeat::{PoolSummary, ShardReport},
     },
     rand::{RngCore, SeedableRng, rngs::SmallRng},
     slog::Logger,
     std::{num::NonZeroUsize, sync::Arc, time::Duration},
     tokio::sync::watch,
-    xtra::prelude::{Actor, Context, Handler},
+    xtra::prelude::{Actor, Context},
 };
 
 /// Longest time after a pause in which the catalogue must be read before work is placed.
@@ -54,23 +54,13 @@
 /// Owns the loads, queues and epochs of the shards that this daemon is home to.
 #[derive(Debug)]
 pub struct HomeActor {
-    pub(crate) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
-    pub(crate) clients: UpstreamClients,
-    pub(crate) clock: ProcessClock,
-    pub(crate) confirmed: watch::Receiver<MonotonicInstant>,
-    pub(crate) invariants: InvariantMonitor,
-    pub(crate) log: Logger,
-    pub(crate) members: watch::Receiver<Arc<MemberView>>,
-    pub(crate) metrics: Arc<DaemonMetrics>,
-    pub(crate) pools: watch::Sender<Vec<PoolSummary>>,
-    pub(crate) reports: watch::Sender<Vec<ShardReport>>,
-    pub(crate) settings: HomeSettings,
-    pub(crate) vms: watch::Receiver<Arc<VmView>>,
+    pub(super) inputs: HomeInputs,
+    pub(super) settings: HomeSettings,
     policy: PolicyChoice,
     random: SmallRng,
-    refreshed: MonotonicInstant,
+    pub(super) refreshed: MonotonicInstant,
     resumed: MonotonicInstant,
-    shards: HashMap<ShardId, HomedShard>,
+    pub(super) shards: HashMap<ShardId, HomedShard>,
 }
 
 /// The parts that other tasks give to the actor.
@@ -96,23 +86,13 @@
         let random = SmallRng::seed_from_u64(settings.seed);
         let refreshed = inputs.clock.now();
         Self {
-            catalogue: inputs.catalogue,
-            clients: inputs.clients,
-            clock: inputs.clock,
-            confirmed: inputs.confirmed,
-            invariants: inputs.invariants,
-            log: inputs.log,
-            members: inputs.members,
-            metrics: inputs.metrics,
+            inputs,
             policy,
-            pools: inputs.pools,
             random,
             refreshed,
-            reports: inputs.reports,
             resumed: MonotonicInstant::default(),
             settings,
             shards: HashMap::new(),
-            vms: inputs.vms,
         }
     }
 
@@ -123,11 +103,11 @@
         self.settings.policy != PolicyKind::Homed || members.is_home_of(shard)
     }
 
-    fn refresh(&mut self, ctx: &Context<Self>) {
-        let now = self.clock.now();
+    pub(super) fn refresh(&mut self, ctx: &Context<Self>) {
+        let now = self.inputs.clock.now();
         self.forget_after_pause(now);
-        let catalogue = Arc::clone(&self.catalogue.borrow_and_update());
-        let members = Arc::clone(&self.members.borrow_and_update());
+        let catalogue = Arc::clone(&self.inputs.catalogue.borrow_and_update());
+        let members = Arc::clone(&self.inputs.members.borrow_and_update());
         let data_centre = self.settings.data_centre.clone();
         for shard in catalogue.shards_in(&data_centre) {
             if self.is_caught_up(now) && self.is_home(&members, &shard.id) {
@@ -150,7 +130,7 @@
         if pause <= self.settings.suspect {
             return;
         }
-        slog::warn!(self.log, "daemon was paused"; "pause_ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+        slog::warn!(self.inputs.log, "daemon was paused"; "pause_ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
         self.resumed = now;
         for shard in self.shards.values_mut() {
             shard.phase = HomePhase::Former;
@@ -159,7 +139,7 @@
 
     /// Returns whether the catalogue was read since the last pause, or can't be read for long.
     fn is_caught_up(&self, now: MonotonicInstant) -> bool {
-        *self.confirmed.borrow() >= self.resumed || now.since(self.resumed) > CATCH_UP_MAX
+        *self.inputs.confirmed.borrow() >= self.resumed || now.since(self.resumed) > CATCH_UP_MAX
     }
 
     fn keep(
@@ -191,7 +171,7 @@
             let epoch = seen.max(homed.home.epoch()) + 1;
             homed.home.set_epoch(epoch);
             homed.phase = HomePhase::TakingOver;
-            slog::info!(self.log, "home taken over"; "shard" => %shard.id, "epoch" => epoch);
+            slog::info!(self.inputs.log, "home taken over"; "shard" => %shard.id, "epoch" => epoch);
             self.probe(shard, epoch, ctx);
         } else if homed.needs_reports(self.settings.policy, now) {
             let epoch = homed.home.epoch();
@@ -201,7 +181,7 @@
 
     /// Asks the upstreams for their loads before the first placement.
     fn probe(&self, shard: &PoolShard, epoch: u64, ctx: &Context<Self>) {
-        let (address, clients) = (ctx.mailbox().address(), self.clients.clone());
+        let (address, clients) = (ctx.mailbox().address(), self.inputs.clients.clone());
         let (id, upstreams) = (shard.id.clone(), shard.upstreams.clone());
         tokio::spawn(async move {
             let loads = clients.loads(&upstreams).await;
@@ -219,7 +199,7 @@
             return;
         };
         if homed.phase != HomePhase::Former {
-            slog::info!(self.log, "home given up"; "shard" => %id, "epoch" => homed.home.epoch());
+            slog::info!(self.inputs.log, "home given up"; "shard" => %id, "epoch" => homed.home.epoch());
         }
         homed.phase = HomePhase::Former;
         homed.home.forget_foreign();
@@ -242,7 +222,7 @@
     }
 
     fn note_leaving(&mut self) {
-        let vms = Arc::clone(&self.vms.borrow());
+        let vms = Arc::clone(&self.inputs.vms.borrow());
         for homed in self.shards.values_mut() {
             homed
                 .home
@@ -264,6 +244,7 @@
     /// Returns the load of the pool's other shards, those of other data centres included.
     fn others(&self, shard: &ShardId) -> PoolLoad {
         let elsewhere = self
+            .inputs
             .members
             .borrow()
             .elsewhere
@@ -274,10 +255,10 @@
     }
 
     /// Returns the load of a pool in the own data centre, without the shard `except`.
-    fn load_here(&self, pool: &PoolName, except: Option<&ShardId>) -> PoolLoad {
-        let catalogue = self.catalogue.borrow();
-        let members = self.members.borrow();
-        let now = self.clock.now();
+    pub(super) fn load_here(&self, pool: &PoolName, except: Option<&ShardId>) -> PoolLoad {
+        let catalogue = self.inputs.catalogue.borrow();
+        let members = self.inputs.members.borrow();
+        let now = self.inputs.clock.now();
         let shards = catalogue.shards_of(pool, &self.settings.data_centre);
         shards
             .iter()
@@ -290,13 +271,13 @@
     }
 
     /// Chooses an upstream now and counts the request there.
-    fn place(
+    pub(super) fn place(
         &mut self,
         id: &ShardId,
         request: &PlaceRequest,
         ctx: &Context<Self>,
     ) -> Result<PlaceReply, PlaceRefusal> {
-        let now = self.clock.now();
+        let now = self.inputs.clock.now();
         let others = self.others(id);
         let random = self.random.next_u64();
         let homed = self.shards.get_mut(id).ok_or(PlaceRefusal::NoUpstream)?;
@@ -306,10 +287,13 @@
         let upstream = Arc::clone(&load.entry);
         let (total, serving) = (load.total(), load.is_serving());
         let bounded = self.settings.policy != PolicyKind::Homed || total <= bound;
-        self.invariants.check(Invariant::BoundedLoad, bounded, || {
-            format!("upstream {name} carries {total}, its bound is {bound}")
-        });
-        self.invariants
+        self.inputs
+            .invariants
+            .check(Invariant::BoundedLoad, bounded, || {
+                format!("upstream {name} carries {total}, its bound is {bound}")
+            });
+        self.inputs
+            .invariants
             .check(Invariant::NoWorkAfterDrain, serving, || {
                 format!("upstream {name} is leaving")
             });
@@ -334,7 +318,7 @@
         }
     }
 
-    fn serve_queue(&mut self, id: &ShardId, now: MonotonicInstant, ctx: &Context<Self>) {
+    pub(super) fn serve_queue(&mut self, id: &ShardId, now: MonotonicInstant, ctx: &Context<Self>) {
         loop {
             let others = self.others(id);
             let Some(homed) = self.shards.get_mut(id) else {
@@ -358,85 +342,10 @@
         let result = self.place(id, &request, ctx).map_err(refusal);
         answer(reply, result);
     }
-
-    /// Returns the loads of all pools in the own data centre.
-    fn summaries(&self) -> Vec<PoolSummary> {
-        let catalogue = Arc::clone(&self.catalogue.borrow());
-        let here = catalogue.pools.keys().filter(|pool| {
-            let shards = catalogue.shards_of(pool, &self.settings.data_centre);
-            !shards.is_empty()
-        });
-        here.map(|pool| {
-            let load = self.load_here(pool, None);
-            PoolSummary {
-                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
-                pool: pool_digest(pool),
-                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
-            }
-        })
-        .collect()
-    }
-
-    fn report(&mut self, now: MonotonicInstant) {
-        let mut reports: Vec<ShardReport> = Vec::new();
-        let own: u64 = self
-            .shards
-            .values()
-            .map(|homed| homed.home.in_flight())
-            .sum();
-        self.metrics
-            .homed_in_flight
-            .set(i64::try_from(own).unwrap_or(i64::MAX));
-        for (id, homed) in &self.shards {
-            let home = homed.phase == HomePhase::Home;
-            let load = homed.home.load(now);
-            let residuals = if home {
-                Vec::new()
-            } else {
-                residuals(&homed.home)
-            };
-            for load in homed.home.loads() {
-                let in_flight = i64::try_from(load.in_flight).unwrap_or(i64::MAX);
-                self.metrics
-                    .upstream_load
-                    .with_label_values(&[load.entry.name.as_str()])
-                    .set(in_flight);
-            }
-            reports.push(ShardReport {
-                digest: id.digest(),
-                epoch: homed.home.epoch(),
-                home: homed.phase != HomePhase::Former,
-                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
-                residuals,
-                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
-            });
-        }
-        reports.sort_by_key(|report| report.digest);
-        self.reports.send_replace(reports);
-        let pools = self.summaries();
-        self.pools.send_replace(pools);
-    }
-}
-
-fn pool_digest(pool: &PoolName) -> u64 {
-    rendezvous::score("pool", pool.as_str())
-}
-
-fn residuals(home: &ShardHome) -> Vec<ResidualLoad> {
-    home.loads()
-        .filter(|load| load.in_flight > 0)
-        .map(|load| ResidualLoad {
-            in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
-            upstream: upstream_digest(&load.entry.name),
-        })
-        .collect()
-}
-
-fn upstream_digest(upstream: impl AsRef<str>) -> u64 {
-    rendezvous::score("upstream", upstream.as_ref())
 }
 
-fn refusal(refusal: PlaceRefusal) -> RelayRefusal {
+/// Returns the refusal that says why no upstream takes a request.
+pub(super) fn refusal(refusal: PlaceRefusal) -> RelayRefusal {
     RelayRefusal::not_run(match refusal {
         PlaceRefusal::Full => RefusalReason::Full,
         PlaceRefusal::NoUpstream => RefusalReason::NoUpstream,
@@ -448,90 +357,3 @@
 
     async fn stopped(self) {}
 }
-
-impl Handler<RefreshHomes> for HomeActor {
-    type Return = ();
-
-    async fn handle(&mut self, _message: RefreshHomes, ctx: &mut Context<Self>) {
-        self.refresh(ctx);
-    }
-}
-
-impl Handler<PlaceWork> for HomeActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: PlaceWork, ctx: &mut Context<Self>) {
-        let now = self.clock.now();
-        if now.since(self.refreshed) > self.settings.suspect {
-            self.refresh(ctx);
-        }
-        let phase = self.shards.get(&message.shard).map(|homed| homed.phase);
-        let Some(phase) = phase.filter(|phase| *phase != HomePhase::Former) else {
-            let members = self.members.borrow();
-            let mut refusal = RelayRefusal::not_run(RefusalReason::Moved);
-            refusal.home = members.home_of(&message.shard).map(|member| member.relay);
-            answer(message.reply, Err(refusal));
-            return;
-        };
-        let queued = self
-            .shards
-            .get(&message.shard)
-            .is_some_and(|homed| !homed.queue.is_empty());
-        if phase == HomePhase::Home && !queued {
-            match self.place(&message.shard, &message.request, ctx) {
-                Ok(reply) => return answer(message.reply, Ok(reply)),
-                Err(PlaceRefusal::Full) if message.wait => {}
-                Err(error) => return answer(message.reply, Err(refusal(error))),
-            }
-        } else if !message.wait && phase == HomePhase::Home {
-            return answer(message.reply, Err(refusal(PlaceRefusal::Full)));
-        }
-        if let Some(homed) = self.shards.get_mut(&message.shard) {
-            homed.wait(message, now);
-        }
-    }
-}
-
-impl Handler<ReleaseWork> for HomeActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: ReleaseWork, ctx: &mut Context<Self>) {
-        let now = self.clock.now();
-        let Some(homed) = self.shards.get_mut(&message.shard) else {
-            return;
-        };
-        homed.home.release(&message.upstream);
-        if let Some(load) = homed.home.load_mut(&message.upstream) {
-            match message.result {
-                AttemptResult::Abandoned => {}
-                AttemptResult::Answered => load.health.succeed(),
-                AttemptResult::Failed | AttemptResult::Refused => load.health.fail(now),
-            }
-        }
-        if homed.phase == HomePhase::Home && !homed.queue.is_empty() {
-            homed.expire(now);
-            self.serve_queue(&message.shard, now, ctx);
-        }
-    }
-}
-
-impl Handler<TakeoverLoads> for HomeActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: TakeoverLoads, ctx: &mut Context<Self>) {
-        let now = self.clock.now();
-        let Some(homed) = self.shards.get_mut(&message.shard) else {
-            return;
-        };
-        if homed.home.epoch() != message.epoch {
-            return;
-        }
-        match homed.phase {
-            HomePhase::Former => return,
-            HomePhase::Home => homed.home.report(&message.loads),
-            HomePhase::TakingOver => homed.home.adopt(&message.loads),
-        }
-        homed.phase = HomePhase::Home;
-        self.serve_queue(&message.shard, now, ctx);
-    }
-}
--- /dev/null
+++ b/crates/poplargapd/src/home/home_reports.rs
@@ -0,0 +1,91 @@
+//! What the home actor tells its peers about its shards.
+
+use {
+    super::{HomeActor, homed_shard::HomePhase},
+    poplargap_core::{home::ShardHome, instant::MonotonicInstant, name::PoolName, rendezvous},
+    poplargap_link::heartbeat::{PoolSummary, ResidualLoad, ShardReport},
+    std::sync::Arc,
+};
+
+impl HomeActor {
+    /// Returns the loads of all pools in the own data centre.
+    fn summaries(&self) -> Vec<PoolSummary> {
+        let catalogue = Arc::clone(&self.inputs.catalogue.borrow());
+        let here = catalogue.pools.keys().filter(|pool| {
+            let shards = catalogue.shards_of(pool, &self.settings.data_centre);
+            !shards.is_empty()
+        });
+        here.map(|pool| {
+            let load = self.load_here(pool, None);
+            PoolSummary {
+                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+                pool: pool_digest(pool),
+                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
+            }
+        })
+        .collect()
+    }
+
+    /// Publishes the shards' loads for heartbeats and metrics.
+    pub(super) fn report(&mut self, now: MonotonicInstant) {
+        let mut reports: Vec<ShardReport> = Vec::new();
+        let own: u64 = self
+            .shards
+            .values()
+            .map(|homed| homed.home.in_flight())
+            .sum();
+        self.inputs
+            .metrics
+            .homed_in_flight
+            .set(i64::try_from(own).unwrap_or(i64::MAX));
+        for (id, homed) in &self.shards {
+            let home = homed.phase == HomePhase::Home;
+            let load = homed.home.load(now);
+            let residuals = if home {
+                Vec::new()
+            } else {
+                residuals(&homed.home)
+            };
+            for load in homed.home.loads() {
+                let in_flight = i64::try_from(load.in_flight).unwrap_or(i64::MAX);
+                self.inputs
+                    .metrics
+                    .upstream_load
+                    .with_label_values(&[load.entry.name.as_str()])
+                    .set(in_flight);
+            }
+            reports.push(ShardReport {
+                digest: id.digest(),
+                epoch: homed.home.epoch(),
+                home: homed.phase != HomePhase::Former,
+                in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+                residuals,
+                upstreams: u32::try_from(load.upstreams).unwrap_or(u32::MAX),
+            });
+        }
+        reports.sort_by_key(|report| report.digest);
+        self.inputs.reports.send_replace(reports);
+        let pools = self.summaries();
+        self.inputs.pools.send_replace(pools);
+    }
+}
+
+/// Returns the hash of a pool's name, as summaries carry it.
+pub(super) fn pool_digest(pool: &PoolName) -> u64 {
+    rendezvous::score("pool", pool.as_str())
+}
+
+fn residuals(home: &ShardHome) -> Vec<ResidualLoad> {
+    home.loads()
+        .filter(|load| load.in_flight > 0)
+        .map(|load| ResidualLoad {
+            in_flight: u32::try_from(load.in_flight).unwrap_or(u32::MAX),
+            upstream: upstream_digest(&load.entry.name),
+        })
+        .collect()
+}
+
+/// Returns the hash of an upstream's name, as residual loads carry it.
+pub(super) fn upstream_digest(upstream: impl AsRef<str>) -> u64 {
+    rendezvous::score("upstream", upstream.as_ref())
+}
