--- a/crates/poplargapd/src/daemon.rs
+++ b/crates/poplargapd/src/daemon.rs
@@ -22,8 +22,8 @@
     daemon_servers::DaemonServers,
     displaydoc::Display,
     poplargap_core::{
-        catalogue::CatalogueSnapshot, home::PolicyKind, membership::MemberState,
-        settings::DaemonSettings,
+        catalogue::CatalogueSnapshot, home::PolicyKind, instant::MonotonicInstant,
+        membership::MemberState, settings::DaemonSettings,
     },
     poplargap_link::heartbeat::{PoolSummary, ShardReport},
     slog::Logger,
@@ -122,6 +122,7 @@
             start_heartbeats(&settings, &base, listeners.heartbeats, inputs);
         let views = DaemonViews {
             catalogue: catalogue.snapshots(),
+            confirmed: catalogue.confirmed(),
             members,
             vms: vm_view,
         };
@@ -205,7 +206,7 @@
         time::sleep(LEAVE_PAUSE).await;
         self.context.admit.shut();
         let end = time::Instant::now() + self.settings.timeouts.drain;
-        while in_flight(&self.context) > 0 && time::Instant::now() < end {
+        while is_busy(&self.context) && time::Instant::now() < end {
             time::sleep(DRAIN_POLL).await;
         }
         let cut = in_flight(&self.context);
@@ -229,6 +230,11 @@
     }
 }
 
+/// Returns whether requests are in flight or claims' outcomes have yet to be written.
+fn is_busy(context: &PathContext<DaemonStore>) -> bool {
+    in_flight(context) > 0 || context.claims.unsettled() > 0
+}
+
 /// Counts callers' requests here and other daemons' requests at this daemon's homes.
 fn in_flight(context: &PathContext<DaemonStore>) -> usize {
     let homed = usize::try_from(context.metrics.homed_in_flight.get()).unwrap_or_default();
@@ -249,6 +255,7 @@
 #[derive(Clone, Debug)]
 struct DaemonViews {
     catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    confirmed: watch::Receiver<MonotonicInstant>,
     members: watch::Receiver<Arc<MemberView>>,
     vms: watch::Receiver<Arc<VmView>>,
 }
@@ -287,6 +294,7 @@
     channels: FeedChannels,
 ) -> CatalogueFeed {
     let inputs = FeedInputs {
+        clock: base.clock,
         data_centre: settings.daemon.data_centre.clone(),
         invariants: base.invariants.clone(),
         log: base.log.clone(),
@@ -312,6 +320,7 @@
         catalogue: views.catalogue.clone(),
         clients,
         clock: base.clock,
+        confirmed: views.confirmed.clone(),
         invariants: base.invariants.clone(),
         log: base.log.clone(),
         members: views.members.clone(),
@@ -383,6 +392,7 @@
         let changed = tokio::select! {
             _ = ticks.tick() => Ok(()),
             changed = views.catalogue.changed() => changed,
+            changed = views.confirmed.changed() => changed,
             changed = views.members.changed() => changed,
             changed = views.vms.changed() => changed,
         };
--- a/crates/poplargapd/src/path.rs
+++ b/crates/poplargapd/src/path.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod chat;
 mod claim;
+mod home_search;
 mod identify;
 mod place;
 mod problem;
@@ -12,6 +13,7 @@
 mod service;
 mod settle;
 mod trace;
+mod unsettled_count;
 
 pub use {
     accept::CallerServer,
--- a/crates/poplargapd/tests/bad_input.rs
+++ b/crates/poplargapd/tests/bad_input.rs
@@ -123,8 +123,8 @@
     [
         site.callers(),
         site.operators(),
-        site.peers(),
-        site.relays(),
+        site.peer_listeners(),
+        site.relay_listeners(),
     ]
     .concat()
 }
@@ -259,7 +259,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_fleet_proof_is_refused_and_counted() {
     let site = start().await;
-    let url = format!("http://{}/v1/relay", site.relays()[0]);
+    let url = format!("http://{}/v1/relay", site.relay_listeners()[0]);
     let none = client().post(&url).body("{}").send().await;
     assert_eq!(none.expect("the daemon answers").status(), 401);
     let wrong = client().post(&url).header("x-poplargap-proof", "00");
@@ -273,7 +273,7 @@
         "method": "fleet_catalogue_since",
         "params": ["00", 0, null],
     });
-    let url = format!("http://{}/", site.peers()[0]);
+    let url = format!("http://{}/", site.peer_listeners()[0]);
     let answer = client().post(url).json(&call).send().await;
     let text = answer.expect("the daemon answers").text().await;
     let text = text.expect("the answer is whole");
