--- a/crates/poplargap-testbed/src/engine/engine_settings.rs
+++ b/crates/poplargap-testbed/src/engine/engine_settings.rs
@@ -9,6 +9,9 @@
     },
 };
 
+/// Shortest decode step; steps of no length would never reach a prompt's end.
+const DECODE_STEP_MIN: Duration = Duration::from_micros(1);
+
 /// How one engine stand-in behaves.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -55,11 +58,11 @@
 }
 
 impl EngineSettings {
-    /// Returns the time of one decode step for `running` requests.
+    /// Returns the time of one decode step for `running` requests; never zero.
     #[must_use]
     pub fn decode_step(&self, running: usize) -> Duration {
         let further = u32::try_from(running.saturating_sub(1)).unwrap_or(u32::MAX);
-        self.decode_base + self.decode_slope * further
+        (self.decode_base + self.decode_slope * further).max(DECODE_STEP_MIN)
     }
 
     /// Returns the time to read `tokens` prompt tokens that are not cached.
--- a/crates/poplargap-testbed/tests/engine.rs
+++ b/crates/poplargap-testbed/tests/engine.rs
@@ -251,3 +251,16 @@
     drop(held);
     engine.close().await;
 }
+
+#[tokio::test]
+async fn decode_steps_of_no_length_come_to_an_end() {
+    let engine = start(EngineSettings {
+        decode_base: Duration::ZERO,
+        decode_slope: Duration::ZERO,
+        ..quick_settings()
+    })
+    .await;
+    let outcome = ask(&engine, "r1", "trace of an el34").await;
+    assert_eq!(outcome.verdict, CallVerdict::Complete);
+    engine.close().await;
+}
