Split the daemon's start: tasks in a module of their own

Change: daemon_tasks.rs starts the tasks; the trait's remember does nothing by default; no behaviour changes.

--- a/crates/poplargap-core/src/home/policy.rs
+++ b/crates/poplargap-core/src/home/policy.rs
@@ -51,8 +51,8 @@
         random: u64,
     ) -> Option<UpstreamName>;
 
-    /// Notes that `upstream` took the request.
-    fn remember(&mut self, request: &PlaceRequest, upstream: &UpstreamName);
+    /// Notes that `upstream` took the request; a policy without memory needs nothing.
+    fn remember(&mut self, _request: &PlaceRequest, _upstream: &UpstreamName) {}
 }
 
 /// Plain consistent hashing, a baseline.
@@ -71,8 +71,6 @@
         let names = open.iter().map(|load| &load.entry.name);
         rendezvous::first(&request.key, names).cloned()
     }
-
-    fn remember(&mut self, _request: &PlaceRequest, _upstream: &UpstreamName) {}
 }
 
 /// The least loaded upstream by its own lagged report, a baseline.
@@ -97,8 +95,6 @@
             })
             .map(|load| load.entry.name.clone())
     }
-
-    fn remember(&mut self, _request: &PlaceRequest, _upstream: &UpstreamName) {}
 }
 
 /// Any upstream, a baseline.
@@ -118,8 +114,6 @@
         let position = usize::try_from(random % len).ok()?;
         open.get(position).map(|load| load.entry.name.clone())
     }
-
-    fn remember(&mut self, _request: &PlaceRequest, _upstream: &UpstreamName) {}
 }
 
 /// The chat's last upstream, then the least loaded one.
--- a/crates/poplargapd/src/daemon/daemon_orders.rs
+++ b/crates/poplargapd/src/daemon/daemon_orders.rs
@@ -1,7 +1,7 @@
 //! Starts the task that gives orders.
 
 use {
-    super::{DaemonViews, StartError, daemon_base::DaemonBase},
+    super::{StartError, daemon_base::DaemonBase, daemon_tasks::DaemonViews},
     crate::orders::{OrderInputs, OrderMetrics, OrderTask},
     poplargap_core::{order::OrderTimes, settings::DaemonSettings},
 };
--- /dev/null
+++ b/crates/poplargapd/src/daemon/daemon_tasks.rs
@@ -0,0 +1,216 @@
+//! The tasks and actors of a daemon, and what they read of each other.
+
+use {
+    super::daemon_base::{DaemonBase, DaemonStore, own_report},
+    crate::{
+        feed::{CatalogueFeed, FeedChannels, FeedInputs, PeerClients},
+        home::{ChatTask, HomeActor, HomeInputs, HomeSettings, RefreshHomes, UpstreamClients},
+        limits::{LimitActor, LimitInputs, LimitLink, RefreshLimits},
+        members::{HeartbeatInputs, HeartbeatSettings, HeartbeatTask, MemberView, VmView},
+        path::{AdmitGate, ClaimStore, PathContext, RouteDirectory, TraceRing},
+        relay::RelayClient,
+    },
+    poplargap_core::{
+        catalogue::CatalogueSnapshot, home::PolicyKind, instant::MonotonicInstant,
+        membership::MemberState, settings::DaemonSettings,
+    },
+    poplargap_link::heartbeat::{PoolSummary, ShardReport},
+    std::{num::NonZeroUsize, sync::Arc, time::Duration},
+    tokio::{
+        net::UdpSocket,
+        sync::watch,
+        time::{self, MissedTickBehavior},
+    },
+    xtra::{Address, Mailbox},
+};
+
+/// Time between two looks at the loans of limits.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(25);
+
+/// What tasks read of each other.
+#[derive(Clone, Debug)]
+pub(super) struct DaemonViews {
+    pub(super) catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    pub(super) confirmed: watch::Receiver<MonotonicInstant>,
+    pub(super) members: watch::Receiver<Arc<MemberView>>,
+    pub(super) vms: watch::Receiver<Arc<VmView>>,
+}
+
+/// Starts sending and hearing heartbeats.
+pub(super) fn start_heartbeats(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    socket: UdpSocket,
+    inputs: HeartbeatInputs,
+) -> (Arc<HeartbeatTask>, watch::Receiver<Arc<MemberView>>) {
+    let heartbeat_settings = HeartbeatSettings {
+        data_centre: settings.daemon.data_centre.clone(),
+        interval: settings.timeouts.heartbeat,
+        key: base.key.clone(),
+        own: own_report(settings),
+        seeds: settings.fleet.seeds.clone(),
+        suspect: settings.timeouts.suspect,
+    };
+    let metrics = Arc::clone(&base.metrics);
+    let (task, members) = HeartbeatTask::start(
+        heartbeat_settings,
+        socket,
+        inputs,
+        base.clock,
+        metrics,
+        base.log.clone(),
+    );
+    (Arc::new(task), members)
+}
+
+/// Starts reading the catalogue.
+pub(super) fn start_feed(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+    peers: PeerClients,
+    channels: FeedChannels,
+) -> CatalogueFeed {
+    let inputs = FeedInputs {
+        clock: base.clock,
+        data_centre: settings.daemon.data_centre.clone(),
+        invariants: base.invariants.clone(),
+        log: base.log.clone(),
+        members: views.members.clone(),
+        metrics: Arc::clone(&base.metrics),
+        peers,
+        vms: views.vms.clone(),
+    };
+    CatalogueFeed::start(base.store.clone(), inputs, channels)
+}
+
+/// Starts the actor that places work.
+pub(super) fn start_home(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+    clients: UpstreamClients,
+    (pools, reports): (
+        watch::Sender<Vec<PoolSummary>>,
+        watch::Sender<Vec<ShardReport>>,
+    ),
+) -> Address<HomeActor> {
+    let inputs = HomeInputs {
+        catalogue: views.catalogue.clone(),
+        clients,
+        clock: base.clock,
+        confirmed: views.confirmed.clone(),
+        invariants: base.invariants.clone(),
+        log: base.log.clone(),
+        members: views.members.clone(),
+        metrics: Arc::clone(&base.metrics),
+        pools,
+        reports,
+        vms: views.vms.clone(),
+    };
+    xtra::spawn_tokio(
+        HomeActor::new(home_settings(settings), inputs),
+        Mailbox::unbounded(),
+    )
+}
+
+/// Starts the actor that admits under limits.
+pub(super) fn start_limits(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+    link: LimitLink,
+) -> Address<LimitActor> {
+    let inputs = LimitInputs {
+        catalogue: views.catalogue.clone(),
+        clock: base.clock,
+        daemon: settings.daemon.name.clone(),
+        data_centre: settings.daemon.data_centre.clone(),
+        incarnation: views.members.borrow().own.incarnation,
+        link,
+        suspect: settings.timeouts.suspect,
+    };
+    xtra::spawn_tokio(LimitActor::new(inputs), Mailbox::unbounded())
+}
+
+/// Creates what every request's path needs.
+pub(super) fn path_context(
+    settings: &DaemonSettings,
+    base: &DaemonBase,
+    views: &DaemonViews,
+    (peers, relays): (PeerClients, RelayClient),
+    limits: Address<LimitActor>,
+    task: ChatTask,
+) -> PathContext<DaemonStore> {
+    PathContext {
+        admit: AdmitGate::new(settings.limits.callers_max),
+        body_deadline: settings.limits.body_deadline,
+        body_max: settings.limits.body_max.bytes(),
+        catalogue: views.catalogue.clone(),
+        claims: ClaimStore::new(settings.daemon.name.clone(), base.store.clone()),
+        clock: base.clock,
+        data_centre: settings.daemon.data_centre.clone(),
+        homed: settings.placement.policy == PolicyKind::Homed,
+        invariants: base.invariants.clone(),
+        limits,
+        members: views.members.clone(),
+        metrics: Arc::clone(&base.metrics),
+        peers,
+        relays,
+        routes: RouteDirectory::default(),
+        task,
+        traces: TraceRing::default(),
+        vms: views.vms.clone(),
+        write: settings.timeouts.write,
+    }
+}
+
+/// Makes the home actor look at every change of its inputs, and at its queues from time to time.
+pub(super) async fn refresh(home: Address<HomeActor>, mut views: DaemonViews, interval: Duration) {
+    let mut ticks = time::interval(interval / 2);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let changed = tokio::select! {
+            _ = ticks.tick() => Ok(()),
+            changed = views.catalogue.changed() => changed,
+            changed = views.confirmed.changed() => changed,
+            changed = views.members.changed() => changed,
+            changed = views.vms.changed() => changed,
+        };
+        if changed.is_err() || home.send(RefreshHomes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Makes the limit actor look at its loans from time to time.
+pub(super) async fn refresh_limits(limits: Address<LimitActor>) {
+    let mut ticks = time::interval(LIMITS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if limits.send(RefreshLimits).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Declares the daemon ready once it has a catalogue.
+pub(super) async fn announce_ready(
+    heartbeats: Arc<HeartbeatTask>,
+    mut revision: watch::Receiver<u64>,
+) {
+    if revision.wait_for(|revision| *revision > 0).await.is_ok() {
+        heartbeats.set_state(MemberState::Ready).await;
+    }
+}
+
+fn home_settings(settings: &DaemonSettings) -> HomeSettings {
+    HomeSettings {
+        chats: NonZeroUsize::new(settings.placement.memory).unwrap_or(NonZeroUsize::MIN),
+        data_centre: settings.daemon.data_centre.clone(),
+        policy: settings.placement.policy,
+        seed: rand::random(),
+        suspect: settings.timeouts.suspect,
+    }
+}
