--- a/crates/poplargapd/src/body.rs
+++ b/crates/poplargapd/src/body.rs
@@ -15,25 +15,40 @@
     TooLarge,
 }
 
+/// Most bytes of a too long body that are read and thrown away.
+///
+/// A connection that is closed with unread bytes loses the answer on its way to the sender.
+pub(crate) const DISCARD_MAX: u64 = 64 * 1024 * 1024;
+
 /// Reads a body of at most `max` bytes, whether its length was declared or not.
+///
+/// Reads on to the end of a longer one, so that its sender gets the answer.
 pub(crate) async fn collect<B, D, E>(body: B, max: u64) -> Result<Bytes, BodyError>
 where
     B: Stream<Item = Result<D, E>>,
     D: Buf,
 {
-    let max = usize::try_from(max).unwrap_or(usize::MAX);
     let mut body = pin!(body);
     let mut bytes = BytesMut::new();
+    let mut len: u64 = 0;
     while let Some(chunk) = body.next().await {
         let mut chunk = chunk.map_err(|_source| BodyError::Broken)?;
-        if bytes.len().saturating_add(chunk.remaining()) > max {
+        len = len.saturating_add(chunk.remaining() as u64);
+        if len > max.saturating_add(DISCARD_MAX) {
             return Err(BodyError::TooLarge);
         }
+        if len > max {
+            bytes = BytesMut::new();
+            continue;
+        }
         while chunk.has_remaining() {
-            let len = chunk.chunk().len();
+            let part = chunk.chunk().len();
             bytes.extend_from_slice(chunk.chunk());
-            chunk.advance(len);
+            chunk.advance(part);
         }
     }
+    if len > max {
+        return Err(BodyError::TooLarge);
+    }
     Ok(bytes.freeze())
 }
--- a/crates/poplargapd/tests/processes.rs
+++ b/crates/poplargapd/tests/processes.rs
@@ -220,14 +220,20 @@
 async fn long_body_and_unknown_key_are_refused_as_not_run() {
     let site = start(&SitePlan::new(&["ne1"], 1, 1, 1, 1)).await;
     let address = site.daemons[0].callers;
-    let mut session = ChatSession::new("long", "curve");
-    let mut long = turn("long", true, 4);
-    long.content = "x".repeat(8 * 1024 * 1024);
-    let outcome = caller().chat(address, &mut session, &long).await;
-    assert_eq!(
-        refusal_code(&outcome.verdict),
-        Some("body-too-large not-run".to_owned())
-    );
+    // An answer must not be lost because its request was still being sent.
+    for number in 0..10 {
+        let mut session = ChatSession::new("long", "curve");
+        let mut long = turn(&format!("long-{number}"), true, 4);
+        long.content = "x".repeat(8 * 1024 * 1024);
+        let outcome = caller().chat(address, &mut session, &long).await;
+        assert_eq!(
+            refusal_code(&outcome.verdict),
+            Some("body-too-large not-run".to_owned()),
+            "{:?}",
+            outcome.verdict
+        );
+    }
+    let mut session = ChatSession::new("stranger", "curve");
     let stranger = CallerClient::new("key-of-nobody", TIMEOUT).expect("the caller starts");
     let outcome = stranger
         .chat(address, &mut session, &turn("stranger", true, 4))
