--- /dev/null
+++ b/crates/poplargap-core/src/forward.rs
@@ -0,0 +1,36 @@
+//! Decisions about requests that are forwarded as they came.
+//!
+//! Every daemon decides alone, from what it was told and what it saw: the routes in force, the
+//! replicas that are registered, and the outcomes of its own requests.
+
+mod attempt_rule;
+mod choice_rule;
+mod client_limits;
+mod close_plan;
+mod event_cursor;
+mod feed_state;
+mod prompt_part;
+mod replica_book;
+mod replica_entry;
+mod replica_registry;
+mod route_entry;
+mod route_table;
+mod send_outcome;
+mod service_budget;
+
+pub use {
+    attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
+    choice_rule::{ChoiceRequest, choose_replica},
+    client_limits::ClientLimits,
+    close_plan::{ClosePhase, ClosePlan},
+    event_cursor::{CursorError, EventCursor},
+    feed_state::FeedState,
+    prompt_part::{PromptPart, placement_key},
+    replica_book::{LoadReport, ReplicaBook, ReplicaLoad},
+    replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
+    replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
+    route_entry::{RepeatRule, RouteEntry, ServiceEntry, ServiceShare, WorkspaceEntry},
+    route_table::{AccessRefusal, RouteGrant, RouteTable},
+    send_outcome::SendOutcome,
+    service_budget::ServiceBudget,
+};
--- /dev/null
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -0,0 +1,158 @@
+use {
+    super::{ReplicaBook, ReplicaEntry, ReplicaId},
+    crate::instant::MonotonicInstant,
+    std::{cmp::Reverse, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Share above the mean that a prompt's own replica may carry.
+const LOAD_FACTOR: f64 = 1.5;
+
+/// Requests above that share that a replica may carry in any case.
+const LOAD_SLACK: f64 = 1.5;
+
+/// Requests that a replica in another data centre must have fewer to be taken.
+const DISTANCE_COST: f64 = 2.0;
+
+/// Requests that a replica with only failures seems to have more.
+const FAILURE_COST: f64 = 8.0;
+
+/// Failure ratio above which a prompt's own replica is passed over.
+const FAILURE_RATIO_MAX: f64 = 0.45;
+
+/// What a choice depends on besides the replicas.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceRequest<'a> {
+    /// The daemon's data centre.
+    pub data_centre: &'a str,
+    /// Replicas that this request was sent to before.
+    pub excluded: &'a [ReplicaId],
+    /// Key of the prompt's shared parts, if it has any.
+    pub key: Option<u64>,
+    /// The present instant.
+    pub now: MonotonicInstant,
+}
+
+/// A replica with what it is thought to carry.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    entry: &'a Arc<ReplicaEntry>,
+    failure_ratio: f64,
+    requests: f64,
+}
+
+/// Chooses the replica for one request, or `None` when there is none to choose.
+///
+/// A prompt goes to the first replica in rendezvous order of its shared parts whose load stays
+/// under a bound above the mean (Mirrokni, Thorup and Zadimoghaddam, 2018), so that all daemons
+/// find the same replicas without a message. Other requests go to the replica with the fewest
+/// requests, counting distance and failures.
+#[must_use]
+pub fn choose_replica(
+    replicas: &[Arc<ReplicaEntry>],
+    book: &ReplicaBook,
+    request: &ChoiceRequest<'_>,
+) -> Option<Arc<ReplicaEntry>> {
+    let all = candidates(replicas, book, request.now);
+    let allowed = allowed(&all, book, request);
+    let chosen = match request.key {
+        Some(key) => by_prompt(&allowed, mean_of(&all), key),
+        None => by_load(&allowed, request.data_centre),
+    };
+    chosen.map(|candidate| Arc::clone(candidate.entry))
+}
+
+/// Estimates every replica's requests; one without a report gets the mean of the others'.
+fn candidates<'a>(
+    replicas: &'a [Arc<ReplicaEntry>],
+    book: &ReplicaBook,
+    now: MonotonicInstant,
+) -> Vec<Candidate<'a>> {
+    let others = |entry: &ReplicaEntry| book.load(&entry.id).and_then(|load| load.others(now));
+    let known: Vec<u32> = replicas.iter().filter_map(|entry| others(entry)).collect();
+    let mean = f64::from(known.iter().sum::<u32>()) / known.len().max(1) as f64;
+    replicas
+        .iter()
+        .map(|entry| {
+            let load = book.load(&entry.id);
+            let own = load.map_or(0, super::ReplicaLoad::in_flight);
+            Candidate {
+                entry,
+                failure_ratio: load.map_or(0.0, super::ReplicaLoad::failure_ratio),
+                requests: f64::from(own) + others(entry).map_or(mean, f64::from),
+            }
+        })
+        .collect()
+}
+
+/// Leaves out replicas that were tried, and ill ones while others are left.
+fn allowed<'a>(
+    all: &[Candidate<'a>],
+    book: &ReplicaBook,
+    request: &ChoiceRequest<'_>,
+) -> Vec<Candidate<'a>> {
+    let untried: Vec<Candidate<'a>> = all
+        .iter()
+        .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
+        .copied()
+        .collect();
+    let is_ill = |candidate: &Candidate<'_>| {
+        book.load(&candidate.entry.id)
+            .is_some_and(|load| load.is_ejected(request.now))
+    };
+    let well: Vec<Candidate<'a>> = untried
+        .iter()
+        .filter(|candidate| !is_ill(candidate))
+        .copied()
+        .collect();
+    if well.is_empty() { untried } else { well }
+}
+
+fn mean_of(candidates: &[Candidate<'_>]) -> f64 {
+    let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
+    total / candidates.len().max(1) as f64
+}
+
+fn by_prompt<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    mean: f64,
+    key: u64,
+) -> Option<&'b Candidate<'a>> {
+    let bound = LOAD_FACTOR * mean + LOAD_SLACK;
+    let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
+        .iter()
+        .map(|candidate| {
+            (
+                xxh3_64_with_seed(candidate.entry.id.as_bytes(), key),
+                candidate,
+            )
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
+    let fits = |candidate: &Candidate<'_>| {
+        candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
+    };
+    ranked
+        .iter()
+        .map(|(_, candidate)| *candidate)
+        .find(|candidate| fits(candidate))
+        .or_else(|| least(candidates, |candidate| candidate.requests))
+}
+
+fn by_load<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    data_centre: &str,
+) -> Option<&'b Candidate<'a>> {
+    least(candidates, |candidate| {
+        let is_near = candidate.entry.data_centre.as_ref() == data_centre;
+        let distance = if is_near { 0.0 } else { DISTANCE_COST };
+        candidate.requests + distance + candidate.failure_ratio * FAILURE_COST
+    })
+}
+
+fn least<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    cost: impl Fn(&Candidate<'_>) -> f64,
+) -> Option<&'b Candidate<'a>> {
+    candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
+}
--- /dev/null
+++ b/crates/poplargap-core/src/forward/event_cursor.rs
@@ -0,0 +1,114 @@
+use {
+    bytes::{Bytes, BytesMut},
+    displaydoc::Display,
+    memchr::memmem,
+};
+
+/// Most bytes of one unfinished event.
+const EVENT_LEN_MAX: usize = 1024 * 1024;
+
+const EVENT_END: &[u8] = b"\n\n";
+const ID_FIELD: &[u8] = b"id:";
+
+/// An event stream that can't go on.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum CursorError {
+    /// an event came out of order
+    OutOfOrder,
+    /// an event is longer than 1 MiB
+    TooLong,
+}
+
+impl std::error::Error for CursorError {}
+
+/// Follows an event stream: passes whole events on and knows the last one's id.
+///
+/// The unfinished end of a chunk is held back, so that a stream which breaks off can go on
+/// at another replica behind the last whole event.
+#[derive(Debug, Default)]
+pub struct EventCursor {
+    last_id: Option<u64>,
+    rest: BytesMut,
+}
+
+impl EventCursor {
+    /// Starts behind the event that the caller has seen last.
+    #[must_use]
+    pub fn new(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            rest: BytesMut::new(),
+        }
+    }
+
+    /// Returns the id of the last whole event.
+    #[must_use]
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Takes a chunk and returns the whole events at hand, if any.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an event's id doesn't rise, or an event doesn't end.
+    pub fn push(&mut self, chunk: Bytes) -> Result<Option<Bytes>, CursorError> {
+        let mut chunk = if self.rest.is_empty() {
+            chunk
+        } else {
+            self.rest.extend_from_slice(&chunk);
+            self.rest.split().freeze()
+        };
+        let Some(end) = memmem::rfind(&chunk, EVENT_END) else {
+            return self.keep(&chunk).map(|()| None);
+        };
+        let rest = chunk.split_off(end + EVENT_END.len());
+        self.keep(&rest)?;
+        self.follow(&chunk)?;
+        Ok(Some(chunk))
+    }
+
+    /// Returns whether the stream stands between two events.
+    #[must_use]
+    pub fn is_between_events(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    /// Takes the bytes behind the last whole event.
+    pub fn take_rest(&mut self) -> Option<Bytes> {
+        (!self.rest.is_empty()).then(|| self.rest.split().freeze())
+    }
+
+    fn keep(&mut self, rest: &[u8]) -> Result<(), CursorError> {
+        if rest.len() > EVENT_LEN_MAX {
+            return Err(CursorError::TooLong);
+        }
+        self.rest.extend_from_slice(rest);
+        Ok(())
+    }
+
+    fn follow(&mut self, events: &[u8]) -> Result<(), CursorError> {
+        let mut start = 0;
+        while let Some(len) = memmem::find(&events[start..], EVENT_END) {
+            let event = &events[start..start + len];
+            start += len + EVENT_END.len();
+            let Some(id) = event_id(event) else {
+                continue;
+            };
+            if self.last_id.is_some_and(|last| id <= last) {
+                return Err(CursorError::OutOfOrder);
+            }
+            self.last_id = Some(id);
+        }
+        Ok(())
+    }
+}
+
+/// Returns the id that an event names.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event
+        .split(|byte| *byte == b'\n')
+        .find(|line| line.starts_with(ID_FIELD))?;
+    let text = std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -0,0 +1,190 @@
+use {
+    super::{ReplicaEntry, ReplicaId, SendOutcome},
+    crate::{collections::HashMap, instant::MonotonicInstant},
+    std::time::Duration,
+};
+
+/// Time for which a replica's report of its load is believed.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+
+/// Weight of the newest outcome in a replica's failure ratio.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// First time without requests after a replica couldn't be reached.
+const EJECTION_MIN: Duration = Duration::from_millis(500);
+
+/// Longest time without requests after a replica couldn't be reached.
+const EJECTION_MAX: Duration = Duration::from_secs(4);
+
+/// Failures in a row after which a replica that can be reached is left alone for a while.
+const FAILURES_TO_EJECT: u32 = 4;
+
+/// Time for which a replica that sent a stray answer is distrusted.
+const STRAY_MEMORY: Duration = Duration::from_secs(10);
+
+/// A replica's own count of its requests, from all daemons.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenReport {
+    at: MonotonicInstant,
+    others: u32,
+}
+
+/// What a daemon knows of one replica's load and health.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaLoad {
+    born_ms: u64,
+    ejected_until: MonotonicInstant,
+    ejections: u32,
+    failure_ratio: f64,
+    failures: u32,
+    in_flight: u32,
+    report: Option<SeenReport>,
+    stray_until: MonotonicInstant,
+}
+
+impl ReplicaLoad {
+    /// Returns this daemon's own requests there.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the requests of other daemons as of the last report, while it is believed.
+    #[must_use]
+    pub fn others(&self, now: MonotonicInstant) -> Option<u32> {
+        self.report
+            .filter(|report| now.since(report.at) <= REPORT_LIFE)
+            .map(|report| report.others)
+    }
+
+    /// Returns the age of the last report.
+    #[must_use]
+    pub fn report_age(&self, now: MonotonicInstant) -> Option<Duration> {
+        self.report.map(|report| now.since(report.at))
+    }
+
+    /// Returns the share of requests that failed lately, between 0 and 1.
+    #[must_use]
+    pub fn failure_ratio(&self) -> f64 {
+        self.failure_ratio
+    }
+
+    /// Returns whether the replica gets no requests now.
+    #[must_use]
+    pub fn is_ejected(&self, now: MonotonicInstant) -> bool {
+        self.ejected_until > now
+    }
+
+    /// Returns whether the replica sent an answer to another request lately.
+    #[must_use]
+    pub fn is_stray(&self, now: MonotonicInstant) -> bool {
+        self.stray_until > now
+    }
+
+    fn eject(&mut self, now: MonotonicInstant) {
+        let time = EJECTION_MIN.saturating_mul(1 << self.ejections.min(8));
+        self.ejected_until = now + time.min(EJECTION_MAX);
+        self.ejections += 1;
+    }
+}
+
+/// Loads and health of all replicas, from a daemon's own requests.
+#[derive(Debug, Default)]
+pub struct ReplicaBook {
+    loads: HashMap<ReplicaId, ReplicaLoad>,
+}
+
+impl ReplicaBook {
+    /// Returns what is known of a replica.
+    #[must_use]
+    pub fn load(&self, id: &str) -> Option<&ReplicaLoad> {
+        self.loads.get(id)
+    }
+
+    /// Counts a request that goes to `replica`.
+    pub fn begin(&mut self, replica: &ReplicaEntry) {
+        let load = self.loads.entry(replica.id.clone()).or_default();
+        if load.born_ms != replica.born_ms {
+            let in_flight = load.in_flight;
+            *load = ReplicaLoad {
+                born_ms: replica.born_ms,
+                in_flight,
+                ..ReplicaLoad::default()
+            };
+        }
+        load.in_flight += 1;
+    }
+
+    /// Takes back a request that [`begin`](Self::begin) counted.
+    pub fn end(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a replica's report of its load.
+    pub fn record_report(&mut self, id: &str, report: LoadReport, now: MonotonicInstant) {
+        let Some(load) = self.loads.get_mut(id) else {
+            return;
+        };
+        let total = report.running + report.waiting;
+        load.report = Some(SeenReport {
+            at: now,
+            others: total.saturating_sub(load.in_flight),
+        });
+    }
+
+    /// Takes in that a replica answered properly; returns whether it was thought ill.
+    pub fn record_success(&mut self, id: &str) -> bool {
+        let Some(load) = self.loads.get_mut(id) else {
+            return false;
+        };
+        let was_ill = load.ejections > 0;
+        load.failures = 0;
+        load.ejections = 0;
+        load.ejected_until = MonotonicInstant::default();
+        load.failure_ratio *= 1.0 - FAILURE_WEIGHT;
+        was_ill
+    }
+
+    /// Takes in that a replica sent an answer to another request.
+    pub fn record_stray(&mut self, id: &str, now: MonotonicInstant) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.stray_until = now + STRAY_MEMORY;
+        }
+    }
+
+    /// Takes in a failed send; returns whether the replica is left alone from now on.
+    pub fn record_failure(
+        &mut self,
+        id: &str,
+        outcome: SendOutcome,
+        now: MonotonicInstant,
+    ) -> bool {
+        let Some(load) = self.loads.get_mut(id) else {
+            return false;
+        };
+        load.failure_ratio += (1.0 - load.failure_ratio) * FAILURE_WEIGHT;
+        load.failures += 1;
+        let unreachable = matches!(outcome, SendOutcome::NotSent | SendOutcome::WrongReplica);
+        let ejects = unreachable || load.failures >= FAILURES_TO_EJECT;
+        let news = ejects && !load.is_ejected(now);
+        if news {
+            load.eject(now);
+        }
+        news
+    }
+
+    /// Forgets replicas that `keep` doesn't name and that have no requests.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.loads.retain(|id, load| load.in_flight > 0 || keep(id));
+    }
+}
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalogue;
 pub mod collections;
 pub mod finding;
+pub mod forward;
 pub mod home;
 pub mod input;
 pub mod instant;
--- /dev/null
+++ b/crates/poplargap-forward/src/accept.rs
@@ -0,0 +1,186 @@
+//! Filter: takes callers' connections and answers their requests.
+
+use {
+    crate::{
+        WireDialect,
+        admit::admit,
+        front_state::FrontState,
+        identify::identify,
+        relay::{CallRelay, RelayEnd},
+        relay_body::RelayBody,
+        settle::{settle_relayed, settle_unadmitted, settle_unidentified},
+    },
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        header::{CONNECTION, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    poplargap_core::forward::FinalAnswer,
+    slog::{debug, warn},
+    std::{
+        convert::Infallible,
+        pin::pin,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// Pause after a connection couldn't be taken, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest read buffer of one connection in bytes; it bounds a request's head, too.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
+
+/// Parts of the idle timeout at which a connection is looked at.
+const IDLE_LOOKS: u32 = 4;
+
+/// Slack after a request's time, so that a replica's own last word comes first.
+const GIVE_UP_SLACK: Duration = Duration::from_millis(60);
+
+/// Takes connections until the front's tasks end.
+pub(crate) async fn accept<D: WireDialect>(state: Arc<FrontState<D>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(Arc::clone(&state), stream));
+            }
+            Err(error) => {
+                warn!(state.log, "connection can't be taken"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct OpenConnection<'a>(&'a AtomicUsize);
+
+impl<'a> OpenConnection<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Knows since when a connection has had no request.
+#[derive(Debug)]
+struct IdleWatch(Mutex<Instant>);
+
+impl IdleWatch {
+    fn new() -> Self {
+        Self(Mutex::new(Instant::now()))
+    }
+
+    /// Starts anew; a request keeps the connection busy for its time at most.
+    fn touch(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn idle_for(&self) -> Duration {
+        let touched = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        touched.elapsed()
+    }
+}
+
+async fn serve<D: WireDialect>(state: Arc<FrontState<D>>, stream: TcpStream) {
+    let _open = OpenConnection::new(&state.open_connections);
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(state.log, "caller's connection can't be tuned"; "error" => %error);
+    }
+    let idle = Arc::new(IdleWatch::new());
+    let service = service_fn(|request| {
+        let state = Arc::clone(&state);
+        let idle = Arc::clone(&idle);
+        async move {
+            idle.touch();
+            let response = answer(&state, request).await;
+            idle.touch();
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .auto_date_header(false)
+        .half_close(false)
+        .max_buf_size(BUFFER_BYTES_MAX)
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut leaving = false;
+    loop {
+        let idle_max = idle_max(&state);
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    debug!(state.log, "caller's connection ended"; "error" => %error);
+                }
+                return;
+            }
+            () = state.close.finishing(), if !leaving => {
+                leaving = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = sleep(idle_max / IDLE_LOOKS), if !leaving => {
+                if idle.idle_for() > idle_max {
+                    leaving = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Returns how long a caller's connection may stay without a request.
+fn idle_max<D>(state: &FrontState<D>) -> Duration {
+    let routes = state.routes();
+    let limits = routes.map_or_else(Default::default, |routes| *routes.limits());
+    limits.idle_timeout
+}
+
+/// Passes a request through the filters.
+async fn answer<D: WireDialect>(
+    state: &Arc<FrontState<D>>,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    let arrived = Instant::now();
+    let mut response = match identify(state, request, arrived).await {
+        Err(problem) => settle_unidentified(state, &problem),
+        Ok(call) => match admit(state, call) {
+            Err(refused) => settle_unadmitted(state, &refused),
+            Ok(call) => {
+                let give_up = call.give_up + GIVE_UP_SLACK;
+                let mut relay = CallRelay::new(state, call);
+                let result = timeout_at(give_up, relay.dispatch(None)).await;
+                let result = result.unwrap_or(Err(TIME_OVER));
+                settle_relayed(relay, result)
+            }
+        },
+    };
+    if state.close.is_closing() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// The end of a request whose time is over while a replica may work on it.
+const TIME_OVER: RelayEnd = RelayEnd {
+    answer: FinalAnswer::TimedOut,
+    reason: "deadline",
+};
--- /dev/null
+++ b/crates/poplargap-forward/src/body_read.rs
@@ -0,0 +1,41 @@
+//! Reading of whole bodies.
+
+use {
+    bytes::Bytes,
+    displaydoc::Display,
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::{Body, Incoming},
+    std::error::Error,
+    tokio::time::{Instant, timeout_at},
+};
+
+/// A body that wasn't read to its end.
+#[derive(Debug, Display)]
+pub(crate) enum BodyProblem {
+    /// the body broke off: {0}
+    Broken(Box<dyn Error + Send + Sync>),
+    /// the body is too long
+    TooLong,
+    /// the body didn't come in time
+    TooSlow,
+}
+
+impl Error for BodyProblem {}
+
+/// Reads a body of up to `bytes_max` bytes until `end`.
+pub(crate) async fn read_body(
+    body: Incoming,
+    bytes_max: usize,
+    end: Instant,
+) -> Result<Bytes, BodyProblem> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, bytes_max);
+    match timeout_at(end, limited.collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyProblem::TooLong),
+        Ok(Err(error)) => Err(BodyProblem::Broken(error)),
+        Err(_) => Err(BodyProblem::TooSlow),
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/clock.rs
@@ -0,0 +1,24 @@
+//! The process's monotonic clock.
+
+use {poplargap_core::instant::MonotonicInstant, tokio::time::Instant};
+
+/// Reads the time since the process's start.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetClock {
+    start: Instant,
+}
+
+impl FleetClock {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn start() -> Self {
+        let start = Instant::now();
+        Self { start }
+    }
+
+    /// Returns the present instant.
+    #[must_use]
+    pub fn now(&self) -> MonotonicInstant {
+        MonotonicInstant::from_start(self.start.elapsed())
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/closing.rs
@@ -0,0 +1,41 @@
+//! The close of a front.
+
+use {poplargap_core::forward::ClosePhase, std::sync::Arc, tokio::sync::watch};
+
+/// Tells every task how far the close is; `None` while the front is open.
+#[derive(Clone, Debug)]
+pub(crate) struct CloseSignal {
+    phase: Arc<watch::Sender<Option<ClosePhase>>>,
+}
+
+impl CloseSignal {
+    pub(crate) fn new() -> Self {
+        Self {
+            phase: Arc::new(watch::Sender::new(None)),
+        }
+    }
+
+    pub(crate) fn enter(&self, phase: ClosePhase) {
+        self.phase.send_if_modified(|current| {
+            let news = *current != Some(phase);
+            *current = Some(phase);
+            news
+        });
+    }
+
+    pub(crate) fn phase(&self) -> Option<ClosePhase> {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.phase().is_some()
+    }
+
+    /// Waits until open requests are finished and no new ones are taken.
+    pub(crate) async fn finishing(&self) {
+        let mut phase = self.phase.subscribe();
+        let reached = |phase: &Option<ClosePhase>| *phase >= Some(ClosePhase::Finishing);
+        // The sender lives as long as this signal, so the wait can't fail.
+        drop(phase.wait_for(reached).await);
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/connection_pool.rs
@@ -0,0 +1,187 @@
+//! Connections to replicas, kept for further requests.
+
+use {
+    crate::clock::FleetClock,
+    bytes::Bytes,
+    displaydoc::Display,
+    http_body_util::Full,
+    hyper::client::conn::http1::{self, SendRequest},
+    hyper_util::rt::TokioIo,
+    poplargap_core::{
+        collections::HashMap,
+        forward::{ReplicaEntry, ReplicaId},
+        instant::MonotonicInstant,
+    },
+    slog::{Logger, debug},
+    socket2::{SockRef, TcpKeepalive},
+    std::{
+        io,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Longest time to open a connection; a lost opening packet is sent again only after it.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time without an acknowledgement after which a connection is given up.
+const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+
+/// Time without a byte after which the other end is asked whether it lives.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time for which an idle connection is kept where the replica doesn't say how long it waits.
+const IDLE_DEFAULT: Duration = Duration::from_secs(3);
+
+/// Time before the replica's own end at which an idle connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Longest idle time of a connection for a request that can be sent only once.
+const IDLE_ONCE_MAX: Duration = Duration::from_secs(2);
+
+/// Longest read buffer of one connection in bytes.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
+
+/// A connection that couldn't be opened.
+#[derive(Debug, Display)]
+pub(crate) enum OpenError {
+    /// the connection failed: {0}
+    Io(io::Error),
+    /// the connection didn't open in time
+    Timeout,
+    /// the HTTP connection failed: {0}
+    Http(hyper::Error),
+}
+
+impl std::error::Error for OpenError {}
+
+/// A connection that serves one request at a time.
+#[derive(Debug)]
+pub(crate) struct ReplicaConnection {
+    pub(crate) is_fresh: bool,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    since: MonotonicInstant,
+    sender: SendRequest<Full<Bytes>>,
+    until: MonotonicInstant,
+}
+
+/// Idle connections to each replica; the one used last is taken first.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    clock: FleetClock,
+    idle: Mutex<HashMap<ReplicaId, Vec<IdleConnection>>>,
+    log: Logger,
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(clock: FleetClock, log: Logger) -> Self {
+        Self {
+            clock,
+            idle: Mutex::default(),
+            log,
+        }
+    }
+
+    /// Takes an idle connection; `once` asks for one that was used a short while ago.
+    pub(crate) fn take(&self, replica: &ReplicaEntry, once: bool) -> Option<ReplicaConnection> {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&replica.id)?;
+        while let Some(connection) = connections.pop() {
+            if connection.sender.is_closed() || connection.until <= now {
+                continue;
+            }
+            if once && now.since(connection.since) > IDLE_ONCE_MAX {
+                connections.push(connection);
+                return None;
+            }
+            return Some(ReplicaConnection {
+                is_fresh: false,
+                sender: connection.sender,
+            });
+        }
+        None
+    }
+
+    /// Keeps a connection whose reply was read; `keep_alive` is how long the replica waits.
+    pub(crate) fn put(
+        &self,
+        replica: &ReplicaId,
+        sender: SendRequest<Full<Bytes>>,
+        keep_alive: Option<Duration>,
+    ) {
+        if sender.is_closed() {
+            return;
+        }
+        let now = self.clock.now();
+        let wait = keep_alive.map_or(IDLE_DEFAULT, |wait| wait.saturating_sub(IDLE_MARGIN));
+        let connection = IdleConnection {
+            since: now,
+            sender,
+            until: now + wait,
+        };
+        self.lock()
+            .entry(replica.clone())
+            .or_default()
+            .push(connection);
+    }
+
+    /// Opens a connection.
+    pub(crate) async fn open(
+        &self,
+        replica: &ReplicaEntry,
+    ) -> Result<ReplicaConnection, OpenError> {
+        let Ok(opened) = timeout(OPEN_TIMEOUT, TcpStream::connect(replica.address)).await else {
+            return Err(OpenError::Timeout);
+        };
+        let stream = opened.map_err(OpenError::Io)?;
+        tune(&stream).map_err(OpenError::Io)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(OpenError::Http)?;
+        let log = self.log.clone();
+        let id = replica.id.clone();
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!(log, "connection to a replica ended";
+                    "replica" => id.as_ref(), "error" => %error);
+            }
+        });
+        Ok(ReplicaConnection {
+            is_fresh: true,
+            sender,
+        })
+    }
+
+    /// Closes connections that are too old, or whose replica `keep` doesn't name.
+    pub(crate) fn sweep(&self, keep: impl Fn(&str) -> bool) {
+        let now = self.clock.now();
+        self.lock().retain(|id, connections| {
+            connections.retain(|idle| !idle.sender.is_closed() && idle.until > now);
+            keep(id) && !connections.is_empty()
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ReplicaId, Vec<IdleConnection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Lets a connection whose other end fell silent fail by itself.
+fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE_MAX))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_IDLE)
+        .with_interval(PROBE_IDLE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/feed.rs
@@ -0,0 +1,10 @@
+//! Follows the routes and the replicas in the store.
+
+mod feed_context;
+mod replicas_feed;
+mod routes_feed;
+mod store_follower;
+
+pub(crate) use {
+    feed_context::FeedContext, replicas_feed::follow_replicas, routes_feed::follow_routes,
+};
--- /dev/null
+++ b/crates/poplargap-forward/src/feed/feed_context.rs
@@ -0,0 +1,15 @@
+use {
+    crate::{FeedSettings, FleetClock, front_metrics::FrontMetrics},
+    slog::Logger,
+};
+
+/// What a feed needs besides its store.
+#[derive(Clone, Debug)]
+pub(crate) struct FeedContext<F, S> {
+    pub(crate) clock: FleetClock,
+    pub(crate) dialect: F,
+    pub(crate) log: Logger,
+    pub(crate) metrics: FrontMetrics,
+    pub(crate) settings: FeedSettings,
+    pub(crate) store: S,
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -0,0 +1,120 @@
+//! Reads a prefix of the store: a listing first, then its changes.
+
+use {
+    super::FeedContext,
+    poplargap_core::forward::FeedState,
+    poplargap_platform::{KeyValueStore, StoreError, StoreRevision, StoredValue, WatchChange},
+    rand::Rng,
+    slog::{info, warn},
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Shortest pause after a failed read.
+const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
+
+/// Longest pause after a failed read.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// What a follower brings.
+#[derive(Debug)]
+pub(super) enum FeedNews {
+    /// Changes since the last news.
+    Changes(Vec<WatchChange>),
+    /// All values; whatever else was known is gone.
+    Listing(Vec<StoredValue>),
+}
+
+/// Reads what lies under a prefix, again and again.
+#[derive(Debug)]
+pub(super) struct StoreFollower<F, S> {
+    after: Option<StoreRevision>,
+    context: FeedContext<F, S>,
+    name: &'static str,
+    prefix: String,
+    state: FeedState,
+}
+
+impl<F, S: KeyValueStore> StoreFollower<F, S> {
+    pub(super) fn new(context: FeedContext<F, S>, name: &'static str, prefix: &str) -> Self {
+        Self {
+            after: None,
+            context,
+            name,
+            prefix: prefix.to_owned(),
+            state: FeedState::default(),
+        }
+    }
+
+    /// Reads once; `Ok` holds the news and whether the store was away before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error after a pause; the next call tries again.
+    pub(super) async fn read(&mut self) -> Result<(FeedNews, bool), StoreError> {
+        let read = match self.after {
+            None => self.list().await,
+            Some(after) => self.watch(after).await,
+        };
+        let outcome = if read.is_ok() { "read" } else { "failed" };
+        self.context.metrics.record_store_read(self.name, outcome);
+        let now = self.context.clock.now();
+        match read {
+            Ok(news) => {
+                let away = self.state.regain(now);
+                if let Some(away) = away {
+                    info!(self.context.log, "store is read again"; "feed" => self.name,
+                        "away-ms" => crate::call_log::millis(away));
+                }
+                Ok((news, away.is_some()))
+            }
+            Err(error) => {
+                self.fail(&error).await;
+                Err(error)
+            }
+        }
+    }
+
+    async fn fail(&mut self, error: &StoreError) {
+        if matches!(error, StoreError::Compacted(_)) {
+            info!(self.context.log, "store's history is gone; listing again"; "feed" => self.name);
+            self.after = None;
+            return;
+        }
+        if self.state.lose(self.context.clock.now()) {
+            warn!(self.context.log, "store can't be read"; "feed" => self.name,
+                "revision" => self.after.map(|after| after.0), "error" => %error);
+        }
+        let pause = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
+        sleep(pause).await;
+    }
+
+    /// Lists all pages; the watch starts at the first page's revision.
+    async fn list(&mut self) -> Result<FeedNews, StoreError> {
+        let mut values = Vec::new();
+        let mut revision = None;
+        let mut after: Option<String> = None;
+        loop {
+            let page = self
+                .context
+                .store
+                .list(&self.prefix, after.as_deref())
+                .await?;
+            revision.get_or_insert(page.revision);
+            values.extend(page.values);
+            after = page.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        self.after = revision;
+        Ok(FeedNews::Listing(values))
+    }
+
+    async fn watch(&mut self, after: StoreRevision) -> Result<FeedNews, StoreError> {
+        let wait = self.context.settings.watch_wait;
+        let batch = self.context.store.watch(&self.prefix, after, wait).await?;
+        self.after = Some(batch.revision.max(after));
+        Ok(FeedNews::Changes(batch.changes))
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/fleet_front.rs
@@ -0,0 +1,151 @@
+//! Starts and closes a front.
+
+use {
+    crate::{
+        FeedDialect, FleetClock, FrontSettings, WireDialect,
+        accept::accept,
+        closing::CloseSignal,
+        connection_pool::ConnectionPool,
+        feed::{FeedContext, follow_replicas, follow_routes},
+        front_metrics::FrontMetrics,
+        front_state::FrontState,
+        status_server::{serve_metrics, serve_ready},
+    },
+    displaydoc::Display,
+    poplargap_core::{
+        collections::{HashMap, HashSet},
+        forward::{ClosePhase, ClosePlan, ReplicaBook, ReplicaView},
+    },
+    poplargap_platform::KeyValueStore,
+    slog::{Logger, info},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+/// Pause between two looks at the close's progress.
+const CLOSE_STEP: Duration = Duration::from_millis(50);
+
+/// Pause between two sweeps of idle connections.
+const SWEEP_PAUSE: Duration = Duration::from_secs(2);
+
+/// A front that can't start.
+#[derive(Debug, Display)]
+pub enum FrontError {
+    /// the address {0} can't be listened on: {1}
+    Listen(SocketAddr, io::Error),
+    /// the metrics can't be set up: {0}
+    Metrics(prometheus::Error),
+}
+
+impl std::error::Error for FrontError {}
+
+/// A running front.
+#[derive(Debug)]
+pub struct FleetFront<D> {
+    state: Arc<FrontState<D>>,
+    tasks: JoinSet<()>,
+}
+
+impl<D: WireDialect + FeedDialect> FleetFront<D> {
+    /// Starts a front that follows `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be listened on.
+    pub async fn start<S: KeyValueStore>(
+        settings: FrontSettings,
+        dialect: D,
+        store: S,
+        log: Logger,
+    ) -> Result<Self, FrontError> {
+        let callers = listen(settings.callers).await?;
+        let metrics_listener = listen(settings.metrics).await?;
+        let ready = listen(settings.ready).await?;
+        let metrics = FrontMetrics::new().map_err(FrontError::Metrics)?;
+        let clock = FleetClock::start();
+        let (routes_sender, routes) = watch::channel(None);
+        let (replicas_sender, replicas) = watch::channel(Arc::new(ReplicaView::default()));
+        let feed = FeedContext {
+            clock,
+            dialect: dialect.clone(),
+            log: log.clone(),
+            metrics: metrics.clone(),
+            settings: settings.feed,
+            store,
+        };
+        let state = Arc::new(FrontState {
+            book: Mutex::new(ReplicaBook::default()),
+            budgets: Mutex::new(HashMap::default()),
+            clock,
+            close: CloseSignal::new(),
+            connections: ConnectionPool::new(clock, log.clone()),
+            dialect,
+            open_connections: 0.into(),
+            log: log.clone(),
+            metrics,
+            replicas,
+            routes,
+            settings,
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow_replicas(feed.clone(), replicas_sender));
+        tasks.spawn(follow_routes(feed, routes_sender));
+        tasks.spawn(serve_ready(Arc::clone(&state), ready));
+        tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
+        tasks.spawn(accept(Arc::clone(&state), callers));
+        tasks.spawn(sweep(Arc::clone(&state)));
+        let addresses = &state.settings;
+        info!(log, "front started"; "version" => env!("CARGO_PKG_VERSION"),
+            "callers" => %addresses.callers, "data-centre" => &addresses.data_centre);
+        Ok(Self { state, tasks })
+    }
+
+    /// Finishes what is open and ends before the platform's grace is over.
+    ///
+    /// Returns the number of connections that were cut off.
+    pub async fn close(mut self) -> usize {
+        let began = Instant::now();
+        let plan = ClosePlan::new(self.state.settings.grace);
+        info!(self.state.log, "front closes";
+            "connections" => self.state.open_connections.load(Ordering::Relaxed));
+        loop {
+            let open = self.state.open_connections.load(Ordering::Relaxed);
+            let phase = plan.phase(began.elapsed(), open);
+            self.state.close.enter(phase);
+            if phase == ClosePhase::Ended {
+                info!(self.state.log, "front closed"; "cut-off" => open,
+                    "took-ms" => crate::call_log::millis(began.elapsed()));
+                self.tasks.abort_all();
+                return open;
+            }
+            sleep(CLOSE_STEP).await;
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| FrontError::Listen(address, error))
+}
+
+/// Drops what belongs to replicas that are gone.
+async fn sweep<D: WireDialect>(state: Arc<FrontState<D>>) {
+    loop {
+        sleep(SWEEP_PAUSE).await;
+        let view = Arc::clone(&state.replicas.borrow());
+        let known: HashSet<&str> = view.all().map(|replica| replica.id.as_ref()).collect();
+        state.connections.sweep(|id| known.contains(id));
+        state.book().retain(|id| known.contains(id));
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and histograms of a front.
+
+use {
+    prometheus::{
+        Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// Upper bounds of the histograms in seconds.
+const BOUNDS_S: [f64; 12] = [
+    0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+];
+
+/// Metrics of a front; clones share their values.
+#[derive(Clone, Debug)]
+pub(crate) struct FrontMetrics {
+    attempts: IntCounterVec,
+    calls: IntCounterVec,
+    connections: IntCounterVec,
+    first_byte: HistogramVec,
+    registry: Registry,
+    store_reads: IntCounterVec,
+    total: HistogramVec,
+}
+
+impl FrontMetrics {
+    /// Creates metrics in a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a metric's description is wrong.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(BOUNDS_S.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
+        Ok(Self {
+            attempts: counter(
+                "poplargap_attempts_total",
+                "Sends to replicas by their outcome",
+                &["service", "outcome"],
+            )?,
+            calls: counter(
+                "poplargap_requests_total",
+                "Requests of callers by their end",
+                &["service", "outcome"],
+            )?,
+            connections: counter(
+                "poplargap_replica_connections_total",
+                "Connections to replicas that were opened or failed to open",
+                &["service", "outcome"],
+            )?,
+            first_byte: histogram(
+                "poplargap_first_byte_seconds",
+                "Time from a request to the head of its answer, by workspace",
+                &["service", "workspace"],
+            )?,
+            store_reads: counter(
+                "poplargap_store_reads_total",
+                "Reads of the store by their outcome",
+                &["feed", "outcome"],
+            )?,
+            total: histogram(
+                "poplargap_request_seconds",
+                "Time from a request to the end of its answer",
+                &["service"],
+            )?,
+            registry,
+        })
+    }
+
+    pub(crate) fn record_attempt(&self, service: &str, outcome: &str) {
+        self.attempts.with_label_values(&[service, outcome]).inc();
+    }
+
+    pub(crate) fn record_call(
+        &self,
+        service: &str,
+        outcome: &str,
+        workspace: Option<&str>,
+        first_byte: Option<Duration>,
+        total: Duration,
+    ) {
+        self.calls.with_label_values(&[service, outcome]).inc();
+        self.total
+            .with_label_values(&[service])
+            .observe(total.as_secs_f64());
+        if let Some(time) = first_byte {
+            self.first_byte
+                .with_label_values(&[service, workspace.unwrap_or("")])
+                .observe(time.as_secs_f64());
+        }
+    }
+
+    pub(crate) fn record_connection(&self, service: &str, outcome: &str) {
+        self.connections
+            .with_label_values(&[service, outcome])
+            .inc();
+    }
+
+    pub(crate) fn record_store_read(&self, feed: &str, outcome: &str) {
+        self.store_reads.with_label_values(&[feed, outcome]).inc();
+    }
+
+    /// Returns all metrics in Prometheus's text format.
+    pub(crate) fn render(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -0,0 +1,82 @@
+//! What all requests of a front share.
+
+use {
+    crate::{
+        clock::FleetClock, closing::CloseSignal, connection_pool::ConnectionPool,
+        front_metrics::FrontMetrics, front_settings::FrontSettings,
+    },
+    poplargap_core::{
+        collections::HashMap,
+        forward::{ReplicaBook, ReplicaEntry, ReplicaView, RouteTable, ServiceBudget},
+    },
+    slog::Logger,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    tokio::sync::watch,
+};
+
+/// State of a front.
+///
+/// Locks are held for a decision and never across a wait.
+#[derive(Debug)]
+pub(crate) struct FrontState<D> {
+    pub(crate) book: Mutex<ReplicaBook>,
+    pub(crate) budgets: Mutex<HashMap<Arc<str>, ServiceBudget>>,
+    pub(crate) clock: FleetClock,
+    pub(crate) close: CloseSignal,
+    pub(crate) connections: ConnectionPool,
+    pub(crate) dialect: D,
+    pub(crate) open_connections: AtomicUsize,
+    pub(crate) log: Logger,
+    pub(crate) metrics: FrontMetrics,
+    pub(crate) replicas: watch::Receiver<Arc<ReplicaView>>,
+    pub(crate) routes: watch::Receiver<Option<Arc<RouteTable>>>,
+    pub(crate) settings: FrontSettings,
+}
+
+impl<D> FrontState<D> {
+    pub(crate) fn book(&self) -> MutexGuard<'_, ReplicaBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs `decide` on the retry budget of a service.
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &Arc<str>,
+        decide: impl FnOnce(&mut ServiceBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let share = &self.settings.retry;
+        let budget = budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| ServiceBudget::new(share.ratio, share.window));
+        decide(budget)
+    }
+
+    /// Returns the routes in force; `None` before the first were read.
+    pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+}
+
+/// Counts a request at a replica until it is dropped.
+#[derive(Debug)]
+pub(crate) struct PlacedCall<D> {
+    pub(crate) replica: Arc<ReplicaEntry>,
+    state: Arc<FrontState<D>>,
+}
+
+impl<D> PlacedCall<D> {
+    pub(crate) fn new(state: &Arc<FrontState<D>>, replica: Arc<ReplicaEntry>) -> Self {
+        state.book().begin(&replica);
+        Self {
+            replica,
+            state: Arc::clone(state),
+        }
+    }
+}
+
+impl<D> Drop for PlacedCall<D> {
+    fn drop(&mut self) {
+        self.state.book().end(&self.replica.id);
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/identify.rs
@@ -0,0 +1,77 @@
+//! Filter: reads who calls and what for.
+
+use {
+    crate::{
+        CallHead, CallProblem, OwnAnswer, WireDialect,
+        arrival::ArrivedCall,
+        body_read::{BodyProblem, read_body},
+        front_state::FrontState,
+    },
+    hyper::{Request, body::Incoming},
+    slog::info,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// Longest time for a body whose caller names no deadline.
+const BODY_TIME_MAX: Duration = Duration::from_secs(10);
+
+/// A request that got no further, with what is known of it.
+#[derive(Debug)]
+pub(crate) struct Unidentified {
+    pub(crate) answer: OwnAnswer,
+    pub(crate) id: Option<String>,
+}
+
+/// Reads a request's head and body.
+pub(crate) async fn identify<D: WireDialect>(
+    state: &FrontState<D>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<ArrivedCall, Unidentified> {
+    let (parts, body) = request.into_parts();
+    let head = match state.dialect.read_call(&parts) {
+        Ok(head) => head,
+        Err(problem) => return Err(malformed(state, problem)),
+    };
+    let time = head
+        .deadline
+        .map_or(BODY_TIME_MAX, |time| time.min(BODY_TIME_MAX));
+    let bytes_max = state
+        .routes()
+        .map_or_else(Default::default, |routes| *routes.limits())
+        .body_bytes_max;
+    let body = match read_body(body, bytes_max, arrived + time).await {
+        Ok(body) => body,
+        Err(problem) => return Err(unread(state, &head, problem)),
+    };
+    Ok(ArrivedCall {
+        arrived,
+        body,
+        head,
+        headers: parts.headers,
+        method: parts.method,
+        target: parts.uri,
+    })
+}
+
+fn malformed<D>(state: &FrontState<D>, problem: CallProblem) -> Unidentified {
+    info!(state.log, "request is malformed"; "reason" => %problem);
+    Unidentified {
+        answer: OwnAnswer::Malformed,
+        id: None,
+    }
+}
+
+fn unread<D>(state: &FrontState<D>, head: &CallHead, problem: BodyProblem) -> Unidentified {
+    info!(state.log, "request's body wasn't read"; "request" => &head.id, "reason" => %problem);
+    let answer = match problem {
+        BodyProblem::Broken(_) => OwnAnswer::Malformed,
+        BodyProblem::TooLong => OwnAnswer::BodyTooLarge,
+        BodyProblem::TooSlow => OwnAnswer::BodyTimeout,
+    };
+    Unidentified {
+        answer,
+        id: Some(head.id.clone()),
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/place.rs
@@ -0,0 +1,40 @@
+//! Filter: finds the replica.
+
+use {
+    crate::{
+        arrival::{AdmittedCall, PlaceNote},
+        front_state::{FrontState, PlacedCall},
+    },
+    poplargap_core::forward::{ChoiceRequest, ReplicaId, ReplicaLoad, choose_replica},
+    std::sync::Arc,
+};
+
+/// Finds a replica that isn't among `excluded` and counts the request there.
+pub(crate) fn place<D>(
+    state: &Arc<FrontState<D>>,
+    call: &AdmittedCall,
+    excluded: &[ReplicaId],
+) -> Option<(PlacedCall<D>, PlaceNote)> {
+    let now = state.clock.now();
+    let request = ChoiceRequest {
+        data_centre: &state.settings.data_centre,
+        excluded,
+        key: call.placement,
+        now,
+    };
+    let view = Arc::clone(&state.replicas.borrow());
+    let replicas = view.replicas(&call.service);
+    let (replica, note) = {
+        let book = state.book();
+        let replica = choose_replica(replicas, &book, &request)?;
+        let load = book.load(&replica.id);
+        let note = PlaceNote {
+            in_flight: load.map_or(0, ReplicaLoad::in_flight),
+            others: load.and_then(|load| load.others(now)),
+            replica: replica.id.clone(),
+            report_age: load.and_then(|load| load.report_age(now)),
+        };
+        (replica, note)
+    };
+    Some((PlacedCall::new(state, replica), note))
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/relay.rs
@@ -0,0 +1,220 @@
+//! Filter: brings a request to a replica, to another one where that is allowed.
+
+use {
+    crate::{
+        WireDialect,
+        arrival::AdmittedCall,
+        body_read::read_body,
+        call_log::CallLog,
+        front_state::FrontState,
+        place::place,
+        send::{OpenReply, send},
+    },
+    bytes::Bytes,
+    hyper::http::response,
+    poplargap_core::forward::{
+        AttemptHistory, FinalAnswer, NextStep, ReplicaId, SendOutcome, next_step,
+    },
+    slog::info,
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Longest answer that is read whole before it is handed over, in bytes.
+const WHOLE_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Share of the latency target after which a call without an answer goes to another replica.
+const CALL_PATIENCE: f64 = 0.6;
+
+/// Multiple of the latency target after which a stream without a head goes to another replica.
+const STREAM_PATIENCE: f64 = 2.0;
+
+/// What a replica answered.
+#[derive(Debug)]
+pub(crate) enum RelayReply<D> {
+    /// An event stream that has begun.
+    Stream(OpenReply<D>),
+    /// A whole answer.
+    Whole { body: Bytes, parts: response::Parts },
+}
+
+/// Why a request got no answer of a replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayEnd {
+    pub(crate) answer: FinalAnswer,
+    pub(crate) reason: &'static str,
+}
+
+/// The sends of one request.
+#[derive(Debug)]
+pub(crate) struct CallRelay<D> {
+    pub(crate) call: Arc<AdmittedCall>,
+    excluded: Vec<ReplicaId>,
+    history: AttemptHistory,
+    pub(crate) log: CallLog,
+    pub(crate) state: Arc<FrontState<D>>,
+}
+
+impl<D: WireDialect> CallRelay<D> {
+    /// Prepares the sends of a request.
+    pub(crate) fn new(state: &Arc<FrontState<D>>, call: AdmittedCall) -> Self {
+        let log = CallLog::new(&call, &state.log, &state.metrics);
+        let now = state.clock.now();
+        state.with_budget(&call.service, |budget| budget.count_request(now));
+        Self {
+            call: Arc::new(call),
+            excluded: Vec::new(),
+            history: AttemptHistory::default(),
+            log,
+            state: Arc::clone(state),
+        }
+    }
+
+    /// Sends the request until a replica answers or nothing more may be tried.
+    ///
+    /// `last_event` is the event behind which a stream goes on.
+    pub(crate) async fn dispatch(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<RelayReply<D>, RelayEnd> {
+        loop {
+            let Some((placed, note)) = place(&self.state, &self.call, &self.excluded) else {
+                return Err(self.no_replica());
+            };
+            self.log.placed(note);
+            let id = placed.replica.id.clone();
+            let limit = self.patience_end();
+            let reply = match send(&self.state, &self.call, placed, last_event, limit).await {
+                Ok(reply) => self.take(reply).await,
+                Err(outcome) => Err((outcome, None)),
+            };
+            let (outcome, own) = match reply {
+                Ok(reply) => {
+                    self.succeed(&id);
+                    return Ok(reply);
+                }
+                Err(failure) => failure,
+            };
+            if let Some(end) = self.fail(id, outcome) {
+                return own.ok_or(end);
+            }
+        }
+    }
+
+    /// Records a failure that came after the reply's head; returns the end unless another
+    /// send may follow.
+    pub(crate) fn fail(&mut self, id: ReplicaId, outcome: SendOutcome) -> Option<RelayEnd> {
+        let now = self.state.clock.now();
+        self.history.record(outcome);
+        let ejected = self.state.book().record_failure(&id, outcome, now);
+        let name: &'static str = outcome.into();
+        self.state.metrics.record_attempt(&self.call.service, name);
+        let route = &self.call.grant.route;
+        let time_left = self.call.time_left();
+        let step = next_step(route.repeat, route.max_attempts, self.history, time_left);
+        let (end, reason) = self.pay(step, name);
+        info!(self.state.log, "attempt failed";
+            "request" => &self.call.call.head.id, "replica" => id.as_ref(), "outcome" => name,
+            "tries" => self.history.tries, "possible-runs" => self.history.possible_runs,
+            "time-left-ms" => crate::call_log::millis(time_left),
+            "replica-ejected" => ejected, "next" => reason);
+        self.excluded.push(id);
+        end.map(|answer| RelayEnd { answer, reason })
+    }
+
+    /// Takes a retry from the budget where the step costs one.
+    fn pay(&self, step: NextStep, cause: &'static str) -> (Option<FinalAnswer>, &'static str) {
+        match step {
+            NextStep::Answer(answer) => (Some(answer), cause),
+            NextStep::Retry { counts: false } => (None, "retry"),
+            NextStep::Retry { counts: true } => {
+                let now = self.state.clock.now();
+                let service = &self.call.service;
+                if self
+                    .state
+                    .with_budget(service, |budget| budget.take_retry(now))
+                {
+                    return (None, "retry");
+                }
+                let answer = if self.history.possible_runs > 0 {
+                    FinalAnswer::Lost
+                } else {
+                    FinalAnswer::Refused
+                };
+                (Some(answer), "retry-budget")
+            }
+        }
+    }
+
+    fn succeed(&self, id: &ReplicaId) {
+        self.state
+            .metrics
+            .record_attempt(&self.call.service, "answered");
+        if self.state.book().record_success(id) {
+            info!(self.state.log, "replica answers again";
+                "request" => &self.call.call.head.id, "replica" => id.as_ref());
+        }
+    }
+
+    fn no_replica(&self) -> RelayEnd {
+        let answer = if self.history.possible_runs > 0 {
+            FinalAnswer::Lost
+        } else {
+            FinalAnswer::Refused
+        };
+        RelayEnd {
+            answer,
+            reason: "no-replica",
+        }
+    }
+
+    /// Returns when a send without an answer is given up.
+    fn patience_end(&self) -> Instant {
+        let route = &self.call.grant.route;
+        let more =
+            route.repeat.is_repeatable() && self.history.possible_runs + 1 < route.max_attempts;
+        if !more {
+            return self.call.give_up;
+        }
+        let share = if route.is_stream {
+            STREAM_PATIENCE
+        } else {
+            CALL_PATIENCE
+        };
+        let patience = route.latency_target.mul_f64(share).max(PATIENCE_MIN);
+        self.call.give_up.min(Instant::now() + patience)
+    }
+
+    /// Reads a reply's body unless it is a stream.
+    async fn take(
+        &mut self,
+        reply: OpenReply<D>,
+    ) -> Result<RelayReply<D>, (SendOutcome, Option<RelayReply<D>>)> {
+        let status = reply.parts.status;
+        self.log.answered(status.as_u16());
+        let route = &self.call.grant.route;
+        if route.is_stream && status.is_success() {
+            return Ok(RelayReply::Stream(reply));
+        }
+        let OpenReply {
+            body,
+            head,
+            parts,
+            placed,
+            sender,
+        } = reply;
+        let Ok(body) = read_body(body, WHOLE_BYTES_MAX, self.call.give_up).await else {
+            return Err((SendOutcome::Broken, None));
+        };
+        let id = &placed.replica.id;
+        self.state.connections.put(id, sender, head.keep_alive);
+        let whole = RelayReply::Whole { body, parts };
+        if status.is_server_error() {
+            return Err((SendOutcome::Failed, Some(whole)));
+        }
+        Ok(whole)
+    }
+}
+
+/// Least time that a replica has for its answer.
+const PATIENCE_MIN: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/poplargap-forward/src/relay_body.rs
@@ -0,0 +1,91 @@
+//! Bodies of answers to callers.
+
+use {
+    bytes::Bytes,
+    displaydoc::Display,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        pin::Pin,
+        task::{Context, Poll, ready},
+    },
+    tokio::sync::mpsc,
+};
+
+/// Chunks that may wait for a caller that reads slowly.
+pub(crate) const CHUNKS_MAX: usize = 32;
+
+/// The answer ends before it is whole.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum CutShort {
+    /// the answer can't be brought to its end
+    Broken,
+}
+
+impl std::error::Error for CutShort {}
+
+/// The body of an answer: whole at once, or relayed as it comes.
+#[derive(Debug)]
+pub(crate) enum RelayBody {
+    /// The body is at hand.
+    Whole(Bytes),
+    /// The body comes from a relay; an end without [`RelayChunk::End`] cuts it short.
+    Relayed(mpsc::Receiver<RelayChunk>),
+    /// Nothing more comes.
+    Done,
+}
+
+/// A step of a relayed body.
+#[derive(Debug)]
+pub(crate) enum RelayChunk {
+    /// Bytes of the body.
+    Bytes(Bytes),
+    /// The body is whole.
+    End,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = CutShort;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutShort>>> {
+        let body = self.get_mut();
+        match body {
+            Self::Done => Poll::Ready(None),
+            Self::Relayed(chunks) => match ready!(chunks.poll_recv(cx)) {
+                Some(RelayChunk::Bytes(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(RelayChunk::End) => {
+                    *body = Self::Done;
+                    Poll::Ready(None)
+                }
+                None => {
+                    *body = Self::Done;
+                    Poll::Ready(Some(Err(CutShort::Broken)))
+                }
+            },
+            Self::Whole(bytes) => {
+                let bytes = std::mem::take(bytes);
+                *body = Self::Done;
+                Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Done => true,
+            Self::Relayed(_) => false,
+            Self::Whole(bytes) => bytes.is_empty(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Done => SizeHint::with_exact(0),
+            Self::Relayed(_) => SizeHint::default(),
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+        }
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/send.rs
@@ -0,0 +1,195 @@
+//! Sends one request to one replica.
+
+use {
+    crate::{
+        ReplyHead, SendHead, WireDialect,
+        arrival::AdmittedCall,
+        connection_pool::ReplicaConnection,
+        front_state::{FrontState, PlacedCall},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Request, Response, Uri, Version, body::Incoming,
+        client::conn::http1::SendRequest, http::response,
+    },
+    poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
+    slog::debug,
+    std::time::Duration,
+    tokio::time::{Instant, timeout, timeout_at},
+};
+
+/// Longest wait for a connection whose last answer was just read.
+const READY_WAIT: Duration = Duration::from_millis(5);
+
+/// A replica's reply whose body is still to come.
+#[derive(Debug)]
+pub(crate) struct OpenReply<D> {
+    pub(crate) body: Incoming,
+    pub(crate) head: ReplyHead,
+    pub(crate) parts: response::Parts,
+    pub(crate) placed: PlacedCall<D>,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+}
+
+/// Sends a request and waits for the head of the reply until `limit`.
+pub(crate) async fn send<D: WireDialect>(
+    state: &FrontState<D>,
+    call: &AdmittedCall,
+    placed: PlacedCall<D>,
+    last_event: Option<u64>,
+    limit: Instant,
+) -> Result<OpenReply<D>, SendOutcome> {
+    let once = call.grant.route.repeat == RepeatRule::Once;
+    let replica = &placed.replica;
+    let mut connection = connect(state, replica, once).await?;
+    let response = loop {
+        let request = build(state, call, replica, last_event);
+        let sent = timeout_at(limit, connection.sender.try_send_request(request)).await;
+        match sent {
+            Ok(Ok(response)) => break response,
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().is_some();
+                debug!(state.log, "send failed"; "request" => &call.call.head.id,
+                    "replica" => replica.id.as_ref(), "unsent" => unsent,
+                    "error" => %error.error());
+                if !unsent {
+                    return Err(SendOutcome::Broken);
+                }
+                if connection.is_fresh {
+                    return Err(SendOutcome::NotSent);
+                }
+                connection = open(state, replica).await?;
+            }
+            Err(_) => return Err(SendOutcome::Silent),
+        }
+    };
+    judge(state, call, placed, connection.sender, response)
+}
+
+/// Returns an idle connection, or a new one.
+async fn connect<D>(
+    state: &FrontState<D>,
+    replica: &ReplicaEntry,
+    once: bool,
+) -> Result<ReplicaConnection, SendOutcome> {
+    let distrusted = once && {
+        let now = state.clock.now();
+        state
+            .book()
+            .load(&replica.id)
+            .is_some_and(|load| load.is_stray(now))
+    };
+    if !distrusted && let Some(mut connection) = state.connections.take(replica, once) {
+        let ready = timeout(READY_WAIT, connection.sender.ready()).await;
+        if matches!(ready, Ok(Ok(()))) {
+            return Ok(connection);
+        }
+    }
+    open(state, replica).await
+}
+
+async fn open<D>(
+    state: &FrontState<D>,
+    replica: &ReplicaEntry,
+) -> Result<ReplicaConnection, SendOutcome> {
+    let opened = state.connections.open(replica).await;
+    let outcome = if opened.is_ok() { "opened" } else { "failed" };
+    state.metrics.record_connection(&replica.service, outcome);
+    opened.map_err(|error| {
+        debug!(state.log, "connection to a replica failed";
+            "replica" => replica.id.as_ref(), "error" => %error);
+        SendOutcome::NotSent
+    })
+}
+
+fn build<D: WireDialect>(
+    state: &FrontState<D>,
+    call: &AdmittedCall,
+    replica: &ReplicaEntry,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let arrived = &call.call;
+    let head = SendHead {
+        deadline: call.time_left(),
+        last_event: last_event.or(arrived.head.last_event),
+        priority: call.priority(),
+        replica: &replica.id,
+        workspace: call.workspace(),
+    };
+    let mut request = Request::new(Full::new(arrived.body.clone()));
+    *request.method_mut() = arrived.method.clone();
+    *request.uri_mut() = origin_form(&arrived.target);
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = state.dialect.write_send(&arrived.headers, &head);
+    request
+}
+
+/// Returns the path and query of a target.
+fn origin_form(target: &Uri) -> Uri {
+    let path = target.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+/// Decides whether a reply is the replica's answer to this request.
+fn judge<D: WireDialect>(
+    state: &FrontState<D>,
+    call: &AdmittedCall,
+    placed: PlacedCall<D>,
+    sender: SendRequest<Full<Bytes>>,
+    response: Response<Incoming>,
+) -> Result<OpenReply<D>, SendOutcome> {
+    let (parts, body) = response.into_parts();
+    let head = state.dialect.read_reply(&parts);
+    let id = &placed.replica.id;
+    let now = state.clock.now();
+    let is_own = head.call_id.as_ref() == Some(&call.call.head.id);
+    if head.call_id.is_some() && !is_own {
+        state.book().record_stray(id, now);
+        return Err(SendOutcome::Broken);
+    }
+    if let Some(report) = head.load {
+        state.book().record_report(id, report, now);
+    }
+    if head.wrong_replica {
+        return Err(SendOutcome::WrongReplica);
+    }
+    if head.not_executed {
+        keep_refused(state, &placed, sender, body, &head);
+        return Err(SendOutcome::NotExecuted);
+    }
+    if parts.status.is_success() && !(is_own && head.is_signed) {
+        return Err(SendOutcome::Broken);
+    }
+    Ok(OpenReply {
+        body,
+        head,
+        parts,
+        placed,
+        sender,
+    })
+}
+
+/// Keeps the connection of a refusal that has no body.
+fn keep_refused<D>(
+    state: &FrontState<D>,
+    placed: &PlacedCall<D>,
+    sender: SendRequest<Full<Bytes>>,
+    body: Incoming,
+    head: &ReplyHead,
+) {
+    use hyper::body::Body;
+
+    if body.is_end_stream() {
+        let id = &placed.replica.id;
+        state.connections.put(id, sender, head.keep_alive);
+    }
+}
+
+/// Returns the headers of a reply for the caller.
+pub(crate) fn reply_headers<D: WireDialect>(
+    state: &FrontState<D>,
+    headers: HeaderMap,
+) -> HeaderMap {
+    state.dialect.write_reply(headers)
+}
--- a/crates/poplargap-platform/src/call_record.rs
+++ b/crates/poplargap-platform/src/call_record.rs
@@ -4,7 +4,7 @@
 
 /// One call in progress; counted once when dropped.
 #[derive(Debug)]
-pub(crate) struct CallRecord {
+pub struct CallRecord {
     counters: StoreCounters,
     kind: CallKind,
     outcome: CallOutcome,
@@ -12,7 +12,8 @@
 
 impl CallRecord {
     /// Starts a call's record.
-    pub(crate) fn new(counters: &StoreCounters, kind: CallKind) -> Self {
+    #[must_use]
+    pub fn new(counters: &StoreCounters, kind: CallKind) -> Self {
         if kind == CallKind::Watch {
             counters.waiting_watches.inc();
         }
@@ -24,7 +25,7 @@
     }
 
     /// Ends the record with the call's outcome.
-    pub(crate) fn finish(mut self, outcome: CallOutcome) {
+    pub fn finish(mut self, outcome: CallOutcome) {
         self.outcome = outcome;
     }
 }
--- a/crates/poplargap-platform/src/http_pool.rs
+++ b/crates/poplargap-platform/src/http_pool.rs
@@ -11,18 +11,30 @@
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time without a byte after which the other end is asked whether it lives.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is given up.
+const PROBES_MAX: u32 = 2;
+
 /// One answer, read to its end.
 #[derive(Debug)]
-pub(crate) struct HttpAnswer {
-    pub(crate) body: Bytes,
-    pub(crate) status: StatusCode,
+pub struct HttpAnswer {
+    /// The answer's body.
+    pub body: Bytes,
+    /// The answer's status.
+    pub status: StatusCode,
     /// The answer's version, if it names one.
-    pub(crate) tag: Option<String>,
+    pub tag: Option<String>,
 }
 
 impl HttpAnswer {
     /// Reads the body as JSON.
-    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the body isn't what is expected.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
         serde_json::from_slice(&self.body).map_err(|error| StoreError::Malformed(error.to_string()))
     }
 }
@@ -39,7 +51,7 @@
 /// timeout therefore uses a fresh connection, and calls that wait on old ones keep their own
 /// deadlines.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpPool {
+pub struct HttpPool {
     address: SocketAddr,
     client: Arc<watch::Sender<PooledClient>>,
     counters: StoreCounters,
@@ -49,7 +61,11 @@
 
 impl HttpPool {
     /// Creates a pool whose bytes count as control traffic of `kind`.
-    pub(crate) fn new(
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP library can't be set up.
+    pub fn new(
         address: SocketAddr,
         kind: &'static str,
         timeout: Duration,
@@ -68,12 +84,15 @@
         })
     }
 
-    pub(crate) fn counters(&self) -> &StoreCounters {
+    /// Returns the counters of the pool's calls.
+    #[must_use]
+    pub fn counters(&self) -> &StoreCounters {
         &self.counters
     }
 
     /// Returns the URL of a path.
-    pub(crate) fn url(&self, path: &str) -> String {
+    #[must_use]
+    pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 
@@ -83,7 +102,7 @@
     ///
     /// Returns [`StoreError::NotSent`] only when provably nothing was sent, and
     /// [`StoreError::NoAnswer`] otherwise.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         wait: Duration,
         request: impl FnOnce(&Client) -> RequestBuilder,
@@ -154,6 +173,9 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .redirect(Policy::none())
         .retry(retry::never())
+        .tcp_keepalive(PROBE_IDLE)
+        .tcp_keepalive_interval(PROBE_IDLE)
+        .tcp_keepalive_retries(PROBES_MAX)
         .build()
 }
 
--- a/crates/poplargapd/src/args.rs
+++ b/crates/poplargapd/src/args.rs
@@ -11,9 +11,11 @@
 poplargapd: the daemon of the poplargap router fleet
 
 Usage: poplargapd --settings FILE [--check]
+       poplargapd --platform
 
 Options:
   --settings FILE  Read the settings from FILE (INI)
+  --platform       Forward the platform's requests, with the settings file that it names
   --check          Check the settings, print every finding, and end
   --help           Print this help and end
   --version        Print the version and end
@@ -33,6 +35,8 @@
     Check(PathBuf),
     /// Print the help.
     Help,
+    /// Forward the platform's requests.
+    Platform,
     /// Run with the settings file.
     Run(PathBuf),
     /// Print the version.
@@ -46,6 +50,8 @@
     Malformed(String),
     /// --settings FILE is missing; see poplargapd --help
     NoSettings,
+    /// --platform goes without --settings; see poplargapd --help
+    TwoModes,
     /// the argument `{0}` is unknown; see poplargapd --help
     Unknown(String),
 }
@@ -63,6 +69,7 @@
         if args.contains("--version") {
             return Ok(Self::Version);
         }
+        let platform = args.contains("--platform");
         let check = args.contains("--check");
         let settings: Option<PathBuf> = args
             .opt_value_from_str("--settings")
@@ -70,6 +77,12 @@
         if let Some(unknown) = args.finish().first() {
             return Err(ArgsError::Unknown(unknown.to_string_lossy().into_owned()));
         }
+        if platform {
+            return match settings {
+                Some(_) => Err(ArgsError::TwoModes),
+                None => Ok(Self::Platform),
+            };
+        }
         let file = settings.ok_or(ArgsError::NoSettings)?;
         Ok(if check {
             Self::Check(file)
--- a/crates/poplargapd/src/lib.rs
+++ b/crates/poplargapd/src/lib.rs
@@ -18,4 +18,5 @@
 
 mod body;
 mod clock;
+mod platform_run;
 mod server;
--- a/crates/poplargapd/src/log.rs
+++ b/crates/poplargapd/src/log.rs
@@ -3,12 +3,15 @@
 use {
     poplargap_core::settings::{LogFormat, LogLevel, LogSection},
     slog::{Drain, Level, LevelFilter, Logger, o},
-    slog_async::Async,
+    slog_async::{Async, OverflowStrategy},
     slog_json::Json,
     slog_term::{FullFormat, TermDecorator},
     std::io,
 };
 
+/// Lines that may wait for a reader of standard output.
+const LINES_MAX: usize = 4_096;
+
 /// Creates the log that settings describe, on the standard error stream.
 pub fn create(section: &LogSection) -> Logger {
     let level = level(section.level);
@@ -26,6 +29,19 @@
     }
 }
 
+/// Creates a log of JSON lines on standard output.
+///
+/// Lines wait in a bounded queue; a reader that stalls costs lines, whose number is reported, and
+/// never a request.
+pub fn create_output(level: Level) -> Logger {
+    let drain = Json::new(io::stdout()).add_default_keys().build().fuse();
+    let drain = Async::new(drain)
+        .chan_size(LINES_MAX)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build();
+    root(drain, level)
+}
+
 fn root(drain: Async, level: Level) -> Logger {
     Logger::root(LevelFilter::new(drain.fuse(), level).fuse(), o!())
 }
--- /dev/null
+++ b/crates/poplargapd/src/platform_run.rs
@@ -0,0 +1,103 @@
+//! Runs the daemon on the users' platform.
+
+use {
+    crate::{
+        log,
+        run::{EXIT_FAILED, EXIT_INPUT},
+    },
+    poplargap_adapter::{BootError, BootSettings, PlatformDialect, SETTINGS_VARIABLE, StoreClient},
+    poplargap_forward::FleetFront,
+    poplargap_platform::StoreCounters,
+    slog::{Level, Logger, error, info, o, warn},
+    std::{
+        env,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        time::Duration,
+    },
+    tokio::{
+        runtime::Builder,
+        signal::unix::{Signal, SignalKind, signal},
+    },
+};
+
+/// Longest time of one call to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time for the last lines of the log to be written.
+const LOG_FLUSH: Duration = Duration::from_millis(20);
+
+/// Serves until the platform ends the process.
+pub(crate) fn serve() -> ExitCode {
+    let Some(path) = env::var_os(SETTINGS_VARIABLE).map(PathBuf::from) else {
+        eprintln!("poplargapd: the variable {SETTINGS_VARIABLE} names no settings file");
+        return ExitCode::from(EXIT_INPUT);
+    };
+    let settings = match BootSettings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("poplargapd: {error}");
+            return ExitCode::from(EXIT_INPUT);
+        }
+    };
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("poplargapd: the runtime can't start: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let log = log::create_output(Level::Info).new(o!("vm" => settings.name.clone()));
+    let code = runtime.block_on(serve_until_signal(settings, &path, log.clone()));
+    std::thread::sleep(LOG_FLUSH);
+    code
+}
+
+async fn serve_until_signal(settings: BootSettings, path: &Path, log: Logger) -> ExitCode {
+    let store = StoreClient::new(settings.store, STORE_TIMEOUT, StoreCounters::new());
+    let store = match store {
+        Ok(store) => store,
+        Err(problem) => {
+            error!(log, "store's client can't be set up"; "error" => %problem);
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let (Ok(mut hangup), Ok(mut terminate)) = (
+        signal(SignalKind::hangup()),
+        signal(SignalKind::terminate()),
+    ) else {
+        error!(log, "signals can't be handled");
+        return ExitCode::from(EXIT_FAILED);
+    };
+    let front = FleetFront::start(settings.front, PlatformDialect, store, log.clone()).await;
+    let front = match front {
+        Ok(front) => front,
+        Err(problem) => {
+            error!(log, "front can't start"; "error" => %problem);
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    wait_for_end(&mut hangup, &mut terminate, path, &log).await;
+    front.close().await;
+    ExitCode::SUCCESS
+}
+
+/// Waits for the signal to end; a hangup only checks the settings anew.
+async fn wait_for_end(hangup: &mut Signal, terminate: &mut Signal, path: &Path, log: &Logger) {
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => note_reload(BootSettings::read(path), log),
+            _ = terminate.recv() => return,
+        }
+    }
+}
+
+fn note_reload(settings: Result<BootSettings, BootError>, log: &Logger) {
+    match settings {
+        Ok(_) => info!(
+            log,
+            "settings read again; they take effect at the next start"
+        ),
+        Err(problem) => warn!(log, "settings can't be read again"; "error" => %problem),
+    }
+}
--- a/crates/poplargapd/src/run.rs
+++ b/crates/poplargapd/src/run.rs
@@ -4,7 +4,7 @@
     crate::{
         args::{DaemonCommand, HELP},
         daemon::{CloseReport, Daemon},
-        log,
+        log, platform_run,
     },
     poplargap_core::settings::DaemonSettings,
     std::{ffi::OsString, fs, path::Path, process::ExitCode},
@@ -15,10 +15,10 @@
 };
 
 /// Exit code of a failure.
-const EXIT_FAILED: u8 = 1;
+pub(crate) const EXIT_FAILED: u8 = 1;
 
 /// Exit code of a wrong command line or wrong settings.
-const EXIT_INPUT: u8 = 2;
+pub(crate) const EXIT_INPUT: u8 = 2;
 
 /// Does what the command line asks for.
 #[must_use]
@@ -29,6 +29,7 @@
             print!("{HELP}");
             ExitCode::SUCCESS
         }
+        Ok(DaemonCommand::Platform) => platform_run::serve(),
         Ok(DaemonCommand::Run(file)) => serve(&file),
         Ok(DaemonCommand::Version) => {
             println!("poplargapd {}", env!("CARGO_PKG_VERSION"));
