--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -25,7 +25,7 @@
     close_plan::{ClosePhase, ClosePlan},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
-    prompt_part::{PromptPart, placement_key},
+    prompt_part::{PromptPart, placement_key, shared_tokens},
     replica_book::{LoadReport, ReplicaBook, ReplicaLoad},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -5,11 +5,17 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Share above the mean that a prompt's own replica may carry.
-const LOAD_FACTOR: f64 = 1.5;
+/// Multiple of the mean that the replica of a short prompt may carry.
+const LOAD_FACTOR_MIN: f64 = 1.1;
 
-/// Requests above that share that a replica may carry in any case.
-const LOAD_SLACK: f64 = 1.5;
+/// Multiple of the mean that the replica of a long prompt may carry.
+const LOAD_FACTOR_MAX: f64 = 1.9;
+
+/// Requests above that multiple that a replica may carry in any case.
+const LOAD_SLACK: f64 = 2.0;
+
+/// Shared tokens from which a prompt counts as long.
+const LONG_TOKENS: f64 = 4_096.0;
 
 /// Requests that a replica in another data centre must have fewer to be taken.
 const DISTANCE_COST: f64 = 2.0;
@@ -31,6 +37,8 @@
     pub key: Option<u64>,
     /// The present instant.
     pub now: MonotonicInstant,
+    /// Tokens of the prompt's shared parts.
+    pub shared_tokens: u64,
 }
 
 /// A replica with what it is thought to carry.
@@ -56,7 +64,11 @@
     let all = candidates(replicas, book, request.now);
     let allowed = allowed(&all, book, request);
     let chosen = match request.key {
-        Some(key) => by_prompt(&allowed, mean_of(&all), key),
+        Some(key) => by_prompt(
+            &allowed,
+            load_bound(mean_of(&all), request.shared_tokens),
+            key,
+        ),
         None => by_load(&allowed, request.data_centre),
     };
     chosen.map(|candidate| Arc::clone(candidate.entry))
@@ -113,12 +125,21 @@
     total / candidates.len().max(1) as f64
 }
 
+/// Returns the requests that a prompt's own replica may carry.
+///
+/// A short prompt is read again in no time, so it fills the replicas with room and leaves the
+/// others to the long ones.
+fn load_bound(mean: f64, shared_tokens: u64) -> f64 {
+    let length = (shared_tokens as f64 / LONG_TOKENS).min(1.0);
+    let factor = LOAD_FACTOR_MIN + (LOAD_FACTOR_MAX - LOAD_FACTOR_MIN) * length;
+    factor * mean + LOAD_SLACK
+}
+
 fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
-    mean: f64,
+    bound: f64,
     key: u64,
 ) -> Option<&'b Candidate<'a>> {
-    let bound = LOAD_FACTOR * mean + LOAD_SLACK;
     let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
         .iter()
         .map(|candidate| {
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -57,6 +57,7 @@
 pub struct ReplicaRegistry {
     grace_end: Option<MonotonicInstant>,
     is_away: bool,
+    is_returning: bool,
     records: BTreeMap<ReplicaId, RegistryRecord>,
 }
 
@@ -67,12 +68,27 @@
     }
 
     /// Records that the store is read again at `now`.
+    ///
+    /// Until [`settle`](Self::settle), what has vanished may have lapsed in the meantime.
     pub fn regain_store(&mut self, now: MonotonicInstant) {
         if std::mem::take(&mut self.is_away) {
             self.grace_end = Some(now + RETURN_GRACE);
+            self.is_returning = true;
         }
     }
 
+    /// Records that all that happened while the store was away has been taken in.
+    pub fn settle(&mut self) {
+        self.is_returning = false;
+    }
+
+    /// Returns when lapsed registrations are forgotten, if there are any.
+    #[must_use]
+    pub fn grace_end(&self) -> Option<MonotonicInstant> {
+        let lapsed = self.records.values().any(|record| record.lapsed);
+        self.grace_end.filter(|_| lapsed)
+    }
+
     /// Takes in one registration.
     pub fn put(&mut self, entry: ReplicaEntry) -> Option<RegistryChange> {
         let known = self.records.get_mut(&entry.id);
@@ -98,12 +114,9 @@
     }
 
     /// Takes in that a registration has vanished.
-    pub fn remove(&mut self, id: &str, now: MonotonicInstant) -> Option<RegistryChange> {
-        let in_grace = self
-            .grace_end
-            .is_some_and(|end| now.since(end).is_zero() && end > now);
+    pub fn remove(&mut self, id: &str) -> Option<RegistryChange> {
         let record = self.records.get_mut(id)?;
-        let spared = in_grace && record.entry.state == ReplicaState::Ready;
+        let spared = self.is_returning && record.entry.state == ReplicaState::Ready;
         if spared {
             let lapsed = std::mem::replace(&mut record.lapsed, true);
             return (!lapsed).then_some(RegistryChange::Lapsed);
@@ -113,11 +126,7 @@
     }
 
     /// Takes in a whole listing; what it leaves out has vanished.
-    pub fn replace(
-        &mut self,
-        entries: Vec<ReplicaEntry>,
-        now: MonotonicInstant,
-    ) -> Vec<(ReplicaId, RegistryChange)> {
+    pub fn replace(&mut self, entries: Vec<ReplicaEntry>) -> Vec<(ReplicaId, RegistryChange)> {
         let mut missing: Vec<ReplicaId> = self.records.keys().cloned().collect();
         missing.retain(|id| entries.iter().all(|entry| entry.id != *id));
         let mut changes = Vec::new();
@@ -126,7 +135,7 @@
             changes.extend(self.put(entry).map(|change| (id, change)));
         }
         for id in missing {
-            let change = self.remove(&id, now);
+            let change = self.remove(&id);
             changes.extend(change.map(|change| (id, change)));
         }
         changes
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -7,10 +7,13 @@
     poplargap_core::forward::{RegistryChange, ReplicaRegistry, ReplicaView},
     poplargap_platform::{KeyValueStore, StoredValue, WatchChange},
     slog::info,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
+/// Longest time between two looks at lapsed registrations.
+const EXPIRY_MAX: Duration = Duration::from_secs(3_600);
+
 /// Keeps the view of the replicas up to date.
 pub(crate) async fn follow_replicas<F: FeedDialect, S: KeyValueStore>(
     context: FeedContext<F, S>,
@@ -24,13 +27,16 @@
         registry: ReplicaRegistry::default(),
     };
     loop {
-        let read = follower.read().await;
-        let changed = match read {
-            Ok((news, _)) => feed.take(news),
-            Err(_) => {
-                feed.registry.lose_store();
-                false
-            }
+        let expiry = feed.expiry();
+        let changed = tokio::select! {
+            read = follower.read() => match read {
+                Ok(news) => feed.take(news),
+                Err(_) => {
+                    feed.registry.lose_store();
+                    false
+                }
+            },
+            () = sleep(expiry) => false,
         };
         if feed.expire() || changed {
             replicas.send_replace(Arc::new(feed.registry.view()));
@@ -47,21 +53,33 @@
 }
 
 impl<F: FeedDialect, S> ReplicasFeed<F, S> {
+    /// Returns the time until lapsed registrations are forgotten.
+    fn expiry(&self) -> Duration {
+        let end = self.registry.grace_end();
+        end.map_or(EXPIRY_MAX, |end| end.since(self.context.clock.now()))
+    }
+
     /// Takes in news and returns whether the view changed.
     fn take(&mut self, news: FeedNews) -> bool {
         let now = self.context.clock.now();
         self.registry.regain_store(now);
+        let changed = self.take_news(&news);
+        self.registry.settle();
+        changed
+    }
+
+    fn take_news(&mut self, news: &FeedNews) -> bool {
         match news {
             FeedNews::Changes(changes) => {
                 let mut changed = false;
-                for change in &changes {
+                for change in changes {
                     changed |= self.take_change(change);
                 }
                 changed
             }
             FeedNews::Listing(values) => {
                 let entries = values.iter().filter_map(|value| self.read(value)).collect();
-                let changes = self.registry.replace(entries, now);
+                let changes = self.registry.replace(entries);
                 for (id, change) in &changes {
                     self.note(id, *change);
                 }
@@ -80,7 +98,7 @@
             .and_then(|value| self.context.dialect.read_replica(id, value).ok());
         let news = match entry {
             Some(entry) => self.registry.put(entry),
-            None => self.registry.remove(id, self.context.clock.now()),
+            None => self.registry.remove(id),
         };
         if let Some(news) = news {
             self.note(id, news);
--- a/crates/poplargap-forward/src/feed/routes_feed.rs
+++ b/crates/poplargap-forward/src/feed/routes_feed.rs
@@ -19,7 +19,7 @@
     let key = context.dialect.routes_key().to_owned();
     let mut follower = StoreFollower::new(context.clone(), "routes", &key);
     loop {
-        let Ok((news, _)) = follower.read().await else {
+        let Ok(news) = follower.read().await else {
             continue;
         };
         let value = match &news {
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -46,12 +46,12 @@
         }
     }
 
-    /// Reads once; `Ok` holds the news and whether the store was away before.
+    /// Reads once; a read that is dropped changes nothing.
     ///
     /// # Errors
     ///
     /// Returns an error after a pause; the next call tries again.
-    pub(super) async fn read(&mut self) -> Result<(FeedNews, bool), StoreError> {
+    pub(super) async fn read(&mut self) -> Result<FeedNews, StoreError> {
         let read = match self.after {
             None => self.list().await,
             Some(after) => self.watch(after).await,
@@ -66,7 +66,7 @@
                     info!(self.context.log, "store is read again"; "feed" => self.name,
                         "away-ms" => crate::call_log::millis(away));
                 }
-                Ok((news, away.is_some()))
+                Ok(news)
             }
             Err(error) => {
                 self.fail(&error).await;
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -5,7 +5,9 @@
         arrival::{AdmittedCall, PlaceNote},
         front_state::{FrontState, PlacedCall},
     },
-    poplargap_core::forward::{ChoiceRequest, ReplicaId, ReplicaLoad, choose_replica},
+    poplargap_core::forward::{
+        ChoiceRequest, ReplicaId, ReplicaLoad, choose_replica, shared_tokens,
+    },
     std::sync::Arc,
 };
 
@@ -21,6 +23,7 @@
         excluded,
         key: call.placement,
         now,
+        shared_tokens: shared_tokens(&call.call.head.prompt),
     };
     let view = Arc::clone(&state.replicas.borrow());
     let replicas = view.replicas(&call.service);
