--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -5,7 +5,7 @@
 };
 
 /// Time for which a replica's report of its load is believed.
-const REPORT_LIFE: Duration = Duration::from_secs(2);
+const REPORT_LIFE: Duration = Duration::from_secs(5);
 
 /// Weight of the newest outcome in a replica's failure ratio.
 const FAILURE_WEIGHT: f64 = 0.15;
