Log what decided a placement: rank, estimate, mean, candidates

Cause: the line of a request named the replica but not why it was chosen. Change: a choice returns its rank in the prompt's order and the estimates.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -20,7 +20,7 @@
 
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
-    choice_rule::{ChoiceRequest, choose_replica},
+    choice_rule::{ChoiceRequest, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
     event_cursor::{CursorError, EventCursor},
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -41,6 +41,19 @@
     pub shared_tokens: u64,
 }
 
+/// The chosen replica and what decided.
+#[derive(Clone, Debug)]
+pub struct ReplicaChoice {
+    /// The mean of all replicas' requests, as estimated.
+    pub mean: f64,
+    /// Place in the prompt's order of replicas, from 0; `None` where the load decided.
+    pub rank: Option<usize>,
+    /// The replica.
+    pub replica: Arc<ReplicaEntry>,
+    /// The replica's requests before this one, as estimated.
+    pub requests: f64,
+}
+
 /// A replica with what it is thought to carry.
 #[derive(Clone, Copy, Debug)]
 struct Candidate<'a> {
@@ -60,18 +73,25 @@
     replicas: &[Arc<ReplicaEntry>],
     book: &ReplicaBook,
     request: &ChoiceRequest<'_>,
-) -> Option<Arc<ReplicaEntry>> {
+) -> Option<ReplicaChoice> {
     let all = candidates(replicas, book, request.now);
+    let mean = mean_of(&all);
     let allowed = allowed(&all, book, request);
-    let chosen = match request.key {
-        Some(key) => by_prompt(
-            &allowed,
-            load_bound(mean_of(&all), request.shared_tokens),
-            key,
-        ),
-        None => by_load(&allowed, request.data_centre),
+    let by_prompt = request.key.and_then(|key| {
+        let bound = load_bound(mean, request.shared_tokens);
+        by_prompt(&allowed, bound, key)
+    });
+    let (rank, chosen) = match by_prompt {
+        Some((rank, candidate)) => (Some(rank), candidate),
+        None if request.key.is_some() => (None, least(&allowed, |candidate| candidate.requests)?),
+        None => (None, by_load(&allowed, request.data_centre)?),
     };
-    chosen.map(|candidate| Arc::clone(candidate.entry))
+    Some(ReplicaChoice {
+        mean,
+        rank,
+        replica: Arc::clone(chosen.entry),
+        requests: chosen.requests,
+    })
 }
 
 /// Estimates every replica's requests; one without a report gets the mean of the others'.
@@ -135,19 +155,16 @@
     factor * mean + LOAD_SLACK
 }
 
+/// Returns the first replica in the prompt's order that has room, with its place.
 fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     bound: f64,
     key: u64,
-) -> Option<&'b Candidate<'a>> {
+) -> Option<(usize, &'b Candidate<'a>)> {
+    let score = |candidate: &Candidate<'a>| xxh3_64_with_seed(candidate.entry.id.as_bytes(), key);
     let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
         .iter()
-        .map(|candidate| {
-            (
-                xxh3_64_with_seed(candidate.entry.id.as_bytes(), key),
-                candidate,
-            )
-        })
+        .map(|candidate| (score(candidate), candidate))
         .collect();
     ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
     let fits = |candidate: &Candidate<'_>| {
@@ -156,8 +173,8 @@
     ranked
         .iter()
         .map(|(_, candidate)| *candidate)
-        .find(|candidate| fits(candidate))
-        .or_else(|| least(candidates, |candidate| candidate.requests))
+        .enumerate()
+        .find(|(_, candidate)| fits(candidate))
 }
 
 fn by_load<'a, 'b>(
--- a/crates/poplargap-forward/src/arrival.rs
+++ b/crates/poplargap-forward/src/arrival.rs
@@ -61,8 +61,17 @@
 /// Where a request was placed, and what was known then.
 #[derive(Clone, Debug)]
 pub(crate) struct PlaceNote {
+    /// Replicas of the service that were known.
+    pub(crate) candidates: usize,
+    /// The daemon's own requests there.
     pub(crate) in_flight: u32,
-    pub(crate) others: Option<u32>,
+    /// The mean of the replicas' requests, as estimated.
+    pub(crate) mean: f64,
+    /// Place in the prompt's order of replicas.
+    pub(crate) rank: Option<usize>,
     pub(crate) replica: ReplicaId,
+    /// Age of the replica's last report of its load.
     pub(crate) report_age: Option<Duration>,
+    /// The replica's requests, as estimated.
+    pub(crate) requests: f64,
 }
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -27,17 +27,20 @@
     };
     let view = Arc::clone(&state.replicas.borrow());
     let replicas = view.replicas(&call.service);
-    let (replica, note) = {
+    let (choice, note) = {
         let book = state.book();
-        let replica = choose_replica(replicas, &book, &request)?;
-        let load = book.load(&replica.id);
+        let choice = choose_replica(replicas, &book, &request)?;
+        let load = book.load(&choice.replica.id);
         let note = PlaceNote {
+            candidates: replicas.len(),
             in_flight: load.map_or(0, ReplicaLoad::in_flight),
-            others: load.and_then(|load| load.others(now)),
-            replica: replica.id.clone(),
+            mean: choice.mean,
+            rank: choice.rank,
+            replica: choice.replica.id.clone(),
             report_age: load.and_then(|load| load.report_age(now)),
+            requests: choice.requests,
         };
-        (replica, note)
+        (choice, note)
     };
-    Some((PlacedCall::new(state, replica), note))
+    Some((PlacedCall::new(state, choice.replica), note))
 }
