--- a/crates/poplargap-core/src/forward/close_plan.rs
+++ b/crates/poplargap-core/src/forward/close_plan.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// Time after which the platform sends no new connections to a daemon that isn't ready.
-const ROTATION_TIME: Duration = Duration::from_millis(3_000);
+const ROTATION_TIME: Duration = Duration::from_secs(3);
 
 /// Time before the end in which open answers are given up.
 const END_MARGIN: Duration = Duration::from_millis(350);
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -1,7 +1,7 @@
 use {
     super::{ReplicaEntry, ReplicaId, SendOutcome},
     crate::{collections::HashMap, instant::MonotonicInstant},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Time for which a replica's report of its load is believed.
@@ -111,7 +111,7 @@
 
     /// Counts a request that goes to `replica`.
     pub fn begin(&mut self, replica: &ReplicaEntry) {
-        let load = self.loads.entry(replica.id.clone()).or_default();
+        let load = self.loads.entry(Arc::clone(&replica.id)).or_default();
         if load.born_ms != replica.born_ms {
             let in_flight = load.in_flight;
             *load = ReplicaLoad {
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -152,16 +152,43 @@
     }
 
     /// Returns the replicas that take requests.
+    ///
+    /// A lapsed one is left out unless most of its service has lapsed: then the store was away
+    /// for the replicas, too, and their silence says nothing.
     #[must_use]
     pub fn view(&self) -> ReplicaView {
-        let mut view = ReplicaView::default();
+        let mut services: HashMap<&Arc<str>, ServiceRecords<'_>> = HashMap::default();
         let ready = |record: &&RegistryRecord| record.entry.state == ReplicaState::Ready;
         for record in self.records.values().filter(ready) {
-            view.services
-                .entry(Arc::clone(&record.entry.service))
-                .or_default()
-                .push(Arc::clone(&record.entry));
+            let records = services.entry(&record.entry.service).or_default();
+            if record.lapsed {
+                records.lapsed.push(&record.entry);
+            } else {
+                records.registered.push(&record.entry);
+            }
+        }
+        let services = services
+            .into_iter()
+            .map(|(service, records)| (Arc::clone(service), records.usable()))
+            .collect();
+        ReplicaView { services }
+    }
+}
+
+/// The replicas of one service that said last that they are ready.
+#[derive(Debug, Default)]
+struct ServiceRecords<'a> {
+    lapsed: Vec<&'a Arc<ReplicaEntry>>,
+    registered: Vec<&'a Arc<ReplicaEntry>>,
+}
+
+impl ServiceRecords<'_> {
+    fn usable(self) -> Vec<Arc<ReplicaEntry>> {
+        let mut usable = self.registered;
+        if self.lapsed.len() > usable.len() {
+            usable.extend(self.lapsed);
+            usable.sort_by(|a, b| a.id.cmp(&b.id));
         }
-        view
+        usable.into_iter().map(Arc::clone).collect()
     }
 }
--- /dev/null
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -0,0 +1,176 @@
+use {
+    crate::{at, replicas},
+    poplargap_core::{
+        forward::{
+            ChoiceRequest, LoadReport, ReplicaBook, ReplicaEntry, SendOutcome, choose_replica,
+        },
+        instant::MonotonicInstant,
+    },
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// Multiple of the mean, and requests above it, that no replica may hold.
+const CAP_FACTOR: f64 = 2.0;
+const CAP_SLACK: f64 = 3.0;
+
+fn request(key: Option<u64>, shared_tokens: u64, now: MonotonicInstant) -> ChoiceRequest<'static> {
+    ChoiceRequest {
+        data_centre: "ne1",
+        excluded: &[],
+        key,
+        now,
+        shared_tokens,
+    }
+}
+
+/// A fleet whose daemons hear of loads only from their own answers.
+struct BlindFleet {
+    books: Vec<ReplicaBook>,
+    held: HashMap<String, u32>,
+    open: Vec<(u64, usize, Arc<ReplicaEntry>)>,
+    replicas: Vec<Arc<ReplicaEntry>>,
+}
+
+impl BlindFleet {
+    fn new(daemons: usize, count: usize) -> Self {
+        Self {
+            books: (0..daemons).map(|_| ReplicaBook::default()).collect(),
+            held: HashMap::new(),
+            open: Vec::new(),
+            replicas: replicas(count),
+        }
+    }
+
+    /// Ends what is due at `ms`.
+    fn end_due(&mut self, ms: u64) {
+        let (due, open) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|(end, _, _)| *end <= ms);
+        self.open = open;
+        for (_, daemon, replica) in due {
+            self.books[daemon].end(&replica.id);
+            *self.held.get_mut(replica.id.as_ref()).expect("it is held") -= 1;
+        }
+    }
+
+    /// Sends a request that lasts `length_ms`; returns what its replica held before, and the mean.
+    fn send(&mut self, daemon: usize, key: u64, ms: u64, length_ms: u64) -> (f64, f64) {
+        self.end_due(ms);
+        let now = at(ms);
+        let book = &mut self.books[daemon];
+        let choice = choose_replica(&self.replicas, book, &request(Some(key), 10_000, now));
+        let replica = choice.expect("there are replicas").replica;
+        book.begin(&replica);
+        let held = self.held.entry(replica.id.as_ref().to_owned()).or_default();
+        let before = f64::from(*held);
+        *held += 1;
+        let report = LoadReport {
+            running: *held,
+            waiting: 0,
+        };
+        book.record_report(&replica.id, report, now);
+        book.record_success(&replica.id);
+        let total: u32 = self.held.values().sum();
+        let mean = f64::from(total) / self.replicas.len() as f64;
+        self.open.push((ms + length_ms, daemon, replica));
+        (before, mean)
+    }
+}
+
+/// A hot prompt gets three requests in ten, at six daemons that don't speak to each other.
+#[test]
+fn hot_prompt_does_not_overload_its_replica() {
+    let mut fleet = BlindFleet::new(6, 18);
+    let (mut over, mut sent) = (0, 0);
+    for step in 0_u64..6_000 {
+        let key = if step % 10 < 3 {
+            7
+        } else {
+            1_000 + step * 2_654_435_761 % 300
+        };
+        let daemon = (step * 40_503 % 6) as usize;
+        let (before, mean) = fleet.send(daemon, key, step * 6, 1_200);
+        if step > 600 {
+            sent += 1;
+            over += usize::from(before > CAP_FACTOR * mean + CAP_SLACK);
+        }
+    }
+    assert!(over * 100 <= sent * 3, "{over} of {sent} over the cap");
+}
+
+#[test]
+fn daemons_agree_on_a_prompt_without_a_message() {
+    let replicas = replicas(18);
+    let book = ReplicaBook::default();
+    let mut busy = ReplicaBook::default();
+    for replica in &replicas {
+        busy.begin(replica);
+    }
+    for key in 0..200 {
+        let request = request(Some(key), 10_000, at(0));
+        let first = choose_replica(&replicas, &book, &request).expect("there are replicas");
+        let second = choose_replica(&replicas, &busy, &request).expect("there are replicas");
+        assert_eq!(first.replica.id, second.replica.id);
+        assert_eq!(first.rank, Some(0));
+    }
+}
+
+#[test]
+fn new_replica_takes_only_its_share_of_prompts() {
+    let all = replicas(20);
+    let book = ReplicaBook::default();
+    let moved = (0..1_000)
+        .filter(|key| {
+            let request = request(Some(*key), 10_000, at(0));
+            let before = choose_replica(&all[..19], &book, &request).expect("there are replicas");
+            let after = choose_replica(&all, &book, &request).expect("there are replicas");
+            before.replica.id != after.replica.id
+        })
+        .count();
+    assert!(moved < 100, "{moved} of 1000 prompts moved");
+}
+
+#[test]
+fn unreachable_replica_is_left_alone_and_a_pool_is_never_emptied() {
+    let replicas = replicas(2);
+    let mut book = ReplicaBook::default();
+    book.begin(&replicas[0]);
+    assert!(book.record_failure(&replicas[0].id, SendOutcome::NotSent, at(0)));
+    let request_then = request(None, 0, at(1));
+    for _ in 0..10 {
+        let choice = choose_replica(&replicas, &book, &request_then).expect("one is left");
+        assert_eq!(choice.replica.id, replicas[1].id);
+    }
+    book.begin(&replicas[1]);
+    book.record_failure(&replicas[1].id, SendOutcome::NotSent, at(0));
+    assert!(choose_replica(&replicas, &book, &request_then).is_some());
+}
+
+#[test]
+fn restarted_replica_is_not_blamed_for_its_past() {
+    let mut restarted = (*replicas(1)[0]).clone();
+    let mut book = ReplicaBook::default();
+    book.begin(&restarted);
+    book.end(&restarted.id);
+    book.record_failure(&restarted.id, SendOutcome::NotSent, at(0));
+    restarted.born_ms += 1;
+    book.begin(&restarted);
+    let load = book.load(&restarted.id).expect("it is known");
+    assert!(!load.is_ejected(at(1)));
+}
+
+#[test]
+fn near_replica_serves_unless_it_is_busier() {
+    let replicas = replicas(2);
+    let mut book = ReplicaBook::default();
+    let now = at(0);
+    let near = |book: &ReplicaBook| {
+        choose_replica(&replicas, book, &request(None, 0, now))
+            .is_some_and(|choice| choice.replica.data_centre.as_ref() == "ne1")
+    };
+    assert!(near(&book));
+    for _ in 0..3 {
+        book.begin(&replicas[0]);
+    }
+    assert!(!near(&book));
+}
--- /dev/null
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -0,0 +1,42 @@
+//! Decisions about requests that are forwarded as they came.
+
+mod attempts;
+mod budget;
+mod choice;
+mod close;
+mod events;
+mod registry;
+mod routes;
+
+use {
+    poplargap_core::{
+        forward::{ReplicaEntry, ReplicaState},
+        instant::MonotonicInstant,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Returns the instant `ms` milliseconds after the start.
+fn at(ms: u64) -> MonotonicInstant {
+    MonotonicInstant::from_start(Duration::from_millis(ms))
+}
+
+/// Returns a ready replica of the service `model`.
+fn replica(number: usize, data_centre: &str) -> ReplicaEntry {
+    ReplicaEntry {
+        address: ([127, 0, 0, 1], 9_000).into(),
+        born_ms: 1,
+        data_centre: data_centre.into(),
+        id: format!("replica-{number}").into(),
+        service: "model".into(),
+        slots: 64,
+        state: ReplicaState::Ready,
+    }
+}
+
+/// Returns ready replicas, turn by turn in two data centres.
+fn replicas(count: usize) -> Vec<Arc<ReplicaEntry>> {
+    (0..count)
+        .map(|number| Arc::new(replica(number, if number % 2 == 0 { "ne1" } else { "ne2" })))
+        .collect()
+}
--- /dev/null
+++ b/crates/poplargap-core/tests/forward/registry.rs
@@ -0,0 +1,89 @@
+use {
+    crate::{at, replica},
+    poplargap_core::forward::{RegistryChange, ReplicaRegistry, ReplicaState},
+};
+
+fn registry(count: usize) -> ReplicaRegistry {
+    let mut registry = ReplicaRegistry::default();
+    for number in 0..count {
+        assert_eq!(
+            registry.put(replica(number, "ne1")),
+            Some(RegistryChange::Joined)
+        );
+    }
+    registry
+}
+
+fn usable(registry: &ReplicaRegistry) -> usize {
+    registry.view().replicas("model").len()
+}
+
+#[test]
+fn heartbeat_that_changes_nothing_is_no_news() {
+    let mut registry = registry(1);
+    assert_eq!(registry.put(replica(0, "ne1")), None);
+}
+
+#[test]
+fn leaving_replica_gets_nothing_more() {
+    let mut registry = registry(2);
+    let mut leaving = replica(0, "ne1");
+    leaving.state = ReplicaState::Draining;
+    assert_eq!(registry.put(leaving), Some(RegistryChange::Leaving));
+    assert_eq!(usable(&registry), 1);
+}
+
+/// Every registration lapses while the store is away for the replicas, too.
+#[test]
+fn all_registrations_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut registry = registry(3);
+    registry.lose_store();
+    registry.regain_store(at(10_000));
+    for number in 0..3 {
+        let change = registry.remove(&format!("replica-{number}"));
+        assert_eq!(change, Some(RegistryChange::Lapsed));
+    }
+    registry.settle();
+    assert_eq!(usable(&registry), 3);
+    assert_eq!(registry.put(replica(0, "ne1")), None);
+    assert!(registry.expire(at(12_000)).is_empty());
+    assert_eq!(registry.expire(at(12_300)).len(), 2);
+    assert_eq!(usable(&registry), 1);
+}
+
+/// Seen on a hunted day: a daemon alone was cut off from the store, while a replica left.
+#[test]
+fn few_registrations_that_vanished_in_an_outage_are_not_used() {
+    let mut registry = registry(3);
+    registry.lose_store();
+    registry.regain_store(at(10_000));
+    assert_eq!(registry.remove("replica-0"), Some(RegistryChange::Lapsed));
+    registry.settle();
+    assert_eq!(usable(&registry), 2);
+}
+
+/// Seen on a standard day: a replica left half a second after the store's return, and was used
+/// for two seconds more.
+#[test]
+fn registration_that_vanishes_after_the_return_is_gone_at_once() {
+    let mut registry = registry(2);
+    registry.lose_store();
+    registry.regain_store(at(10_000));
+    registry.settle();
+    assert_eq!(registry.remove("replica-0"), Some(RegistryChange::Gone));
+    assert_eq!(usable(&registry), 1);
+}
+
+#[test]
+fn listing_replaces_what_was_known() {
+    let mut registry = registry(2);
+    let changes = registry.replace(vec![replica(1, "ne1"), replica(2, "ne1")]);
+    assert_eq!(changes.len(), 2);
+    let view = registry.view();
+    let ids: Vec<&str> = view
+        .replicas("model")
+        .iter()
+        .map(|entry| entry.id.as_ref())
+        .collect();
+    assert_eq!(ids, ["replica-1", "replica-2"]);
+}
--- a/crates/poplargap-forward/src/connection_pool.rs
+++ b/crates/poplargap-forward/src/connection_pool.rs
@@ -16,7 +16,7 @@
     socket2::{SockRef, TcpKeepalive},
     std::{
         io,
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{net::TcpStream, time::timeout},
@@ -126,7 +126,7 @@
             until: now + wait,
         };
         self.lock()
-            .entry(replica.clone())
+            .entry(Arc::clone(replica))
             .or_default()
             .push(connection);
     }
@@ -147,7 +147,7 @@
             .await
             .map_err(OpenError::Http)?;
         let log = self.log.clone();
-        let id = replica.id.clone();
+        let id = Arc::clone(&replica.id);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 debug!(log, "connection to a replica ended";
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -2,14 +2,14 @@
     super::{FeedContext, store_follower::FeedNews},
     crate::FeedDialect,
     poplargap_core::forward::{RegistryChange, ReplicaEntry, ReplicaRegistry, ReplicaView},
-    poplargap_platform::{StoredValue, WatchChange},
+    poplargap_store::{StoredValue, WatchChange},
     slog::info,
     std::{sync::Arc, time::Duration},
     tokio::sync::watch,
 };
 
 /// Longest time between two looks at lapsed registrations.
-const EXPIRY_MAX: Duration = Duration::from_secs(3_600);
+const EXPIRY_MAX: Duration = Duration::from_hours(1);
 
 /// Keeps the view of the replicas up to date.
 #[derive(Debug)]
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -7,7 +7,7 @@
     },
     crate::FeedDialect,
     poplargap_core::forward::{ReplicaView, RouteTable},
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     std::sync::Arc,
     tokio::{sync::watch, time::sleep},
 };
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -3,7 +3,7 @@
 use {
     super::FeedContext,
     poplargap_core::forward::FeedState,
-    poplargap_platform::{KeyValueStore, StoreError, StoreRevision, StoredValue, WatchChange},
+    poplargap_store::{KeyValueStore, StoreError, StoreRevision, StoredValue, WatchChange},
     rand::Rng,
     slog::{info, warn},
     std::time::Duration,
--- a/crates/poplargap-forward/src/fleet_front.rs
+++ b/crates/poplargap-forward/src/fleet_front.rs
@@ -16,7 +16,7 @@
         collections::{HashMap, HashSet},
         forward::{ClosePhase, ClosePlan, ReplicaBook, ReplicaView},
     },
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     slog::{Logger, info},
     std::{
         io,
--- a/crates/poplargap-forward/src/identify.rs
+++ b/crates/poplargap-forward/src/identify.rs
@@ -43,7 +43,7 @@
         .body_bytes_max;
     let body = match read_body(body, bytes_max, arrived + time).await {
         Ok(body) => body,
-        Err(problem) => return Err(unread(state, &head, problem)),
+        Err(problem) => return Err(unread(state, &head, &problem)),
     };
     Ok(ArrivedCall {
         arrived,
@@ -63,7 +63,7 @@
     }
 }
 
-fn unread<D>(state: &FrontState<D>, head: &CallHead, problem: BodyProblem) -> Unidentified {
+fn unread<D>(state: &FrontState<D>, head: &CallHead, problem: &BodyProblem) -> Unidentified {
     info!(state.log, "request's body wasn't read"; "request" => &head.id, "reason" => %problem);
     let answer = match problem {
         BodyProblem::Broken(_) => OwnAnswer::Malformed,
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -36,7 +36,7 @@
             in_flight: load.map_or(0, ReplicaLoad::in_flight),
             mean: choice.mean,
             rank: choice.rank,
-            replica: choice.replica.id.clone(),
+            replica: Arc::clone(&choice.replica.id),
             report_age: load.and_then(|load| load.report_age(now)),
             requests: choice.requests,
         };
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -82,7 +82,7 @@
                 return Err(self.no_replica());
             };
             self.log.placed(note);
-            let id = placed.replica.id.clone();
+            let id = Arc::clone(&placed.replica.id);
             let limit = self.patience_end();
             let reply = match send(&self.state, &self.call, placed, last_event, limit).await {
                 Ok(reply) => self.take(reply).await,
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -10,8 +10,10 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        HeaderMap, Request, Response, Uri, Version, body::Incoming,
-        client::conn::http1::SendRequest, http::response,
+        HeaderMap, Request, Response, Uri, Version,
+        body::{Body, Incoming},
+        client::conn::http1::SendRequest,
+        http::response,
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
     slog::debug,
@@ -155,7 +157,9 @@
         return Err(SendOutcome::WrongReplica);
     }
     if head.not_executed {
-        keep_refused(state, &placed, sender, body, &head);
+        if body.is_end_stream() {
+            state.connections.put(id, sender, head.keep_alive);
+        }
         return Err(SendOutcome::NotExecuted);
     }
     if parts.status.is_success() && !(is_own && head.is_signed) {
@@ -170,22 +174,6 @@
     })
 }
 
-/// Keeps the connection of a refusal that has no body.
-fn keep_refused<D>(
-    state: &FrontState<D>,
-    placed: &PlacedCall<D>,
-    sender: SendRequest<Full<Bytes>>,
-    body: Incoming,
-    head: &ReplyHead,
-) {
-    use hyper::body::Body;
-
-    if body.is_end_stream() {
-        let id = &placed.replica.id;
-        state.connections.put(id, sender, head.keep_alive);
-    }
-}
-
 /// Returns the headers of a reply for the caller.
 pub(crate) fn reply_headers<D: WireDialect>(
     state: &FrontState<D>,
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -11,6 +11,7 @@
     http_body_util::BodyExt,
     poplargap_core::forward::{EventCursor, RepeatRule, SendOutcome},
     slog::info,
+    std::sync::Arc,
     tokio::{
         sync::mpsc,
         time::{Instant, sleep_until},
@@ -119,7 +120,7 @@
     broken: OpenReply<D>,
     cursor: &EventCursor,
 ) -> Result<OpenReply<D>, &'static str> {
-    let id = broken.placed.replica.id.clone();
+    let id = Arc::clone(&broken.placed.replica.id);
     // The broken run's connection closes before another run begins.
     drop(broken);
     let end = relay.fail(id, SendOutcome::Broken);
--- a/crates/poplargap-platform/src/call_kind.rs
+++ b/crates/poplargap-store/src/call_kind.rs
@@ -26,7 +26,8 @@
 
 impl CallKind {
     /// Returns whether the call names a lease that may have ended.
-    pub(crate) fn names_lease(self) -> bool {
+    #[must_use]
+    pub fn names_lease(self) -> bool {
         matches!(self, Self::RenewLease | Self::RevokeLease | Self::Swap)
     }
 }
--- a/crates/poplargap-platform/src/http_vm_list.rs
+++ b/crates/poplargap-store/src/http_vm_list.rs
@@ -3,12 +3,15 @@
 use {
     crate::{
         CallKind, CallOutcome, StoreCounters, StoreError, VmAnswer, VmEntry, VmList, VmListError,
-        VmQuery, VmTag, call_record::CallRecord, http_pool::HttpPool, wire::VM_PATH,
+        VmQuery, VmTag, call_record::CallRecord, http_pool::HttpPool,
     },
     reqwest::{Client, StatusCode, header::IF_NONE_MATCH},
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Path of the VM list.
+const VM_PATH: &str = "/v1/vms";
+
 /// A client of the VM list.
 ///
 /// Every call ends by its timeout. Clones share connections and counters.
--- a/crates/poplargap-platform/src/lib.rs
+++ b/crates/poplargap-store/src/lib.rs
@@ -6,7 +6,6 @@
 mod call_record;
 mod control_bytes;
 mod http_pool;
-mod http_store;
 mod http_vm_list;
 mod paced_store;
 mod settled_write;
@@ -14,7 +13,6 @@
 mod store_counters;
 mod vm_list;
 mod vm_query;
-pub mod wire;
 
 pub use {
     call_bucket::{CallBucket, CallRate},
@@ -23,7 +21,6 @@
     call_record::CallRecord,
     control_bytes::ControlBytes,
     http_pool::{HttpAnswer, HttpPool},
-    http_store::HttpStore,
     http_vm_list::HttpVmList,
     paced_store::PacedStore,
     settled_write::{SettleLimit, WriteEvidence, write_then_settle},
--- a/crates/poplargap-platform/src/store_counters.rs
+++ b/crates/poplargap-store/src/store_counters.rs
@@ -31,19 +31,19 @@
     #[must_use]
     pub fn with_bytes(bytes: ControlBytes) -> Self {
         let calls = Opts::new(
-            "poplargap_platform_calls_total",
+            "poplargap_store_calls_total",
             "Calls to the platform by kind and outcome",
         );
         Self {
             bytes,
             calls: IntCounterVec::new(calls, &["call", "outcome"]).expect("name is valid"),
             pools_dropped: IntCounter::new(
-                "poplargap_platform_pools_dropped_total",
+                "poplargap_store_pools_dropped_total",
                 "Connection pools dropped after a timeout",
             )
             .expect("name is valid"),
             waiting_watches: IntGauge::new(
-                "poplargap_platform_waiting_watches",
+                "poplargap_store_waiting_watches",
                 "Watches that wait for an answer",
             )
             .expect("name is valid"),
--- a/crates/poplargap-platform/tests/settled_write.rs
+++ b/crates/poplargap-store/tests/settled_write.rs
@@ -1,7 +1,7 @@
 //! Lost answers are resolved without ever naming the wrong outcome.
 
 use {
-    poplargap_platform::{
+    poplargap_store::{
         KeyValueStore, LeaseGrant, LeaseId, SettleLimit, StoreError, StoreRevision, StoredValue,
         SwapOutcome, SwapWrite, ValuePage, WatchBatch, WriteEvidence, write_then_settle,
     },
--- a/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
+++ b/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
@@ -10,7 +10,8 @@
         },
         name::NameError,
     },
-    poplargap_platform::{HttpStore, KeyValueStore, StoreRevision, SwapOutcome, SwapWrite},
+    poplargap_platform::StoreClient,
+    poplargap_store::{KeyValueStore, StoreRevision, SwapOutcome, SwapWrite},
     std::{collections::BTreeMap, fmt::Display, net::SocketAddr, time::Duration},
 };
 
@@ -28,7 +29,7 @@
 #[derive(Debug)]
 pub struct CatalogueFiller {
     buckets: BTreeMap<String, FilledBucket>,
-    store: HttpStore,
+    store: StoreClient,
     touched: usize,
 }
 
@@ -44,7 +45,7 @@
     ///
     /// Returns an error when the store doesn't answer.
     pub async fn read(address: SocketAddr) -> Result<Self, CapacityError> {
-        let store = HttpStore::new(address, CALL_TIMEOUT).map_err(fault)?;
+        let store = StoreClient::new(address, CALL_TIMEOUT).map_err(fault)?;
         let mut buckets = BTreeMap::new();
         let mut after: Option<String> = None;
         loop {
--- a/crates/poplargap-testbed/src/capacity/vm_listing.rs
+++ b/crates/poplargap-testbed/src/capacity/vm_listing.rs
@@ -3,7 +3,7 @@
 use {
     super::{CapacityError, FleetSize},
     crate::site::SiteError,
-    poplargap_platform::{VmEntry, VmRole, VmState},
+    poplargap_store::{VmEntry, VmRole, VmState},
     std::net::{Ipv4Addr, SocketAddr},
 };
 
--- a/crates/poplargap-testbed/src/lib.rs
+++ b/crates/poplargap-testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fault;
 pub mod load;
 pub mod relay;
+pub mod replica;
 pub mod site;
 pub mod soak;
 pub mod store;
--- /dev/null
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -0,0 +1,240 @@
+use {
+    super::{
+        ReplicaFault, SeenRequest,
+        wire_answer::{EVENTS, WireAnswer},
+    },
+    serde_json::json,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpStream},
+        task::JoinHandle,
+        time::sleep,
+    },
+};
+
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(30);
+
+#[derive(Debug, Default)]
+struct ReplicaState {
+    connections: usize,
+    cut_off: usize,
+    fault: ReplicaFault,
+    id: String,
+    running: u32,
+    seen: Vec<SeenRequest>,
+}
+
+/// A replica that answers as its faults say, and remembers what it ran.
+#[derive(Debug)]
+pub struct ReplicaStandIn {
+    address: SocketAddr,
+    service: String,
+    state: Arc<Mutex<ReplicaState>>,
+    task: JoinHandle<()>,
+}
+
+impl ReplicaStandIn {
+    /// Starts a replica on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port is free.
+    pub async fn start(id: &str, service: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(ReplicaState {
+            id: id.to_owned(),
+            ..ReplicaState::default()
+        }));
+        let task = tokio::spawn(accept(listener, Arc::clone(&state)));
+        Ok(Self {
+            address,
+            service: service.to_owned(),
+            state,
+            task,
+        })
+    }
+
+    /// Returns the replica's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the key and the value of the replica's registration.
+    #[must_use]
+    pub fn registration(&self, state: &str) -> (String, String) {
+        let id = lock(&self.state).id.clone();
+        let value = json!({
+            "service": self.service, "address": self.address, "zone": "ne1", "version": "v1",
+            "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+        });
+        (format!("servers/{id}"), value.to_string())
+    }
+
+    /// Gives the replica's address to another one.
+    pub fn rename(&self, id: &str) {
+        id.clone_into(&mut lock(&self.state).id);
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: ReplicaFault) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Returns the requests that the replica ran.
+    #[must_use]
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.state).seen.clone()
+    }
+
+    /// Returns the number of connections that were taken.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        lock(&self.state).connections
+    }
+
+    /// Returns the number of streams whose reader left.
+    #[must_use]
+    pub fn cut_off(&self) -> usize {
+        lock(&self.state).cut_off
+    }
+
+    /// Ends the replica; its port refuses connections.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+fn lock(state: &Mutex<ReplicaState>) -> MutexGuard<'_, ReplicaState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, state: Arc<Mutex<ReplicaState>>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        lock(&state).connections += 1;
+        tokio::spawn(serve(stream, Arc::clone(&state)));
+    }
+}
+
+/// Serves the requests of one connection until an end of it.
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<ReplicaState>>) {
+    while let Some(request) = SeenRequest::read(&mut stream).await {
+        if answer(&mut stream, &state, request).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers one request; an error closes the connection.
+async fn answer(
+    stream: &mut TcpStream,
+    state: &Mutex<ReplicaState>,
+    request: SeenRequest,
+) -> io::Result<()> {
+    let (fault, own) = {
+        let state = lock(state);
+        (state.fault, state.id.clone())
+    };
+    if request.header("expect-instance") != Some(own.as_str()) {
+        let refusal = WireAnswer::wrong_replica(&own);
+        return stream.write_all(refusal.as_bytes()).await;
+    }
+    if fault == ReplicaFault::Full {
+        return stream
+            .write_all(WireAnswer::not_executed().as_bytes())
+            .await;
+    }
+    let wire = {
+        let mut state = lock(state);
+        state.running += 1;
+        state.seen.push(request.clone());
+        WireAnswer::new(&request, state.running)
+    };
+    let written = write(stream, state, fault, &wire, &request).await;
+    lock(state).running -= 1;
+    written
+}
+
+async fn write(
+    stream: &mut TcpStream,
+    state: &Mutex<ReplicaState>,
+    fault: ReplicaFault,
+    wire: &WireAnswer,
+    request: &SeenRequest,
+) -> io::Result<()> {
+    let whole = wire.whole("200 OK");
+    match fault {
+        ReplicaFault::CloseUnanswered => Err(io::ErrorKind::ConnectionReset.into()),
+        ReplicaFault::ExtraAnswer => {
+            stream.write_all(whole.as_bytes()).await?;
+            sleep(EVENT_PAUSE).await;
+            stream.write_all(whole.as_bytes()).await
+        }
+        ReplicaFault::Fail => {
+            let failure = wire.whole("500 Internal Server Error");
+            stream.write_all(failure.as_bytes()).await
+        }
+        ReplicaFault::Slow(time) => {
+            sleep(time).await;
+            stream.write_all(whole.as_bytes()).await
+        }
+        ReplicaFault::Truncate => {
+            stream
+                .write_all(&whole.as_bytes()[..whole.len() - 3])
+                .await?;
+            Err(io::ErrorKind::ConnectionReset.into())
+        }
+        ReplicaFault::Unframed => {
+            let unframed = wire.head("200 OK", "") + "answer without a length";
+            stream.write_all(unframed.as_bytes()).await?;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
+        ReplicaFault::Unsigned => stream.write_all(wire.unsigned().as_bytes()).await,
+        ReplicaFault::BreakStream(_) | ReplicaFault::None | ReplicaFault::Full => {
+            if !request.line.contains("/stream") {
+                return stream.write_all(whole.as_bytes()).await;
+            }
+            let streamed = write_stream(stream, fault, wire, request).await;
+            if streamed.is_err() && fault == ReplicaFault::None {
+                lock(state).cut_off += 1;
+            }
+            streamed
+        }
+    }
+}
+
+/// Writes a stream behind the event that the request names.
+async fn write_stream(
+    stream: &mut TcpStream,
+    fault: ReplicaFault,
+    wire: &WireAnswer,
+    request: &SeenRequest,
+) -> io::Result<()> {
+    let head = wire.head(
+        "200 OK",
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let last = request.header("last-event-id");
+    let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+    for number in last + 1..=EVENTS {
+        let event = WireAnswer::event(number);
+        if fault == ReplicaFault::BreakStream(number - 1) {
+            stream
+                .write_all(&event.as_bytes()[..event.len() / 2])
+                .await?;
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        stream.write_all(event.as_bytes()).await?;
+        sleep(EVENT_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/replica/seen_request.rs
@@ -0,0 +1,54 @@
+use {
+    std::collections::BTreeMap,
+    tokio::io::{AsyncRead, AsyncReadExt},
+};
+
+/// Longest head of a request in bytes.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+
+/// A request as a replica saw it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SeenRequest {
+    /// The body.
+    pub body: Vec<u8>,
+    /// The headers, by their names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Method and target.
+    pub line: String,
+}
+
+impl SeenRequest {
+    /// Returns a header's value.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// Reads one request; `None` when the connection ends or holds no request.
+    pub(super) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            if head.len() > HEAD_BYTES_MAX {
+                return None;
+            }
+            head.push(stream.read_u8().await.ok()?);
+        }
+        let head = String::from_utf8(head).ok()?;
+        let mut lines = head.lines();
+        let line = lines.next()?;
+        let line = line.trim_end_matches(" HTTP/1.1").to_owned();
+        let headers: BTreeMap<String, String> = lines
+            .filter_map(|line| line.split_once(':'))
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+            .collect();
+        let len = headers.get("content-length");
+        let len = len.and_then(|len| len.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; len];
+        stream.read_exact(&mut body).await.ok()?;
+        Some(Self {
+            body,
+            headers,
+            line,
+        })
+    }
+}
--- /dev/null
+++ b/crates/poplargap-testbed/src/replica/wire_answer.rs
@@ -0,0 +1,62 @@
+use {super::SeenRequest, std::fmt::Write};
+
+/// Events of a whole stream.
+pub(super) const EVENTS: u64 = 6;
+
+/// Bytes of a replica's answers.
+#[derive(Clone, Debug)]
+pub(super) struct WireAnswer {
+    id: String,
+    load: u32,
+}
+
+impl WireAnswer {
+    pub(super) fn new(request: &SeenRequest, load: u32) -> Self {
+        Self {
+            id: request.header("attempt-id").unwrap_or("").to_owned(),
+            load,
+        }
+    }
+
+    /// Returns the head of a signed answer; `framing` names how its body ends.
+    pub(super) fn head(&self, status: &str, framing: &str) -> String {
+        format!(
+            "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Signature: signed-{id}\r\n\
+             Instance-Load: {load},0,64\r\nKeep-Alive: timeout=5\r\n{framing}\r\n",
+            id = self.id,
+            load = self.load,
+        )
+    }
+
+    pub(super) fn whole(&self, status: &str) -> String {
+        let body = format!("answer to {}", self.id);
+        let head = self.head(status, &format!("Content-Length: {}\r\n", body.len()));
+        head + &body
+    }
+
+    pub(super) fn unsigned(&self) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nContent-Length: 2\r\n\r\nno",
+            self.id
+        )
+    }
+
+    pub(super) fn not_executed() -> &'static str {
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    }
+
+    pub(super) fn wrong_replica(own: &str) -> String {
+        format!(
+            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
+        )
+    }
+
+    /// Returns the chunk of one event.
+    pub(super) fn event(number: u64) -> String {
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        let mut chunk = format!("{:x}\r\n", event.len());
+        // Writing to a string can't fail.
+        let _ = write!(chunk, "{event}\r\n");
+        chunk
+    }
+}
--- a/crates/poplargap-testbed/src/site/embedded_site.rs
+++ b/crates/poplargap-testbed/src/site/embedded_site.rs
@@ -8,7 +8,7 @@
     crate::store::StoreStandIn,
     poplargap::{CommandError, Environment},
     poplargap_core::settings::DaemonSettings,
-    poplargap_platform::{VmEntry, VmRole, VmState},
+    poplargap_store::{VmEntry, VmRole, VmState},
     poplargapd::{daemon::Daemon, log},
     reqwest::Client,
     std::{
--- a/crates/poplargap-testbed/src/site/process_site.rs
+++ b/crates/poplargap-testbed/src/site/process_site.rs
@@ -6,7 +6,7 @@
         embedded_site::{SiteBase, apply},
         settings_text::DaemonPlace,
     },
-    poplargap_platform::{VmEntry, VmState},
+    poplargap_store::{VmEntry, VmState},
     std::{
         fs,
         net::SocketAddr,
--- a/crates/poplargap-testbed/src/soak/edit_confirm.rs
+++ b/crates/poplargap-testbed/src/soak/edit_confirm.rs
@@ -5,7 +5,8 @@
     crate::site::StatusClient,
     futures::future::join_all,
     poplargap_core::catalogue::BUCKET_PREFIX,
-    poplargap_platform::{HttpStore, KeyValueStore},
+    poplargap_platform::StoreClient,
+    poplargap_store::KeyValueStore,
     std::{net::SocketAddr, time::Duration},
     tokio::{
         sync::{mpsc, watch},
@@ -80,7 +81,7 @@
 
 /// Returns the highest revision of the catalogue's buckets.
 async fn catalogue_revision(store: SocketAddr) -> Option<u64> {
-    let store = HttpStore::new(store, STORE_TIMEOUT).ok()?;
+    let store = StoreClient::new(store, STORE_TIMEOUT).ok()?;
     let mut after = None;
     let mut revision = 0;
     loop {
--- a/crates/poplargap-testbed/src/soak/upstream_faults.rs
+++ b/crates/poplargap-testbed/src/soak/upstream_faults.rs
@@ -8,7 +8,7 @@
     },
     crate::{engine::EngineStandIn, fault::FaultSettings},
     poplargap_core::catalogue::UpstreamState,
-    poplargap_platform::VmState,
+    poplargap_store::VmState,
     std::{net::SocketAddr, time::Duration},
 };
 
--- a/crates/poplargap-testbed/src/store/call_counts.rs
+++ b/crates/poplargap-testbed/src/store/call_counts.rs
@@ -1,7 +1,7 @@
 //! Counts of the calls that the stand-in received.
 
 use {
-    poplargap_platform::CallKind,
+    poplargap_store::CallKind,
     serde::{Deserialize, Serialize},
 };
 
--- a/crates/poplargap-testbed/src/store/lease_table.rs
+++ b/crates/poplargap-testbed/src/store/lease_table.rs
@@ -1,7 +1,7 @@
 //! Leases and their ends by the stand-in's monotonic clock.
 
 use {
-    poplargap_platform::{LeaseGrant, LeaseId},
+    poplargap_store::{LeaseGrant, LeaseId},
     std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
 };
--- a/crates/poplargap-testbed/src/store/route_answer.rs
+++ b/crates/poplargap-testbed/src/store/route_answer.rs
@@ -2,7 +2,8 @@
 
 use {
     super::store_state::SwapAnswer,
-    poplargap_platform::{VmEntry, VmQuery, wire::SwapReceipt},
+    poplargap_platform::store_wire::{ConflictBody, ItemBody, RevisionBody},
+    poplargap_store::{VmEntry, VmQuery},
     serde::Serialize,
     warp::{
         Reply,
@@ -46,9 +47,14 @@
 pub(super) fn swap_answer(swapped: Option<SwapAnswer>) -> Response {
     match swapped {
         None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
-        Some(SwapAnswer::Applied(revision)) => json(&SwapReceipt { revision }).into_response(),
+        Some(SwapAnswer::Applied(revision)) => {
+            let revision = revision.0;
+            json(&RevisionBody { revision }).into_response()
+        }
         Some(SwapAnswer::Conflict(current)) => {
-            with_status(json(&current), StatusCode::CONFLICT).into_response()
+            let entries = current.iter().map(ItemBody::from).collect();
+            let body = json(&ConflictBody { entries });
+            with_status(body, StatusCode::PRECONDITION_FAILED).into_response()
         }
         Some(SwapAnswer::NoLease) => StatusCode::NOT_FOUND.into_response(),
         Some(SwapAnswer::TooLong) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
--- a/crates/poplargap-testbed/src/store/route_context.rs
+++ b/crates/poplargap-testbed/src/store/route_context.rs
@@ -6,7 +6,7 @@
         store_handle::StoreHandle, store_message::StoreMessage,
     },
     crate::relay::RelayControl,
-    poplargap_platform::CallKind,
+    poplargap_store::CallKind,
     std::{convert::Infallible, future::pending, net::SocketAddr},
     tokio::time::sleep,
     warp::{Reply, http::StatusCode, reply::Response},
--- a/crates/poplargap-testbed/src/store/store_faults.rs
+++ b/crates/poplargap-testbed/src/store/store_faults.rs
@@ -2,7 +2,7 @@
 
 use {
     super::call_fate::CallFate,
-    poplargap_platform::CallKind,
+    poplargap_store::CallKind,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
--- a/crates/poplargap-testbed/src/store/store_message.rs
+++ b/crates/poplargap-testbed/src/store/store_message.rs
@@ -1,10 +1,13 @@
 //! Messages to the task that owns the store.
 
 use {
-    super::{CallCounts, StoreFaults, call_fate::CallFate, store_state::SwapAnswer},
-    poplargap_platform::{
+    super::{
+        CallCounts, StoreFaults, call_fate::CallFate, change_history::HistoryGone,
+        store_state::SwapAnswer,
+    },
+    poplargap_platform::store_wire::{RangeQuery, WatchQuery},
+    poplargap_store::{
         CallKind, LeaseGrant, LeaseId, StoredValue, SwapWrite, ValuePage, VmEntry, WatchBatch,
-        wire::{CompactionNotice, ListQuery, WatchQuery},
     },
     std::time::Duration,
     tokio::sync::oneshot,
@@ -22,15 +25,12 @@
     Faults(ReplySender<StoreFaults>),
     Get(String, ReplySender<Option<StoredValue>>),
     GrantLease(Duration, ReplySender<LeaseGrant>),
-    List(ListQuery, ReplySender<ValuePage>),
+    List(RangeQuery, ReplySender<ValuePage>),
     PutVms(Vec<VmEntry>, ReplySender<()>),
     RenewLease(LeaseId, ReplySender<bool>),
     RevokeLease(LeaseId, ReplySender<bool>),
     SetFaults(StoreFaults, ReplySender<()>),
-    Swap(SwapWrite, ReplySender<SwapAnswer>),
+    Swap(Vec<SwapWrite>, ReplySender<SwapAnswer>),
     Vms(ReplySender<Vec<VmEntry>>),
-    Watch(
-        WatchQuery,
-        ReplySender<Result<WatchBatch, CompactionNotice>>,
-    ),
+    Watch(WatchQuery, ReplySender<Result<WatchBatch, HistoryGone>>),
 }
--- a/crates/poplargap-testbed/src/store/store_routes.rs
+++ b/crates/poplargap-testbed/src/store/store_routes.rs
@@ -9,17 +9,14 @@
         store_message::StoreMessage,
     },
     crate::relay::RelayControl,
-    poplargap_platform::{
-        CallKind, LeaseId, SwapWrite, VmEntry, VmQuery,
-        wire::{KeyQuery, LeaseRequest, ListQuery, WatchQuery},
+    poplargap_platform::store_wire::{
+        ItemBody, KeyQuery, LeaseBody, RangeBody, RangeQuery, TransactionBody, WatchBody,
+        WatchQuery,
     },
+    poplargap_store::{CallKind, LeaseId, VmEntry, VmQuery},
     serde::de::DeserializeOwned,
     std::{convert::Infallible, time::Duration},
-    warp::{
-        Filter, Rejection, Reply,
-        http::StatusCode,
-        reply::{json, with_status},
-    },
+    warp::{Filter, Rejection, Reply, http::StatusCode},
 };
 
 /// Longest request body; JSON may escape a value of the longest length.
@@ -44,37 +41,44 @@
 fn value_routes(
     context: impl Filter<Extract = (RouteContext,), Error = Infallible> + Clone + Send + Sync + 'static,
 ) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
-    let get = warp::path!("v1" / "kv")
+    let get = warp::path!("v1" / "kv-key")
         .and(warp::get())
         .and(context.clone())
         .and(warp::query())
         .and_then(|context: RouteContext, query: KeyQuery| {
             let store = context.store.clone();
             context.serve(CallKind::Get, async move {
-                answer(store.ask(|reply| StoreMessage::Get(query.key, reply)).await)
+                match store.ask(|reply| StoreMessage::Get(query.key, reply)).await {
+                    Some(None) => StatusCode::NOT_FOUND.into_response(),
+                    stored => answer(stored.flatten().as_ref().map(ItemBody::from)),
+                }
             })
         });
-    let list = warp::path!("v1" / "list")
+    let list = warp::path!("v1" / "kv-range")
         .and(warp::get())
         .and(context.clone())
         .and(warp::query())
-        .and_then(|context: RouteContext, query: ListQuery| {
+        .and_then(|context: RouteContext, query: RangeQuery| {
             let store = context.store.clone();
             context.serve(CallKind::List, async move {
-                answer(store.ask(|reply| StoreMessage::List(query, reply)).await)
+                let page = store.ask(|reply| StoreMessage::List(query, reply)).await;
+                answer(page.as_ref().map(RangeBody::from))
             })
         });
-    let swap = warp::path!("v1" / "kv")
-        .and(warp::put())
+    let swap = warp::path!("v1" / "kv-txn")
+        .and(warp::post())
         .and(context.clone())
         .and(json_body())
-        .and_then(|context: RouteContext, write: SwapWrite| {
+        .and_then(|context: RouteContext, body: TransactionBody| {
             let store = context.store.clone();
             context.serve(CallKind::Swap, async move {
-                swap_answer(store.ask(|reply| StoreMessage::Swap(write, reply)).await)
+                let Some(writes) = body.swaps() else {
+                    return StatusCode::BAD_REQUEST.into_response();
+                };
+                swap_answer(store.ask(|reply| StoreMessage::Swap(writes, reply)).await)
             })
         });
-    let watch = warp::path!("v1" / "watch")
+    let watch = warp::path!("v1" / "kv-watch")
         .and(warp::get())
         .and(context)
         .and(warp::query())
@@ -82,10 +86,8 @@
             let store = context.store.clone();
             context.serve(CallKind::Watch, async move {
                 match store.ask(|reply| StoreMessage::Watch(query, reply)).await {
-                    Some(Err(notice)) => {
-                        with_status(json(&notice), StatusCode::GONE).into_response()
-                    }
-                    batch => answer(batch.and_then(Result::ok)),
+                    Some(Err(_)) => StatusCode::GONE.into_response(),
+                    batch => answer(batch.and_then(Result::ok).as_ref().map(WatchBody::from)),
                 }
             })
         });
@@ -95,22 +97,24 @@
 fn lease_routes(
     context: impl Filter<Extract = (RouteContext,), Error = Infallible> + Clone + Send + Sync + 'static,
 ) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
-    let grant = warp::path!("v1" / "leases")
+    let grant = warp::path!("v1" / "kv-lease")
         .and(warp::post())
         .and(context.clone())
         .and(json_body())
-        .and_then(|context: RouteContext, request: LeaseRequest| {
+        .and_then(|context: RouteContext, request: LeaseBody| {
             let store = context.store.clone();
             let ttl = Duration::from_millis(request.ttl_ms);
             context.serve(CallKind::GrantLease, async move {
-                answer(
-                    store
-                        .ask(|reply| StoreMessage::GrantLease(ttl, reply))
-                        .await,
-                )
+                let grant = store
+                    .ask(|reply| StoreMessage::GrantLease(ttl, reply))
+                    .await;
+                answer(grant.map(|grant| LeaseBody {
+                    lease: grant.id.0,
+                    ttl_ms: grant.ttl_ms,
+                }))
             })
         });
-    let renew = warp::path!("v1" / "leases" / u64 / "renew")
+    let renew = warp::path!("v1" / "kv-keep" / u64)
         .and(warp::post())
         .and(context.clone())
         .and_then(|id: u64, context: RouteContext| {
@@ -120,7 +124,7 @@
                 lease_answer(store.ask(|reply| StoreMessage::RenewLease(id, reply)).await)
             })
         });
-    let revoke = warp::path!("v1" / "leases" / u64)
+    let revoke = warp::path!("v1" / "kv-lease-end" / u64)
         .and(warp::delete())
         .and(context)
         .and_then(|id: u64, context: RouteContext| {
--- a/crates/poplargap-testbed/src/store/store_state.rs
+++ b/crates/poplargap-testbed/src/store/store_state.rs
@@ -1,10 +1,13 @@
 //! The store's content, without sockets and clocks.
 
 use {
-    super::{change_history::ChangeHistory, lease_table::LeaseTable},
-    poplargap_platform::{
+    super::{
+        change_history::{ChangeHistory, HistoryGone},
+        lease_table::LeaseTable,
+    },
+    poplargap_platform::store_wire::RangeQuery,
+    poplargap_store::{
         LeaseGrant, LeaseId, StoreRevision, StoredValue, SwapWrite, ValuePage, WatchBatch,
-        wire::{CompactionNotice, ListQuery},
     },
     std::{
         collections::BTreeMap,
@@ -59,7 +62,7 @@
         &self,
         prefix: &str,
         after: StoreRevision,
-    ) -> Result<WatchBatch, CompactionNotice> {
+    ) -> Result<WatchBatch, HistoryGone> {
         self.history.after(prefix, after)
     }
 
@@ -83,11 +86,7 @@
         self.leases.grant(ttl, now)
     }
 
-    pub(super) fn list(&self, query: &ListQuery) -> ValuePage {
-        let limit = query
-            .limit
-            .unwrap_or(PAGE_VALUES_MAX)
-            .clamp(1, PAGE_VALUES_MAX);
+    pub(super) fn list(&self, query: &RangeQuery) -> ValuePage {
         let start = match &query.after {
             Some(after) if *after >= query.prefix => Excluded(after.as_str()),
             _ => Included(query.prefix.as_str()),
@@ -101,7 +100,7 @@
             .take_while(|(key, _)| key.starts_with(&query.prefix));
         for (key, value) in matching {
             bytes += value.value.len();
-            if values.len() == limit || (bytes > PAGE_BYTES_MAX && !values.is_empty()) {
+            if values.len() == PAGE_VALUES_MAX || (bytes > PAGE_BYTES_MAX && !values.is_empty()) {
                 next = values.last().map(|last| last.key.clone());
                 break;
             }
@@ -134,17 +133,33 @@
         held
     }
 
-    pub(super) fn swap(&mut self, write: SwapWrite) -> SwapAnswer {
+    /// Makes all changes, or none.
+    pub(super) fn swap(&mut self, writes: Vec<SwapWrite>) -> SwapAnswer {
+        for write in &writes {
+            if let Some(refusal) = self.refusal(write) {
+                return refusal;
+            }
+        }
+        for write in writes {
+            self.apply(write);
+        }
+        SwapAnswer::Applied(self.revision())
+    }
+
+    /// Returns why a change can't be made.
+    fn refusal(&self, write: &SwapWrite) -> Option<SwapAnswer> {
         if write.lease.is_some_and(|id| !self.leases.holds(id)) {
-            return SwapAnswer::NoLease;
+            return Some(SwapAnswer::NoLease);
         }
         if write.value.as_ref().map_or(0, String::len) > VALUE_BYTES_MAX {
-            return SwapAnswer::TooLong;
+            return Some(SwapAnswer::TooLong);
         }
         let current = self.values.get(&write.key);
-        if current.map(|current| current.revision) != write.expected {
-            return SwapAnswer::Conflict(self.get(&write.key));
-        }
+        let conflicts = current.map(|current| current.revision) != write.expected;
+        conflicts.then(|| SwapAnswer::Conflict(self.get(&write.key)))
+    }
+
+    fn apply(&mut self, write: SwapWrite) {
         let revision = self.history.push(&write.key, write.value.as_deref());
         match write.value {
             None => {
@@ -160,7 +175,6 @@
                 self.values.insert(write.key, value);
             }
         }
-        SwapAnswer::Applied(revision)
     }
 
     fn remove_bound(&mut self, leases: &[LeaseId]) {
--- a/crates/poplargap-testbed/src/store/store_task.rs
+++ b/crates/poplargap-testbed/src/store/store_task.rs
@@ -3,14 +3,13 @@
 use {
     super::{
         CallCounts, StoreFaults,
+        change_history::HistoryGone,
         store_message::{ReplySender, StoreMessage},
         store_state::StoreState,
         vm_history::VmHistory,
     },
-    poplargap_platform::{
-        StoreRevision, WatchBatch,
-        wire::{CompactionNotice, WatchQuery},
-    },
+    poplargap_platform::store_wire::WatchQuery,
+    poplargap_store::{StoreRevision, WatchBatch},
     std::{future::pending, time::Duration},
     tokio::{
         sync::mpsc::Receiver,
@@ -26,7 +25,7 @@
     after: StoreRevision,
     ends_at: Instant,
     prefix: String,
-    reply: ReplySender<Result<WatchBatch, CompactionNotice>>,
+    reply: ReplySender<Result<WatchBatch, HistoryGone>>,
 }
 
 /// Owner of the store's content, faults, counts and waiting watches.
@@ -106,12 +105,12 @@
     fn add_watch(
         &mut self,
         query: WatchQuery,
-        reply: ReplySender<Result<WatchBatch, CompactionNotice>>,
+        reply: ReplySender<Result<WatchBatch, HistoryGone>>,
         now: Instant,
     ) {
         let wait = Duration::from_millis(query.wait_ms).min(WATCH_WAIT_MAX);
         self.watches.push(WaitingWatch {
-            after: query.after,
+            after: StoreRevision(query.after),
             ends_at: now + wait,
             prefix: query.prefix,
             reply,
--- a/crates/poplargap-testbed/src/store/vm_history.rs
+++ b/crates/poplargap-testbed/src/store/vm_history.rs
@@ -1,7 +1,7 @@
 //! The VM list as it was a while ago.
 
 use {
-    poplargap_platform::VmEntry,
+    poplargap_store::VmEntry,
     std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
--- a/crates/poplargap/src/catalogue_store.rs
+++ b/crates/poplargap/src/catalogue_store.rs
@@ -8,7 +8,7 @@
     poplargap_core::catalogue::{
         BUCKET_PREFIX, BucketRecord, EntryRecord, EntryRef, HistoryRecord, bucket_key, history_key,
     },
-    poplargap_platform::{
+    poplargap_store::{
         KeyValueStore, SettleLimit, StoreError, StoredValue, SwapOutcome, SwapWrite, WriteEvidence,
         write_then_settle,
     },
--- a/crates/poplargap/src/command_error.rs
+++ b/crates/poplargap/src/command_error.rs
@@ -4,7 +4,7 @@
     crate::{EditConflict, ExitStatus, StaleVersions, UnknownEdit},
     displaydoc::Display,
     poplargap_core::{catalogue::EntryRef, finding::InputFindings},
-    poplargap_platform::StoreError,
+    poplargap_store::StoreError,
     serde_json::{Value, json},
 };
 
--- a/crates/poplargap/src/command_options.rs
+++ b/crates/poplargap/src/command_options.rs
@@ -7,7 +7,8 @@
     },
     pico_args::Arguments,
     poplargap_core::input::{parse_duration, render_duration},
-    poplargap_platform::{CallBucket, CallRate, HttpStore, PacedStore},
+    poplargap_platform::StoreClient,
+    poplargap_store::{CallBucket, CallRate, PacedStore},
     std::{net::SocketAddr, num::NonZeroU32, time::Duration},
 };
 
@@ -68,13 +69,13 @@
     /// # Errors
     ///
     /// Returns an error when no store is named.
-    pub fn open_store(&self) -> Result<CatalogueStore<PacedStore<HttpStore>>, CommandError> {
+    pub fn open_store(&self) -> Result<CatalogueStore<PacedStore<StoreClient>>, CommandError> {
         let Some(address) = self.store else {
             let message =
                 format!("no store is named; give `--store ADDRESS` or set {STORE_VARIABLE}");
             return Err(CommandError::Arguments(message));
         };
-        let store = HttpStore::new(address, self.timeout)
+        let store = StoreClient::new(address, self.timeout)
             .map_err(|error| CommandError::ClientUnusable(error.to_string()))?;
         let bucket = CallBucket::new(CallRate {
             burst: self.calls_per_second,
--- a/crates/poplargap/src/subcommand/apply.rs
+++ b/crates/poplargap/src/subcommand/apply.rs
@@ -8,7 +8,7 @@
     },
     pico_args::Arguments,
     poplargap_core::catalogue::declaration::CatalogueDeclaration,
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     std::io::Write,
 };
 
--- a/crates/poplargap/src/subcommand/history.rs
+++ b/crates/poplargap/src/subcommand/history.rs
@@ -7,7 +7,7 @@
     poplargap_core::catalogue::{
         CatalogueEntry, EntryRecord, EntryRef, HistoryRecord, declaration::render,
     },
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     serde::Serialize,
     std::{
         fmt::{self, Display, Formatter},
--- a/crates/poplargap/src/subcommand/single_edit.rs
+++ b/crates/poplargap/src/subcommand/single_edit.rs
@@ -7,7 +7,7 @@
         CatalogueEntry, EntryRef,
         declaration::{CatalogueDeclaration, SourceText, render},
     },
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     std::io::Write,
 };
 
--- a/crates/poplargap/tests/support/faulty_store.rs
+++ b/crates/poplargap/tests/support/faulty_store.rs
@@ -1,7 +1,7 @@
 //! A store in memory whose answers are lost and whose writes are late, by a seed.
 
 use {
-    poplargap_platform::{
+    poplargap_store::{
         KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
         SwapWrite, ValuePage, WatchBatch,
     },
--- a/crates/poplargapd/src/daemon/daemon_base.rs
+++ b/crates/poplargapd/src/daemon/daemon_base.rs
@@ -11,13 +11,14 @@
         settings::DaemonSettings,
     },
     poplargap_link::proof::FleetKey,
-    poplargap_platform::{CallBucket, CallRate, HttpStore, HttpVmList, PacedStore, StoreCounters},
+    poplargap_platform::StoreClient,
+    poplargap_store::{CallBucket, CallRate, HttpVmList, PacedStore, StoreCounters},
     slog::Logger,
     std::{num::NonZeroU32, sync::Arc, time::SystemTime},
 };
 
 /// The platform's store, paced.
-pub(super) type DaemonStore = PacedStore<HttpStore>;
+pub(super) type DaemonStore = PacedStore<StoreClient>;
 
 /// Clock, metrics, log, keys and the platform's clients.
 #[derive(Debug)]
@@ -63,7 +64,7 @@
         burst: per_second,
         per_second,
     });
-    let store = HttpStore::with_counters(settings.store.address, timeout, counters.clone())
+    let store = StoreClient::with_counters(settings.store.address, timeout, counters.clone())
         .map_err(|error| StartError::Platform(error.to_string()))?;
     let vm_list = HttpVmList::with_counters(settings.vm_list_address(), timeout, counters)
         .map_err(|error| StartError::Platform(error.to_string()))?;
--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -17,7 +17,7 @@
         name::DataCentre,
     },
     poplargap_link::rpc::{CatalogueBucket, CatalogueDelta, DELTA_LEN_MAX},
-    poplargap_platform::{KeyValueStore, StoreError},
+    poplargap_store::{KeyValueStore, StoreError},
     slog::Logger,
     std::{
         net::SocketAddr,
--- a/crates/poplargapd/src/feed/peer_clients.rs
+++ b/crates/poplargapd/src/feed/peer_clients.rs
@@ -14,7 +14,7 @@
         proof::FleetProof,
         rpc::{CatalogueDelta, FleetRpcClient, RPC_REQUEST_LEN},
     },
-    poplargap_platform::ControlBytes,
+    poplargap_store::ControlBytes,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
--- a/crates/poplargapd/src/feed/store_watch.rs
+++ b/crates/poplargapd/src/feed/store_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     poplargap_core::catalogue::BUCKET_PREFIX,
-    poplargap_platform::{KeyValueStore, StoreError, StoreRevision},
+    poplargap_store::{KeyValueStore, StoreError, StoreRevision},
     std::time::Duration,
 };
 
--- a/crates/poplargapd/src/home/upstream_clients.rs
+++ b/crates/poplargapd/src/home/upstream_clients.rs
@@ -7,7 +7,7 @@
         collections::{HashMap, HashMapExt},
         name::UpstreamName,
     },
-    poplargap_platform::ControlBytes,
+    poplargap_store::ControlBytes,
     reqwest::{Client, redirect::Policy, retry},
     serde::Deserialize,
     std::{
--- a/crates/poplargapd/src/members/vm_task.rs
+++ b/crates/poplargapd/src/members/vm_task.rs
@@ -5,7 +5,7 @@
         collections::HashSet,
         name::{DataCentre, UpstreamName},
     },
-    poplargap_platform::{VmAnswer, VmEntry, VmList, VmQuery, VmRole, VmState},
+    poplargap_store::{VmAnswer, VmEntry, VmList, VmQuery, VmRole, VmState},
     slog::Logger,
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::watch, task::JoinHandle, time},
--- a/crates/poplargapd/src/metrics.rs
+++ b/crates/poplargapd/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of one daemon.
 
 use {
-    poplargap_platform::ControlBytes,
+    poplargap_store::ControlBytes,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
--- a/crates/poplargapd/src/orders/acknowledged_store.rs
+++ b/crates/poplargapd/src/orders/acknowledged_store.rs
@@ -3,7 +3,7 @@
 use {
     super::KEY_PREFIX,
     poplargap_core::{name::DataCentre, order::AcknowledgedRecord},
-    poplargap_platform::{
+    poplargap_store::{
         KeyValueStore, StoreError, StoreRevision, StoredValue, SwapOutcome, SwapWrite,
     },
 };
--- a/crates/poplargapd/src/orders/lease_store.rs
+++ b/crates/poplargapd/src/orders/lease_store.rs
@@ -7,9 +7,7 @@
         instant::MonotonicInstant,
         name::{DaemonName, DataCentre},
     },
-    poplargap_platform::{
-        KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite,
-    },
+    poplargap_store::{KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
--- a/crates/poplargapd/src/orders/load_gate.rs
+++ b/crates/poplargapd/src/orders/load_gate.rs
@@ -9,7 +9,7 @@
         name::{DataCentre, PoolName, UpstreamName},
         order::{LoadRecord, LoadTicket},
     },
-    poplargap_platform::{KeyValueStore, StoreError, SwapOutcome, SwapWrite},
+    poplargap_store::{KeyValueStore, StoreError, SwapOutcome, SwapWrite},
     std::{sync::Arc, time::Duration},
 };
 
--- a/crates/poplargapd/src/orders/order_task.rs
+++ b/crates/poplargapd/src/orders/order_task.rs
@@ -17,7 +17,7 @@
         name::DataCentre,
         order::{DueOrder, HolderPhase, OrderHolder, OrderTimes, SendPermit, ordered_steps},
     },
-    poplargap_platform::{KeyValueStore, StoreError},
+    poplargap_store::{KeyValueStore, StoreError},
     slog::Logger,
     std::{sync::Arc, time::Duration},
     tokio::{
--- a/crates/poplargapd/src/path/accept.rs
+++ b/crates/poplargapd/src/path/accept.rs
@@ -12,7 +12,7 @@
     bytes::{Buf, Bytes},
     futures::Stream,
     poplargap_core::name::{PoolName, RequestId},
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     std::{sync::Arc, time::Duration},
     tokio::{net::TcpListener, time},
     warp::{
--- a/crates/poplargapd/src/path/claim.rs
+++ b/crates/poplargapd/src/path/claim.rs
@@ -6,7 +6,7 @@
 use {
     super::{PathProblem, ProblemCode, unsettled_count::UnsettledCount},
     poplargap_core::name::{DaemonName, IdempotencyKey, RequestId, WorkspaceName},
-    poplargap_platform::{
+    poplargap_store::{
         KeyValueStore, SettleLimit, StoreRevision, StoredValue, SwapOutcome, SwapWrite,
         WriteEvidence, write_then_settle,
     },
--- a/crates/poplargapd/src/path/service.rs
+++ b/crates/poplargapd/src/path/service.rs
@@ -21,7 +21,7 @@
         retry::RunOutcome,
     },
     poplargap_link::envelope::{RefusalReason, RelayEnvelope, RelayRefusal, RelayWork},
-    poplargap_platform::KeyValueStore,
+    poplargap_store::KeyValueStore,
     std::sync::Arc,
     tokio::time::Instant,
     warp::{
--- a/crates/poplargapd/src/platform_run.rs
+++ b/crates/poplargapd/src/platform_run.rs
@@ -5,9 +5,10 @@
         log,
         run::{EXIT_FAILED, EXIT_INPUT},
     },
-    poplargap_adapter::{BootError, BootSettings, PlatformDialect, SETTINGS_VARIABLE, StoreClient},
     poplargap_forward::FleetFront,
-    poplargap_platform::StoreCounters,
+    poplargap_platform::{
+        BootError, BootSettings, PlatformDialect, SETTINGS_VARIABLE, StoreClient,
+    },
     slog::{Level, Logger, error, info, o, warn},
     std::{
         env,
@@ -54,7 +55,7 @@
 }
 
 async fn serve_until_signal(settings: BootSettings, path: &Path, log: Logger) -> ExitCode {
-    let store = StoreClient::new(settings.store, STORE_TIMEOUT, StoreCounters::new());
+    let store = StoreClient::new(settings.store, STORE_TIMEOUT);
     let store = match store {
         Ok(store) => store,
         Err(problem) => {
