Avoid a data centre as a whole once two of its replicas don't answer

Ruled out: crashed replicas, which refuse connections at once. Change: CentreWatch judges a data centre from connections that don't open; it gets no requests for 800 ms between two tries. A connection without an acknowledgement is given up after 1 s (was 1.5 s).

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -4,6 +4,7 @@
 //! replicas that are registered, and the outcomes of its own requests.
 
 mod attempt_rule;
+mod centre_watch;
 mod choice_rule;
 mod client_limits;
 mod close_plan;
@@ -20,13 +21,14 @@
 
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
+    centre_watch::CentreWatch,
     choice_rule::{ChoiceRequest, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     prompt_part::{PromptPart, placement_key, shared_tokens},
-    replica_book::{LoadReport, ReplicaBook, ReplicaLoad},
+    replica_book::{BookNews, LoadReport, ReplicaBook, ReplicaLoad},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     route_entry::{RepeatRule, RouteEntry, ServiceEntry, ServiceShare, WorkspaceEntry},
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -128,10 +128,7 @@
         .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
         .copied()
         .collect();
-    let is_ill = |candidate: &Candidate<'_>| {
-        book.load(&candidate.entry.id)
-            .is_some_and(|load| load.is_ejected(request.now))
-    };
+    let is_ill = |candidate: &Candidate<'_>| book.is_avoided(candidate.entry, request.now);
     let well: Vec<Candidate<'a>> = untried
         .iter()
         .filter(|candidate| !is_ill(candidate))
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ReplicaEntry, ReplicaId, SendOutcome},
+    super::{CentreWatch, ReplicaEntry, ReplicaId, SendOutcome},
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
 };
@@ -96,9 +96,19 @@
     }
 }
 
+/// What an outcome changed in the view of replicas.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BookNews {
+    /// The data centre is thought to be cut off, or no longer.
+    pub centre: bool,
+    /// The replica is left alone for a while, or no longer.
+    pub replica: bool,
+}
+
 /// Loads and health of all replicas, from a daemon's own requests.
 #[derive(Debug, Default)]
 pub struct ReplicaBook {
+    centres: HashMap<Arc<str>, CentreWatch>,
     loads: HashMap<ReplicaId, ReplicaLoad>,
 }
 
@@ -142,17 +152,34 @@
         });
     }
 
-    /// Takes in that a replica answered properly; returns whether it was thought ill.
-    pub fn record_success(&mut self, id: &str) -> bool {
-        let Some(load) = self.loads.get_mut(id) else {
-            return false;
+    /// Returns whether a replica gets no requests now, for itself or for its data centre.
+    #[must_use]
+    pub fn is_avoided(&self, replica: &ReplicaEntry, now: MonotonicInstant) -> bool {
+        let load = self.loads.get(&replica.id);
+        let centre = self.centres.get(&replica.data_centre);
+        load.is_some_and(|load| load.is_ejected(now))
+            || centre.is_some_and(|centre| centre.is_cut(now))
+    }
+
+    /// Takes in that a replica answered properly.
+    pub fn record_success(&mut self, replica: &ReplicaEntry) -> BookNews {
+        let centre = self.centres.get_mut(&replica.data_centre);
+        let centre = centre.is_some_and(CentreWatch::record_answer);
+        let Some(load) = self.loads.get_mut(&replica.id) else {
+            return BookNews {
+                centre,
+                replica: false,
+            };
         };
         let was_ill = load.ejections > 0;
         load.failures = 0;
         load.ejections = 0;
         load.ejected_until = MonotonicInstant::default();
         load.failure_ratio *= 1.0 - FAILURE_WEIGHT;
-        was_ill
+        BookNews {
+            centre,
+            replica: was_ill,
+        }
     }
 
     /// Takes in that a replica sent an answer to another request.
@@ -162,25 +189,39 @@
         }
     }
 
-    /// Takes in a failed send; returns whether the replica is left alone from now on.
+    /// Takes in a failed send.
     pub fn record_failure(
         &mut self,
-        id: &str,
+        replica: &ReplicaEntry,
         outcome: SendOutcome,
         now: MonotonicInstant,
-    ) -> bool {
-        let Some(load) = self.loads.get_mut(id) else {
-            return false;
+    ) -> BookNews {
+        let centre = outcome == SendOutcome::Unreachable && {
+            let centre = Arc::clone(&replica.data_centre);
+            let watch = self.centres.entry(centre).or_default();
+            watch.record_unreachable(&replica.id, now)
+        };
+        let Some(load) = self.loads.get_mut(&replica.id) else {
+            return BookNews {
+                centre,
+                replica: false,
+            };
         };
         load.failure_ratio += (1.0 - load.failure_ratio) * FAILURE_WEIGHT;
         load.failures += 1;
-        let unreachable = matches!(outcome, SendOutcome::NotSent | SendOutcome::WrongReplica);
+        let unreachable = matches!(
+            outcome,
+            SendOutcome::NotSent | SendOutcome::Unreachable | SendOutcome::WrongReplica
+        );
         let ejects = unreachable || load.failures >= FAILURES_TO_EJECT;
         let news = ejects && !load.is_ejected(now);
         if news {
             load.eject(now);
         }
-        news
+        BookNews {
+            centre,
+            replica: news,
+        }
     }
 
     /// Forgets replicas that `keep` doesn't name and that have no requests.
--- a/crates/poplargap-core/src/forward/send_outcome.rs
+++ b/crates/poplargap-core/src/forward/send_outcome.rs
@@ -4,10 +4,12 @@
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum SendOutcome {
-    /// No byte of the request left: the connection was refused or couldn't be opened.
+    /// No byte of the request left: the connection was refused.
     NotSent,
     /// The replica says that it didn't run the request.
     NotExecuted,
+    /// No byte of the request left: the connection didn't open in time.
+    Unreachable,
     /// Another replica has the address and didn't run the request.
     WrongReplica,
     /// The replica answered that it failed.
@@ -22,12 +24,15 @@
     /// Returns whether the request provably didn't run there.
     #[must_use]
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Self::NotExecuted | Self::NotSent | Self::WrongReplica)
+        matches!(
+            self,
+            Self::NotExecuted | Self::NotSent | Self::Unreachable | Self::WrongReplica
+        )
     }
 
     /// Returns whether the replica was handed the request.
     #[must_use]
     pub fn arrived(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Unreachable)
     }
 }
--- a/crates/poplargap-core/tests/forward/attempts.rs
+++ b/crates/poplargap-core/tests/forward/attempts.rs
@@ -15,6 +15,7 @@
         Just(SendOutcome::NotExecuted),
         Just(SendOutcome::NotSent),
         Just(SendOutcome::Silent),
+        Just(SendOutcome::Unreachable),
         Just(SendOutcome::WrongReplica),
     ]
 }
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -69,7 +69,7 @@
             waiting: 0,
         };
         book.record_report(&replica.id, report, now);
-        book.record_success(&replica.id);
+        book.record_success(&replica);
         let total: u32 = self.held.values().sum();
         let mean = f64::from(total) / self.replicas.len() as f64;
         self.open.push((ms + length_ms, daemon, replica));
@@ -135,14 +135,17 @@
     let replicas = replicas(2);
     let mut book = ReplicaBook::default();
     book.begin(&replicas[0]);
-    assert!(book.record_failure(&replicas[0].id, SendOutcome::NotSent, at(0)));
+    assert!(
+        book.record_failure(&replicas[0], SendOutcome::NotSent, at(0))
+            .replica
+    );
     let request_then = request(None, 0, at(1));
     for _ in 0..10 {
         let choice = choose_replica(&replicas, &book, &request_then).expect("one is left");
         assert_eq!(choice.replica.id, replicas[1].id);
     }
     book.begin(&replicas[1]);
-    book.record_failure(&replicas[1].id, SendOutcome::NotSent, at(0));
+    book.record_failure(&replicas[1], SendOutcome::NotSent, at(0));
     assert!(choose_replica(&replicas, &book, &request_then).is_some());
 }
 
@@ -152,7 +155,7 @@
     let mut book = ReplicaBook::default();
     book.begin(&restarted);
     book.end(&restarted.id);
-    book.record_failure(&restarted.id, SendOutcome::NotSent, at(0));
+    book.record_failure(&restarted, SendOutcome::NotSent, at(0));
     restarted.born_ms += 1;
     book.begin(&restarted);
     let load = book.load(&restarted.id).expect("it is known");
@@ -174,3 +177,39 @@
     }
     assert!(!near(&book));
 }
+
+/// A data centre is cut off: each connection there costs its whole time to open.
+#[test]
+fn two_silent_replicas_speak_for_their_data_centre() {
+    let replicas = replicas(12);
+    let mut book = ReplicaBook::default();
+    for number in [1, 3] {
+        book.begin(&replicas[number]);
+        book.record_failure(&replicas[number], SendOutcome::Unreachable, at(100));
+    }
+    for key in 0..100 {
+        let request = request(Some(key), 10_000, at(200));
+        let choice = choose_replica(&replicas, &book, &request).expect("a half is left");
+        assert_eq!(choice.replica.data_centre.as_ref(), "ne1");
+    }
+    assert!(
+        !book.is_avoided(&replicas[5], at(2_000)),
+        "it is tried again"
+    );
+    book.record_failure(&replicas[5], SendOutcome::Unreachable, at(2_000));
+    assert!(book.is_avoided(&replicas[7], at(2_100)));
+    assert!(book.record_success(&replicas[7]).centre);
+    assert!(!book.is_avoided(&replicas[7], at(2_100)));
+}
+
+/// Crashed replicas refuse connections at once, which says nothing of their neighbours.
+#[test]
+fn refused_connections_do_not_speak_for_a_data_centre() {
+    let replicas = replicas(12);
+    let mut book = ReplicaBook::default();
+    for number in [1, 3, 5] {
+        book.begin(&replicas[number]);
+        book.record_failure(&replicas[number], SendOutcome::NotSent, at(100));
+    }
+    assert!(!book.is_avoided(&replicas[7], at(200)));
+}
--- a/crates/poplargap-forward/src/connection_pool.rs
+++ b/crates/poplargap-forward/src/connection_pool.rs
@@ -26,7 +26,7 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time without an acknowledgement after which a connection is given up.
-const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+const SILENCE_MAX: Duration = Duration::from_secs(1);
 
 /// Time without a byte after which the other end is asked whether it lives.
 const PROBE_IDLE: Duration = Duration::from_secs(1);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -13,9 +13,9 @@
     bytes::Bytes,
     hyper::http::response,
     poplargap_core::forward::{
-        AttemptHistory, FinalAnswer, NextStep, ReplicaId, SendOutcome, next_step,
+        AttemptHistory, FinalAnswer, NextStep, ReplicaEntry, ReplicaId, SendOutcome, next_step,
     },
-    slog::info,
+    slog::{info, warn},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -82,7 +82,7 @@
                 return Err(self.no_replica());
             };
             self.log.placed(note);
-            let id = Arc::clone(&placed.replica.id);
+            let replica = Arc::clone(&placed.replica);
             let limit = self.patience_end();
             let reply = match send(&self.state, &self.call, placed, last_event, limit).await {
                 Ok(reply) => self.take(reply).await,
@@ -90,12 +90,12 @@
             };
             let (outcome, own) = match reply {
                 Ok(reply) => {
-                    self.succeed(&id);
+                    self.succeed(&replica);
                     return Ok(reply);
                 }
                 Err(failure) => failure,
             };
-            if let Some(end) = self.fail(id, outcome) {
+            if let Some(end) = self.fail(&replica, outcome) {
                 return own.ok_or(end);
             }
         }
@@ -103,10 +103,14 @@
 
     /// Records a failure that came after the reply's head; returns the end unless another
     /// send may follow.
-    pub(crate) fn fail(&mut self, id: ReplicaId, outcome: SendOutcome) -> Option<RelayEnd> {
+    pub(crate) fn fail(
+        &mut self,
+        replica: &ReplicaEntry,
+        outcome: SendOutcome,
+    ) -> Option<RelayEnd> {
         let now = self.state.clock.now();
         self.history.record(outcome);
-        let ejected = self.state.book().record_failure(&id, outcome, now);
+        let news = self.state.book().record_failure(replica, outcome, now);
         let name: &'static str = outcome.into();
         self.state.metrics.record_attempt(&self.call.service, name);
         let route = &self.call.grant.route;
@@ -114,11 +118,17 @@
         let step = next_step(route.repeat, route.max_attempts, self.history, time_left);
         let (end, reason) = self.pay(step, name);
         info!(self.state.log, "attempt failed";
-            "request" => &self.call.call.head.id, "replica" => id.as_ref(), "outcome" => name,
+            "request" => &self.call.call.head.id, "replica" => replica.id.as_ref(),
+            "replica-data-centre" => replica.data_centre.as_ref(), "outcome" => name,
             "tries" => self.history.tries, "possible-runs" => self.history.possible_runs,
             "time-left-ms" => crate::call_log::millis(time_left),
-            "replica-ejected" => ejected, "next" => reason);
-        self.excluded.push(id);
+            "replica-ejected" => news.replica, "next" => reason);
+        if news.centre {
+            warn!(self.state.log, "data centre is thought to be cut off";
+                "request" => &self.call.call.head.id,
+                "replica-data-centre" => replica.data_centre.as_ref());
+        }
+        self.excluded.push(Arc::clone(&replica.id));
         end.map(|answer| RelayEnd { answer, reason })
     }
 
@@ -146,13 +156,19 @@
         }
     }
 
-    fn succeed(&self, id: &ReplicaId) {
+    fn succeed(&self, replica: &ReplicaEntry) {
         self.state
             .metrics
             .record_attempt(&self.call.service, "answered");
-        if self.state.book().record_success(id) {
+        let news = self.state.book().record_success(replica);
+        if news.replica {
             info!(self.state.log, "replica answers again";
-                "request" => &self.call.call.head.id, "replica" => id.as_ref());
+                "request" => &self.call.call.head.id, "replica" => replica.id.as_ref());
+        }
+        if news.centre {
+            info!(self.state.log, "data centre answers again";
+                "request" => &self.call.call.head.id,
+                "replica-data-centre" => replica.data_centre.as_ref());
         }
     }
 
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -4,7 +4,7 @@
     crate::{
         ReplyHead, SendHead, WireDialect,
         arrival::AdmittedCall,
-        connection_pool::ReplicaConnection,
+        connection_pool::{OpenError, ReplicaConnection},
         front_state::{FrontState, PlacedCall},
     },
     bytes::Bytes,
@@ -101,7 +101,10 @@
     opened.map_err(|error| {
         debug!(state.log, "connection to a replica failed";
             "replica" => replica.id.as_ref(), "error" => %error);
-        SendOutcome::NotSent
+        match error {
+            OpenError::Timeout => SendOutcome::Unreachable,
+            OpenError::Http(_) | OpenError::Io(_) => SendOutcome::NotSent,
+        }
     })
 }
 
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -120,10 +120,10 @@
     broken: OpenReply<D>,
     cursor: &EventCursor,
 ) -> Result<OpenReply<D>, &'static str> {
-    let id = Arc::clone(&broken.placed.replica.id);
+    let replica = Arc::clone(&broken.placed.replica);
     // The broken run's connection closes before another run begins.
     drop(broken);
-    let end = relay.fail(id, SendOutcome::Broken);
+    let end = relay.fail(&replica, SendOutcome::Broken);
     if relay.call.grant.route.repeat != RepeatRule::Resumable {
         return Err("not-resumable");
     }
