Keep a request near once it met a replica out of reach

Change: after a connection that didn't open a request goes to its daemon's own data centre, if that has replicas.

--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -37,6 +37,8 @@
     pub key: Option<u64>,
     /// The present instant.
     pub now: MonotonicInstant,
+    /// Whether the request has met a replica out of reach, and should stay near if it can.
+    pub prefers_near: bool,
     /// Tokens of the prompt's shared parts.
     pub shared_tokens: u64,
 }
@@ -134,7 +136,22 @@
         .filter(|candidate| !is_ill(candidate))
         .copied()
         .collect();
-    if well.is_empty() { untried } else { well }
+    let usable = if well.is_empty() { untried } else { well };
+    if request.prefers_near {
+        near_or_all(usable, request.data_centre)
+    } else {
+        usable
+    }
+}
+
+/// Keeps the replicas of a data centre, or all where it has none.
+fn near_or_all<'a>(candidates: Vec<Candidate<'a>>, data_centre: &str) -> Vec<Candidate<'a>> {
+    let near: Vec<Candidate<'a>> = candidates
+        .iter()
+        .filter(|candidate| candidate.entry.data_centre.as_ref() == data_centre)
+        .copied()
+        .collect();
+    if near.is_empty() { candidates } else { near }
 }
 
 fn mean_of(candidates: &[Candidate<'_>]) -> f64 {
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -19,6 +19,7 @@
         excluded: &[],
         key,
         now,
+        prefers_near: false,
         shared_tokens,
     }
 }
@@ -213,3 +214,23 @@
     }
     assert!(!book.is_avoided(&replicas[7], at(200)));
 }
+
+/// Seen in an incident: a data centre was alone, and a request tried the three others in turn.
+#[test]
+fn request_that_met_a_replica_out_of_reach_stays_near() {
+    let replicas = replicas(12);
+    let book = ReplicaBook::default();
+    for key in 0..50 {
+        let near = ChoiceRequest {
+            prefers_near: true,
+            ..request(Some(key), 10_000, at(0))
+        };
+        let choice = choose_replica(&replicas, &book, &near).expect("a half is near");
+        assert_eq!(choice.replica.data_centre.as_ref(), "ne1");
+        let far_only = ChoiceRequest {
+            data_centre: "ne9",
+            ..near
+        };
+        assert!(choose_replica(&replicas, &book, &far_only).is_some());
+    }
+}
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -12,10 +12,13 @@
 };
 
 /// Finds a replica that isn't among `excluded` and counts the request there.
+///
+/// With `prefers_near` one of the own data centre is taken if there is any.
 pub(crate) fn place<D>(
     state: &Arc<FrontState<D>>,
     call: &AdmittedCall,
     excluded: &[ReplicaId],
+    prefers_near: bool,
 ) -> Option<(PlacedCall<D>, PlaceNote)> {
     let now = state.clock.now();
     let request = ChoiceRequest {
@@ -23,6 +26,7 @@
         excluded,
         key: call.placement,
         now,
+        prefers_near,
         shared_tokens: shared_tokens(&call.call.head.prompt),
     };
     let view = Arc::clone(&state.replicas.borrow());
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -52,6 +52,8 @@
     excluded: Vec<ReplicaId>,
     history: AttemptHistory,
     pub(crate) log: CallLog,
+    /// Whether a replica was out of reach.
+    met_silence: bool,
     pub(crate) state: Arc<FrontState<D>>,
 }
 
@@ -66,6 +68,7 @@
             excluded: Vec::new(),
             history: AttemptHistory::default(),
             log,
+            met_silence: false,
             state: Arc::clone(state),
         }
     }
@@ -78,7 +81,9 @@
         last_event: Option<u64>,
     ) -> Result<RelayReply<D>, RelayEnd> {
         loop {
-            let Some((placed, note)) = place(&self.state, &self.call, &self.excluded) else {
+            let Some((placed, note)) =
+                place(&self.state, &self.call, &self.excluded, self.met_silence)
+            else {
                 return Err(self.no_replica());
             };
             self.log.placed(note);
@@ -110,6 +115,7 @@
     ) -> Option<RelayEnd> {
         let now = self.state.clock.now();
         self.history.record(outcome);
+        self.met_silence |= outcome == SendOutcome::Unreachable;
         let news = self.state.book().record_failure(replica, outcome, now);
         let name: &'static str = outcome.into();
         self.state.metrics.record_attempt(&self.call.service, name);
