Let reports of load fade over 15 s

Change: a report counts less the older it is, up to 15 s, and the mean of all reports stands in for the rest; a hashed share of the load is lasting.

--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ReplicaBook, ReplicaEntry, ReplicaId},
+    super::{ReplicaBook, ReplicaEntry, ReplicaId, ReplicaLoad},
     crate::instant::MonotonicInstant,
     std::{cmp::Reverse, sync::Arc},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -96,29 +96,45 @@
     })
 }
 
-/// Estimates every replica's requests; one without a report gets the mean of the others'.
+/// Estimates every replica's requests.
+///
+/// The older a replica's report, the more the mean of all reports stands in for it.
 fn candidates<'a>(
     replicas: &'a [Arc<ReplicaEntry>],
     book: &ReplicaBook,
     now: MonotonicInstant,
 ) -> Vec<Candidate<'a>> {
-    let others = |entry: &ReplicaEntry| book.load(&entry.id).and_then(|load| load.others(now));
-    let known: Vec<u32> = replicas.iter().filter_map(|entry| others(entry)).collect();
-    let mean = f64::from(known.iter().sum::<u32>()) / known.len().max(1) as f64;
+    let loads: Vec<Option<&ReplicaLoad>> =
+        replicas.iter().map(|entry| book.load(&entry.id)).collect();
+    let mean = mean_of_others(&loads, now);
+    let estimate = |load: Option<&ReplicaLoad>| {
+        let others = load.and_then(ReplicaLoad::others).map_or(mean, f64::from);
+        let weight = load.map_or(0.0, |load| load.report_weight(now));
+        let own = load.map_or(0, ReplicaLoad::in_flight);
+        f64::from(own) + weight * others + (1.0 - weight) * mean
+    };
     replicas
         .iter()
-        .map(|entry| {
-            let load = book.load(&entry.id);
-            let own = load.map_or(0, super::ReplicaLoad::in_flight);
-            Candidate {
-                entry,
-                failure_ratio: load.map_or(0.0, super::ReplicaLoad::failure_ratio),
-                requests: f64::from(own) + others(entry).map_or(mean, f64::from),
-            }
+        .zip(loads)
+        .map(|(entry, load)| Candidate {
+            entry,
+            failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
+            requests: estimate(load),
         })
         .collect()
 }
 
+/// Returns the mean of the other daemons' requests a replica, newer reports counting more.
+fn mean_of_others(loads: &[Option<&ReplicaLoad>], now: MonotonicInstant) -> f64 {
+    let (mut total, mut weights) = (0.0, 0.0);
+    for load in loads.iter().flatten() {
+        let weight = load.report_weight(now);
+        total += weight * load.others().map_or(0.0, f64::from);
+        weights += weight;
+    }
+    if weights > 0.0 { total / weights } else { 0.0 }
+}
+
 /// Leaves out replicas that were tried, and ill ones while others are left.
 fn allowed<'a>(
     all: &[Candidate<'a>],
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -4,8 +4,10 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time for which a replica's report of its load is believed.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
+/// Time after which a replica's report of its load says nothing more.
+///
+/// A prompt's place is lasting, and so is a replica's share of the load.
+const REPORT_LIFE: Duration = Duration::from_secs(15);
 
 /// Weight of the newest outcome in a replica's failure ratio.
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -57,12 +59,17 @@
         self.in_flight
     }
 
-    /// Returns the requests of other daemons as of the last report, while it is believed.
+    /// Returns the requests of other daemons as of the last report.
     #[must_use]
-    pub fn others(&self, now: MonotonicInstant) -> Option<u32> {
-        self.report
-            .filter(|report| now.since(report.at) <= REPORT_LIFE)
-            .map(|report| report.others)
+    pub fn others(&self) -> Option<u32> {
+        self.report.map(|report| report.others)
+    }
+
+    /// Returns how much the last report is believed, from 1 when new to 0.
+    #[must_use]
+    pub fn report_weight(&self, now: MonotonicInstant) -> f64 {
+        let age = self.report_age(now).unwrap_or(REPORT_LIFE);
+        (1.0 - age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).max(0.0)
     }
 
     /// Returns the age of the last report.
