Bound a replica's load by how much is known of the replicas (partial)

Change: the bound goes from 1.0-1.3 times the mean + 1.2 where nothing is known to 1.1-1.9 + 2.0 where all loads are.

--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -5,14 +5,30 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Multiple of the mean that the replica of a short prompt may carry.
-const LOAD_FACTOR_MIN: f64 = 1.0;
+/// What a prompt's own replica may carry.
+#[derive(Clone, Copy, Debug)]
+struct LoadBound {
+    /// Multiple of the mean for a long prompt.
+    long_factor: f64,
+    /// Multiple of the mean for a short prompt.
+    short_factor: f64,
+    /// Requests above that multiple in any case.
+    slack: f64,
+}
 
-/// Multiple of the mean that the replica of a long prompt may carry.
-const LOAD_FACTOR_MAX: f64 = 1.5;
+/// Bound of a daemon that knows nothing of the replicas' loads; other daemons may add as much.
+const BLIND_BOUND: LoadBound = LoadBound {
+    long_factor: 1.3,
+    short_factor: 1.0,
+    slack: 1.2,
+};
 
-/// Requests above that multiple that a replica may carry in any case.
-const LOAD_SLACK: f64 = 1.5;
+/// Bound of a daemon that knows all replicas' loads.
+const SEEING_BOUND: LoadBound = LoadBound {
+    long_factor: 1.9,
+    short_factor: 1.1,
+    slack: 2.0,
+};
 
 /// Shared tokens from which a prompt counts as long.
 const LONG_TOKENS: f64 = 4_096.0;
@@ -61,6 +77,8 @@
 struct Candidate<'a> {
     entry: &'a Arc<ReplicaEntry>,
     failure_ratio: f64,
+    /// How well the load is known, from 0 to 1.
+    knowledge: f64,
     requests: f64,
 }
 
@@ -80,8 +98,8 @@
     let mean = mean_of(&all);
     let allowed = allowed(&all, book, request);
     let by_prompt = request.key.and_then(|key| {
-        let bound = load_bound(mean, request.shared_tokens);
-        by_prompt(&allowed, bound, key)
+        let bound = LoadBound::at(knowledge_of(&all));
+        by_prompt(&allowed, bound.requests(mean, request.shared_tokens), key)
     });
     let (rank, chosen) = match by_prompt {
         Some((rank, candidate)) => (Some(rank), candidate),
@@ -119,6 +137,7 @@
         .map(|(entry, load)| Candidate {
             entry,
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
+            knowledge: load.map_or(0.0, |load| load.report_weight(now)),
             requests: estimate(load),
         })
         .collect()
@@ -170,19 +189,37 @@
     if near.is_empty() { candidates } else { near }
 }
 
+/// Returns how well the replicas' loads are known in the mean, from 0 to 1.
+fn knowledge_of(candidates: &[Candidate<'_>]) -> f64 {
+    let total: f64 = candidates.iter().map(|candidate| candidate.knowledge).sum();
+    total / candidates.len().max(1) as f64
+}
+
 fn mean_of(candidates: &[Candidate<'_>]) -> f64 {
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     total / candidates.len().max(1) as f64
 }
 
-/// Returns the requests that a prompt's own replica may carry.
-///
-/// A short prompt is read again in no time, so it fills the replicas with room and leaves the
-/// others to the long ones.
-fn load_bound(mean: f64, shared_tokens: u64) -> f64 {
-    let length = (shared_tokens as f64 / LONG_TOKENS).min(1.0);
-    let factor = LOAD_FACTOR_MIN + (LOAD_FACTOR_MAX - LOAD_FACTOR_MIN) * length;
-    factor * mean + LOAD_SLACK
+impl LoadBound {
+    /// Returns the bound of a daemon whose knowledge of loads is `knowledge`, from 0 to 1.
+    fn at(knowledge: f64) -> Self {
+        let between = |blind: f64, seeing: f64| blind + (seeing - blind) * knowledge;
+        Self {
+            long_factor: between(BLIND_BOUND.long_factor, SEEING_BOUND.long_factor),
+            short_factor: between(BLIND_BOUND.short_factor, SEEING_BOUND.short_factor),
+            slack: between(BLIND_BOUND.slack, SEEING_BOUND.slack),
+        }
+    }
+
+    /// Returns the requests that a replica may carry with the new one.
+    ///
+    /// A short prompt is read again in no time, so it fills the replicas with room and leaves the
+    /// others to the long ones.
+    fn requests(&self, mean: f64, shared_tokens: u64) -> f64 {
+        let length = (shared_tokens as f64 / LONG_TOKENS).min(1.0);
+        let factor = self.short_factor + (self.long_factor - self.short_factor) * length;
+        factor * mean + self.slack
+    }
 }
 
 /// Returns the first replica in the prompt's order that has room, with its place.
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -99,6 +99,27 @@
     assert!(over * 100 <= sent * 3, "{over} of {sent} over the cap");
 }
 
+/// The same at 67 daemons that each see little of 140 replicas, from the first second on.
+#[test]
+fn many_daemons_do_not_overload_a_replica_together() {
+    let mut fleet = BlindFleet::new(67, 140);
+    let (mut over, mut sent) = (0, 0);
+    for step in 0_u64..8_000 {
+        let key = if step % 10 < 2 {
+            7
+        } else {
+            1_000 + step * 2_654_435_761 % 400
+        };
+        let daemon = (step * 40_503 % 67) as usize;
+        let (before, mean) = fleet.send(daemon, key, step * 2, 1_200);
+        if step > 500 {
+            sent += 1;
+            over += usize::from(before > CAP_FACTOR * mean + CAP_SLACK);
+        }
+    }
+    assert!(over * 100 <= sent * 3, "{over} of {sent} over the cap");
+}
+
 #[test]
 fn daemons_agree_on_a_prompt_without_a_message() {
     let replicas = replicas(18);
