Begin a hot prompt at several replicas of its order

Cause: many_daemons_do_not_overload_a_replica_together: each of 67 daemons found the first replica too full only after it had sent there, then the next one. Change: a daemon takes the prompt's share of its own requests for its share of the fleet's, and begins at as many places of the order as that asks for.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -11,6 +11,7 @@
 mod event_cursor;
 mod feed_state;
 mod prompt_part;
+mod prompt_rates;
 mod replica_book;
 mod replica_entry;
 mod replica_registry;
@@ -28,6 +29,7 @@
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     prompt_part::{PromptPart, placement_key, shared_tokens},
+    prompt_rates::PromptRates,
     replica_book::{BookNews, LoadReport, ReplicaBook, ReplicaLoad},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -30,6 +30,9 @@
     slack: 2.0,
 };
 
+/// Share of a replica's bound that one hot prompt may take.
+const HOT_SHARE: f64 = 0.5;
+
 /// Shared tokens from which a prompt counts as long.
 const LONG_TOKENS: f64 = 4_096.0;
 
@@ -57,6 +60,8 @@
     pub prefers_near: bool,
     /// Tokens of the prompt's shared parts.
     pub shared_tokens: u64,
+    /// A number that differs from request to request.
+    pub ticket: u64,
 }
 
 /// The chosen replica and what decided.
@@ -99,7 +104,10 @@
     let allowed = allowed(&all, book, request);
     let by_prompt = request.key.and_then(|key| {
         let bound = LoadBound::at(knowledge_of(&all));
-        by_prompt(&allowed, bound.requests(mean, request.shared_tokens), key)
+        let bound = bound.requests(mean, request.shared_tokens);
+        let expected = book.prompt_share(key) * mean * all.len() as f64;
+        let copies = copies(expected, bound, allowed.len());
+        by_prompt(&allowed, bound, key, request.ticket % copies)
     });
     let (rank, chosen) = match by_prompt {
         Some((rank, candidate)) => (Some(rank), candidate),
@@ -222,11 +230,23 @@
     }
 }
 
+/// Returns how many replicas share a prompt of which the fleet has `expected` requests open.
+///
+/// Daemons that don't speak to each other would all find the first replica too full only
+/// after they sent to it, and then the next one.
+fn copies(expected: f64, bound: f64, replicas: usize) -> u64 {
+    let copies = (expected / (bound * HOT_SHARE)).ceil();
+    (copies as u64).clamp(1, replicas.max(1) as u64)
+}
+
 /// Returns the first replica in the prompt's order that has room, with its place.
+///
+/// The order begins at the place `start` and goes round.
 fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     bound: f64,
     key: u64,
+    start: u64,
 ) -> Option<(usize, &'b Candidate<'a>)> {
     let score = |candidate: &Candidate<'a>| xxh3_64_with_seed(candidate.entry.id.as_bytes(), key);
     let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
@@ -237,11 +257,14 @@
     let fits = |candidate: &Candidate<'_>| {
         candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
     };
-    ranked
+    let mut order: Vec<(usize, &Candidate<'a>)> = ranked
         .iter()
         .map(|(_, candidate)| *candidate)
         .enumerate()
-        .find(|(_, candidate)| fits(candidate))
+        .collect();
+    let start = (start as usize).min(order.len());
+    order.rotate_left(start);
+    order.into_iter().find(|(_, candidate)| fits(candidate))
 }
 
 fn by_load<'a, 'b>(
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CentreWatch, ReplicaEntry, ReplicaId, SendOutcome},
+    super::{CentreWatch, PromptRates, ReplicaEntry, ReplicaId, SendOutcome},
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
 };
@@ -117,6 +117,7 @@
 pub struct ReplicaBook {
     centres: HashMap<Arc<str>, CentreWatch>,
     loads: HashMap<ReplicaId, ReplicaLoad>,
+    prompts: PromptRates,
 }
 
 impl ReplicaBook {
@@ -126,6 +127,17 @@
         self.loads.get(id)
     }
 
+    /// Counts a request for the prompt `key`.
+    pub fn record_prompt(&mut self, key: u64, now: MonotonicInstant) {
+        self.prompts.record(key, now);
+    }
+
+    /// Returns the share of the prompt `key` among the requests of the last seconds.
+    #[must_use]
+    pub fn prompt_share(&self, key: u64) -> f64 {
+        self.prompts.share(key)
+    }
+
     /// Counts a request that goes to `replica`.
     pub fn begin(&mut self, replica: &ReplicaEntry) {
         let load = self.loads.entry(Arc::clone(&replica.id)).or_default();
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -21,6 +21,7 @@
         now,
         prefers_near: false,
         shared_tokens,
+        ticket: 1,
     }
 }
 
@@ -59,7 +60,12 @@
         self.end_due(ms);
         let now = at(ms);
         let book = &mut self.books[daemon];
-        let choice = choose_replica(&self.replicas, book, &request(Some(key), 10_000, now));
+        let request = ChoiceRequest {
+            ticket: ms * 7_919,
+            ..request(Some(key), 10_000, now)
+        };
+        book.record_prompt(key, now);
+        let choice = choose_replica(&self.replicas, book, &request);
         let replica = choice.expect("there are replicas").replica;
         book.begin(&replica);
         let held = self.held.entry(replica.id.as_ref().to_owned()).or_default();
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -9,6 +9,7 @@
         ChoiceRequest, ReplicaId, ReplicaLoad, choose_replica, shared_tokens,
     },
     std::sync::Arc,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Finds a replica that isn't among `excluded` and counts the request there.
@@ -28,11 +29,15 @@
         now,
         prefers_near,
         shared_tokens: shared_tokens(&call.call.head.prompt),
+        ticket: xxh3_64(call.call.head.id.as_bytes()),
     };
     let view = Arc::clone(&state.replicas.borrow());
     let replicas = view.replicas(&call.service);
     let (choice, note) = {
-        let book = state.book();
+        let mut book = state.book();
+        if let Some(key) = call.placement {
+            book.record_prompt(key, now);
+        }
         let choice = choose_replica(replicas, &book, &request)?;
         let load = book.load(&choice.replica.id);
         let note = PlaceNote {
