Tell the other daemons the loads that replicas reported

Cause: at 67 to 82 daemons each hears of a replica every 5.4 s (median) and at the start of nothing, so they place the first seconds' prompts blindly and send over 3 of 100 requests to a replica over twice the mean + 3. Extrapolating a data centre's own counts: too noisy. Change: each daemon announces itself in the store under a lease of five minutes and sends, five times a second, the reports that its answers brought to at most 24 daemons of its data centre and two others. The test without the bench replays the start of 82 daemons: over the cap where nobody tells, under it where they do. Conclusion: the rule is kept by what is known, not by narrower bounds.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -1,7 +1,8 @@
 //! Decisions about requests that are forwarded as they came.
 //!
 //! Every daemon decides alone, from what it was told and what it saw: the routes in force, the
-//! replicas that are registered, and the outcomes of its own requests.
+//! replicas that are registered, the outcomes of its own requests, and the loads that other
+//! daemons heard of.
 
 mod attempt_rule;
 mod centre_watch;
@@ -10,10 +11,13 @@
 mod close_plan;
 mod event_cursor;
 mod feed_state;
+mod load_news;
+mod peer_view;
 mod prompt_part;
 mod prompt_rates;
 mod replica_book;
 mod replica_entry;
+mod replica_load;
 mod replica_registry;
 mod route_entry;
 mod route_table;
@@ -28,10 +32,13 @@
     close_plan::{ClosePhase, ClosePlan},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
+    load_news::{LoadDigest, LoadNews, ToldReport},
+    peer_view::{PeerEntry, PeerView},
     prompt_part::{PromptPart, placement_key, shared_tokens},
     prompt_rates::PromptRates,
-    replica_book::{BookNews, LoadReport, ReplicaBook, ReplicaLoad},
+    replica_book::{BookNews, ReplicaBook},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
+    replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     route_entry::{RepeatRule, RouteEntry, ServiceEntry, ServiceShare, WorkspaceEntry},
     route_table::{AccessRefusal, RouteGrant, RouteTable},
--- /dev/null
+++ b/crates/poplargap-core/src/forward/load_news.rs
@@ -0,0 +1,64 @@
+use {
+    super::{LoadReport, ReplicaId},
+    crate::{collections::HashMap, instant::MonotonicInstant},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Most reports of one digest.
+const DIGEST_MAX: usize = 48;
+
+/// Oldest report that is still told.
+const TOLD_AGE_MAX: Duration = Duration::from_secs(2);
+
+/// One replica's report, as one daemon tells it to the others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ToldReport {
+    /// Age of the report in milliseconds when it was told.
+    pub age_ms: u32,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its load, all daemons' requests counted.
+    pub report: LoadReport,
+}
+
+/// The reports that a daemon tells the others at once.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct LoadDigest {
+    /// One report for each replica.
+    pub reports: Vec<ToldReport>,
+}
+
+/// The newest report of each replica that the other daemons haven't been told.
+#[derive(Debug, Default)]
+pub struct LoadNews {
+    reports: HashMap<ReplicaId, (LoadReport, MonotonicInstant)>,
+}
+
+impl LoadNews {
+    /// Keeps a report; an older one of the same replica is dropped.
+    pub fn record(&mut self, replica: ReplicaId, report: LoadReport, now: MonotonicInstant) {
+        let is_known = self.reports.contains_key(&replica);
+        if is_known || self.reports.len() < DIGEST_MAX {
+            self.reports.insert(replica, (report, now));
+        }
+    }
+
+    /// Takes out what is still new enough to be told.
+    pub fn take(&mut self, now: MonotonicInstant) -> LoadDigest {
+        let reports = self
+            .reports
+            .drain()
+            .map(|(replica, (report, at))| (replica, report, now.since(at)))
+            .filter(|(_, _, age)| *age <= TOLD_AGE_MAX)
+            .map(|(replica, report, age)| ToldReport {
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+                replica,
+                report,
+            })
+            .collect();
+        LoadDigest { reports }
+    }
+}
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -1,108 +1,21 @@
 use {
-    super::{CentreWatch, PromptRates, ReplicaEntry, ReplicaId, SendOutcome},
+    super::{
+        CentreWatch, LoadDigest, LoadNews, LoadReport, PromptRates, ReplicaEntry, ReplicaId,
+        ReplicaLoad, ReportSource, SendOutcome,
+    },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
 };
 
-/// Time after which a replica's report of its load says nothing more.
-///
-/// A prompt's place is lasting, and so is a replica's share of the load.
-const REPORT_LIFE: Duration = Duration::from_secs(15);
-
 /// Weight of the newest outcome in a replica's failure ratio.
 const FAILURE_WEIGHT: f64 = 0.15;
 
-/// First time without requests after a replica couldn't be reached.
-const EJECTION_MIN: Duration = Duration::from_millis(500);
-
-/// Longest time without requests after a replica couldn't be reached.
-const EJECTION_MAX: Duration = Duration::from_secs(4);
-
 /// Failures in a row after which a replica that can be reached is left alone for a while.
 const FAILURES_TO_EJECT: u32 = 4;
 
 /// Time for which a replica that sent a stray answer is distrusted.
 const STRAY_MEMORY: Duration = Duration::from_secs(10);
 
-/// A replica's own count of its requests, from all daemons.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Requests that it works on.
-    pub running: u32,
-    /// Requests that wait there.
-    pub waiting: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct SeenReport {
-    at: MonotonicInstant,
-    others: u32,
-}
-
-/// What a daemon knows of one replica's load and health.
-#[derive(Clone, Debug, Default)]
-pub struct ReplicaLoad {
-    born_ms: u64,
-    ejected_until: MonotonicInstant,
-    ejections: u32,
-    failure_ratio: f64,
-    failures: u32,
-    in_flight: u32,
-    report: Option<SeenReport>,
-    stray_until: MonotonicInstant,
-}
-
-impl ReplicaLoad {
-    /// Returns this daemon's own requests there.
-    #[must_use]
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
-    /// Returns the requests of other daemons as of the last report.
-    #[must_use]
-    pub fn others(&self) -> Option<u32> {
-        self.report.map(|report| report.others)
-    }
-
-    /// Returns how much the last report is believed, from 1 when new to 0.
-    #[must_use]
-    pub fn report_weight(&self, now: MonotonicInstant) -> f64 {
-        let age = self.report_age(now).unwrap_or(REPORT_LIFE);
-        (1.0 - age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).max(0.0)
-    }
-
-    /// Returns the age of the last report.
-    #[must_use]
-    pub fn report_age(&self, now: MonotonicInstant) -> Option<Duration> {
-        self.report.map(|report| now.since(report.at))
-    }
-
-    /// Returns the share of requests that failed lately, between 0 and 1.
-    #[must_use]
-    pub fn failure_ratio(&self) -> f64 {
-        self.failure_ratio
-    }
-
-    /// Returns whether the replica gets no requests now.
-    #[must_use]
-    pub fn is_ejected(&self, now: MonotonicInstant) -> bool {
-        self.ejected_until > now
-    }
-
-    /// Returns whether the replica sent an answer to another request lately.
-    #[must_use]
-    pub fn is_stray(&self, now: MonotonicInstant) -> bool {
-        self.stray_until > now
-    }
-
-    fn eject(&mut self, now: MonotonicInstant) {
-        let time = EJECTION_MIN.saturating_mul(1 << self.ejections.min(8));
-        self.ejected_until = now + time.min(EJECTION_MAX);
-        self.ejections += 1;
-    }
-}
-
 /// What an outcome changed in the view of replicas.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BookNews {
@@ -117,6 +30,7 @@
 pub struct ReplicaBook {
     centres: HashMap<Arc<str>, CentreWatch>,
     loads: HashMap<ReplicaId, ReplicaLoad>,
+    news: LoadNews,
     prompts: PromptRates,
 }
 
@@ -140,16 +54,16 @@
 
     /// Counts a request that goes to `replica`.
     pub fn begin(&mut self, replica: &ReplicaEntry) {
+        self.load_mut(replica).in_flight += 1;
+    }
+
+    /// Returns the load of `replica`; one that started anew has no past.
+    fn load_mut(&mut self, replica: &ReplicaEntry) -> &mut ReplicaLoad {
         let load = self.loads.entry(Arc::clone(&replica.id)).or_default();
         if load.born_ms != replica.born_ms {
-            let in_flight = load.in_flight;
-            *load = ReplicaLoad {
-                born_ms: replica.born_ms,
-                in_flight,
-                ..ReplicaLoad::default()
-            };
+            *load = load.restarted(replica.born_ms);
         }
-        load.in_flight += 1;
+        load
     }
 
     /// Takes back a request that [`begin`](Self::begin) counted.
@@ -159,16 +73,32 @@
         }
     }
 
-    /// Takes in a replica's report of its load.
-    pub fn record_report(&mut self, id: &str, report: LoadReport, now: MonotonicInstant) {
-        let Some(load) = self.loads.get_mut(id) else {
-            return;
-        };
-        let total = report.running + report.waiting;
-        load.report = Some(SeenReport {
-            at: now,
-            others: total.saturating_sub(load.in_flight),
-        });
+    /// Takes in a replica's report of its load, and keeps it for the other daemons.
+    pub fn record_report(
+        &mut self,
+        replica: &ReplicaEntry,
+        report: LoadReport,
+        now: MonotonicInstant,
+    ) {
+        let load = self.load_mut(replica);
+        load.record_report(report, ReportSource::Own, now);
+        self.news.record(Arc::clone(&replica.id), report, now);
+    }
+
+    /// Takes in a report that another daemon got at `at`.
+    pub fn record_peer_report(
+        &mut self,
+        replica: &ReplicaEntry,
+        report: LoadReport,
+        at: MonotonicInstant,
+    ) {
+        let load = self.load_mut(replica);
+        load.record_report(report, ReportSource::Peer, at);
+    }
+
+    /// Returns the reports that came since the last time, for the other daemons.
+    pub fn take_digest(&mut self, now: MonotonicInstant) -> LoadDigest {
+        self.news.take(now)
     }
 
     /// Returns whether a replica gets no requests now, for itself or for its data centre.
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -27,6 +27,7 @@
 /// The replicas of every service that take requests.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaView {
+    ids: HashMap<ReplicaId, Arc<ReplicaEntry>>,
     services: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>>,
 }
 
@@ -37,6 +38,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the replica of an id.
+    #[must_use]
+    pub fn replica(&self, id: &str) -> Option<&Arc<ReplicaEntry>> {
+        self.ids.get(id)
+    }
+
     /// Returns all replicas.
     pub fn all(&self) -> impl Iterator<Item = &Arc<ReplicaEntry>> {
         self.services.values().flatten()
@@ -167,11 +174,16 @@
                 records.registered.push(&record.entry);
             }
         }
-        let services = services
+        let services: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> = services
             .into_iter()
             .map(|(service, records)| (Arc::clone(service), records.usable()))
             .collect();
-        ReplicaView { services }
+        let all = services.values().flatten();
+        let ids = all.map(|entry| (Arc::clone(&entry.id), Arc::clone(entry)));
+        ReplicaView {
+            ids: ids.collect(),
+            services,
+        }
     }
 }
 
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -75,7 +75,7 @@
             running: *held,
             waiting: 0,
         };
-        book.record_report(&replica.id, report, now);
+        book.record_report(&replica, report, now);
         book.record_success(&replica);
         let total: u32 = self.held.values().sum();
         let mean = f64::from(total) / self.replicas.len() as f64;
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod registry;
 mod routes;
+mod sharing;
 
 use {
     poplargap_core::{
--- a/crates/poplargap-forward/src/arrival.rs
+++ b/crates/poplargap-forward/src/arrival.rs
@@ -4,7 +4,7 @@
     crate::CallHead,
     bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
-    poplargap_core::forward::{ReplicaId, RouteGrant},
+    poplargap_core::forward::{ReplicaId, ReportSource, RouteGrant},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -72,6 +72,8 @@
     pub(crate) replica: ReplicaId,
     /// Age of the replica's last report of its load.
     pub(crate) report_age: Option<Duration>,
+    /// Who brought that report.
+    pub(crate) report_source: Option<ReportSource>,
     /// The replica's requests, as estimated.
     pub(crate) requests: f64,
 }
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -132,6 +132,7 @@
             "candidates" => place.map(|place| place.candidates),
             "rank" => place.and_then(|place| place.rank),
             "load-age-ms" => place.and_then(|place| place.report_age).map(millis),
+            "load-from" => place.and_then(|place| place.report_source).map(<&str>::from),
             "sends" => self.sends,
             "resumes" => self.resumes,
             "first-byte-ms" => self.first_byte.map(millis),
--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -1,9 +1,13 @@
-//! Follows the routes and the replicas in the store.
+//! Follows the routes, the replicas and the other daemons in the store.
 
 mod feed_context;
+mod peers_feed;
 mod replicas_feed;
 mod routes_feed;
 mod store_feed;
 mod store_follower;
 
-pub(crate) use {feed_context::FeedContext, store_feed::follow_store};
+pub(crate) use {
+    feed_context::FeedContext,
+    store_feed::{FeedViews, follow_store},
+};
--- /dev/null
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -0,0 +1,78 @@
+use {
+    super::{FeedContext, store_follower::FeedNews},
+    crate::peers::{LeasedEntry, PEERS_PREFIX},
+    poplargap_core::forward::{PeerEntry, PeerView},
+    slog::info,
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    tokio::sync::watch,
+};
+
+/// Keeps the view of the other daemons up to date.
+///
+/// An entry that lapses while the store is away may lapse here, too: the daemon writes it anew.
+#[derive(Debug)]
+pub(super) struct PeersFeed<F, S> {
+    context: FeedContext<F, S>,
+    entries: BTreeMap<String, PeerEntry>,
+    own: SocketAddr,
+    view: watch::Sender<Arc<PeerView>>,
+}
+
+impl<F, S> PeersFeed<F, S> {
+    pub(super) fn new(
+        context: FeedContext<F, S>,
+        own: SocketAddr,
+        view: watch::Sender<Arc<PeerView>>,
+    ) -> Self {
+        Self {
+            context,
+            entries: BTreeMap::new(),
+            own,
+            view,
+        }
+    }
+
+    /// Takes in news.
+    pub(super) fn take(&mut self, news: &FeedNews) {
+        let changed = match news {
+            FeedNews::Changes(changes) => {
+                let own = changes
+                    .iter()
+                    .filter(|change| change.key.starts_with(PEERS_PREFIX));
+                own.filter(|change| self.put(&change.key, change.value.as_deref()))
+                    .count()
+            }
+            FeedNews::Listing(values) => {
+                let before = std::mem::take(&mut self.entries);
+                for value in values {
+                    if value.key.starts_with(PEERS_PREFIX) {
+                        self.put(&value.key, Some(&value.value));
+                    }
+                }
+                usize::from(before != self.entries)
+            }
+        };
+        if changed > 0 {
+            let view = PeerView::new(self.entries.values(), self.own);
+            info!(self.context.log, "daemons of the fleet changed";
+                "changes" => changed, "others" => view.len());
+            self.view.send_replace(Arc::new(view));
+        }
+    }
+
+    /// Takes in one entry; returns whether anything changed.
+    fn put(&mut self, key: &str, value: Option<&str>) -> bool {
+        let Some(value) = value else {
+            return self.entries.remove(key).is_some();
+        };
+        match serde_json::from_str::<LeasedEntry>(value) {
+            Ok(LeasedEntry { entry, .. }) => {
+                self.entries.insert(key.to_owned(), entry.clone()) != Some(entry)
+            }
+            Err(problem) => {
+                info!(self.context.log, "entry names no daemon"; "key" => key, "reason" => %problem);
+                self.entries.remove(key).is_some()
+            }
+        }
+    }
+}
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -1,33 +1,44 @@
 use {
     super::{
         FeedContext,
+        peers_feed::PeersFeed,
         replicas_feed::ReplicasFeed,
         routes_feed::RoutesFeed,
         store_follower::{FeedNews, StoreFollower},
     },
-    crate::FeedDialect,
-    poplargap_core::forward::{ReplicaView, RouteTable},
+    crate::{FeedDialect, peers::PEERS_PREFIX},
+    poplargap_core::forward::{PeerView, ReplicaView, RouteTable},
     poplargap_store::KeyValueStore,
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
     tokio::{sync::watch, time::sleep},
 };
 
-/// Keeps the routes in force and the view of the replicas up to date.
+/// Where a feed shows what it read.
+#[derive(Debug)]
+pub(crate) struct FeedViews {
+    pub(crate) peers: watch::Sender<Arc<PeerView>>,
+    pub(crate) replicas: watch::Sender<Arc<ReplicaView>>,
+    pub(crate) routes: watch::Sender<Option<Arc<RouteTable>>>,
+}
+
+/// Keeps the routes in force and the views of replicas and daemons up to date.
 ///
-/// One watch follows both, since every call to the store has a price and each daemon makes them.
+/// One watch follows all, since every call to the store has a price and each daemon makes them.
 pub(crate) async fn follow_store<F: FeedDialect, S: KeyValueStore>(
     context: FeedContext<F, S>,
-    routes: watch::Sender<Option<Arc<RouteTable>>>,
-    replicas: watch::Sender<Arc<ReplicaView>>,
+    views: FeedViews,
+    own_peer: Option<SocketAddr>,
 ) {
-    let prefixes = vec![
+    let mut prefixes = vec![
         context.dialect.routes_key().to_owned(),
         context.dialect.replicas_prefix().to_owned(),
     ];
+    prefixes.extend(own_peer.map(|_| PEERS_PREFIX.to_owned()));
     let pause = context.settings.pause;
     let mut follower = StoreFollower::new(context.clone(), prefixes);
-    let routes = RoutesFeed::new(context.clone(), routes);
-    let mut replicas = ReplicasFeed::new(context, replicas);
+    let routes = RoutesFeed::new(context.clone(), views.routes);
+    let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
+    let mut replicas = ReplicasFeed::new(context, views.replicas);
     loop {
         let expiry = replicas.expiry();
         tokio::select! {
@@ -35,6 +46,9 @@
                 Ok(news) => {
                     routes.take(&news);
                     replicas.take(&news);
+                    if let Some(peers) = &mut peers {
+                        peers.take(&news);
+                    }
                 }
                 Err(_) => replicas.lose_store(),
             },
--- a/crates/poplargap-forward/src/fleet_front.rs
+++ b/crates/poplargap-forward/src/fleet_front.rs
@@ -6,15 +6,16 @@
         accept::accept,
         closing::CloseSignal,
         connection_pool::ConnectionPool,
-        feed::{FeedContext, follow_store},
+        feed::{FeedContext, FeedViews, follow_store},
         front_metrics::FrontMetrics,
         front_state::FrontState,
+        peers::{PeerSocket, announce, exchange_loads},
         status_server::{serve_metrics, serve_ready},
     },
     displaydoc::Display,
     poplargap_core::{
         collections::{HashMap, HashSet},
-        forward::{ClosePhase, ClosePlan, ReplicaBook, ReplicaView},
+        forward::{ClosePhase, ClosePlan, PeerEntry, PeerView, ReplicaBook, ReplicaView},
     },
     poplargap_store::KeyValueStore,
     slog::{Logger, info},
@@ -71,10 +72,17 @@
         let callers = listen(settings.callers).await?;
         let metrics_listener = listen(settings.metrics).await?;
         let ready = listen(settings.ready).await?;
+        let peer_socket = open_peers(settings.peers)?;
         let metrics = FrontMetrics::new().map_err(FrontError::Metrics)?;
         let clock = FleetClock::start();
         let (routes_sender, routes) = watch::channel(None);
         let (replicas_sender, replicas) = watch::channel(Arc::new(ReplicaView::default()));
+        let (peers_sender, peers) = watch::channel(Arc::new(PeerView::default()));
+        let views = FeedViews {
+            peers: peers_sender,
+            replicas: replicas_sender,
+            routes: routes_sender,
+        };
         let feed = FeedContext {
             clock,
             dialect: dialect.clone(),
@@ -98,7 +106,16 @@
             settings,
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(follow_store(feed, routes_sender, replicas_sender));
+        if let Some((socket, address)) = peer_socket {
+            let data_centre = state.settings.data_centre.as_str().into();
+            let entry = PeerEntry {
+                address,
+                data_centre,
+            };
+            tasks.spawn(announce(feed.store.clone(), entry, log.clone()));
+            tasks.spawn(exchange_loads(Arc::clone(&state), socket, peers));
+        }
+        tasks.spawn(follow_store(feed, views, state.settings.peers));
         tasks.spawn(serve_ready(Arc::clone(&state), ready));
         tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
         tasks.spawn(accept(Arc::clone(&state), callers));
@@ -132,6 +149,15 @@
     }
 }
 
+/// Opens the socket for the other daemons where there is one.
+fn open_peers(address: Option<SocketAddr>) -> Result<Option<(PeerSocket, SocketAddr)>, FrontError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let socket = PeerSocket::open(address).map_err(|error| FrontError::Listen(address, error))?;
+    Ok(Some((socket, address)))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
     TcpListener::bind(address)
         .await
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -19,6 +19,7 @@
     calls: IntCounterVec,
     connections: IntCounterVec,
     first_byte: HistogramVec,
+    peer_messages: IntCounterVec,
     registry: Registry,
     store_reads: IntCounterVec,
     total: HistogramVec,
@@ -64,6 +65,11 @@
                 "Time from a request to the head of its answer, by workspace",
                 &["service", "workspace"],
             )?,
+            peer_messages: counter(
+                "poplargap_peer_messages_total",
+                "Datagrams between daemons by what became of them",
+                &["outcome"],
+            )?,
             store_reads: counter(
                 "poplargap_store_reads_total",
                 "Reads of the store by their outcome",
@@ -107,6 +113,10 @@
             .inc();
     }
 
+    pub(crate) fn record_peer_message(&self, outcome: &str) {
+        self.peer_messages.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn record_store_read(&self, outcome: &str) {
         self.store_reads.with_label_values(&[outcome]).inc();
     }
--- a/crates/poplargap-forward/src/front_settings.rs
+++ b/crates/poplargap-forward/src/front_settings.rs
@@ -33,6 +33,8 @@
     pub grace: Duration,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Where the other daemons are heard; `None` where a daemon is alone.
+    pub peers: Option<SocketAddr>,
     /// Where the platform asks whether the daemon is ready.
     pub ready: SocketAddr,
     /// The retry budget.
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod front_state;
 mod identify;
 mod own_answer;
+mod peers;
 mod place;
 mod relay;
 mod relay_body;
@@ -35,4 +36,5 @@
     fleet_front::{FleetFront, FrontError},
     front_settings::{FeedSettings, FrontSettings, RetryShare},
     own_answer::OwnAnswer,
+    peers::{LeasedEntry, MessageProblem, PEERS_PREFIX, PeerMessage, announce},
 };
--- /dev/null
+++ b/crates/poplargap-forward/src/peers/exchange.rs
@@ -0,0 +1,174 @@
+use {
+    super::{MessageProblem, PeerMessage},
+    crate::front_state::FrontState,
+    poplargap_core::{
+        forward::{LoadDigest, PeerView, ToldReport},
+        instant::MonotonicInstant,
+    },
+    rand::Rng,
+    slog::warn,
+    std::{
+        io::{self, ErrorKind},
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Pause between two rounds of telling and hearing.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Most datagrams that are read in a round; more wait for the next one.
+const HEARD_MAX: usize = 512;
+
+/// Longest datagram in bytes.
+const DATAGRAM_MAX: usize = 4_096;
+
+/// Pause between two notes of datagrams that were refused.
+const NOTE_PAUSE: Duration = Duration::from_secs(10);
+
+/// The socket on which daemons hear each other.
+///
+/// It isn't waited on: a daemon that woke for each datagram would do little else in a large
+/// fleet.
+#[derive(Debug)]
+pub(crate) struct PeerSocket(UdpSocket);
+
+impl PeerSocket {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be listened on.
+    pub(crate) fn open(address: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        Ok(Self(socket))
+    }
+}
+
+/// Tells the other daemons the loads that this one heard of, and hears theirs.
+pub(crate) async fn exchange_loads<D>(
+    state: Arc<FrontState<D>>,
+    socket: PeerSocket,
+    peers: watch::Receiver<Arc<PeerView>>,
+) {
+    let mut refused = RefusedNote::default();
+    loop {
+        sleep(ROUND_PAUSE).await;
+        let view = Arc::clone(&peers.borrow());
+        hear(&state, &socket, &view, &mut refused);
+        refused.write(&state);
+        let digest = state.book().take_digest(state.clock.now());
+        if !digest.reports.is_empty() {
+            tell(&state, &socket, &view, digest);
+        }
+    }
+}
+
+/// Sends a digest to some of the other daemons.
+fn tell<D>(state: &FrontState<D>, socket: &PeerSocket, view: &PeerView, digest: LoadDigest) {
+    let bytes = match PeerMessage::Loads(digest).write() {
+        Ok(bytes) => bytes,
+        Err(problem) => {
+            warn!(state.log, "loads can't be told"; "error" => %problem);
+            return;
+        }
+    };
+    let round = rand::rng().random();
+    for address in view.draw(&state.settings.data_centre, round) {
+        let outcome = match socket.0.send_to(&bytes, address) {
+            Ok(_) => "told",
+            Err(_) => "not-told",
+        };
+        state.metrics.record_peer_message(outcome);
+    }
+}
+
+/// Takes in what the other daemons told.
+fn hear<D>(state: &FrontState<D>, socket: &PeerSocket, view: &PeerView, refused: &mut RefusedNote) {
+    let mut buffer = [0; DATAGRAM_MAX];
+    for _ in 0..HEARD_MAX {
+        let (len, from) = match socket.0.recv_from(&mut buffer) {
+            Ok(heard) => heard,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            // An earlier datagram met no listener; the next one is read all the same.
+            Err(_) => continue,
+        };
+        let message = if view.is_known(&from) {
+            PeerMessage::read(&buffer[..len]).map_err(RefusalReason::Problem)
+        } else {
+            Err(RefusalReason::Stranger)
+        };
+        match message {
+            Ok(PeerMessage::Loads(digest)) => {
+                state.metrics.record_peer_message("heard");
+                take_in(state, &digest);
+            }
+            Err(reason) => {
+                state.metrics.record_peer_message("refused");
+                refused.record(from, reason);
+            }
+        }
+    }
+}
+
+/// Takes in the reports of replicas that are known here.
+fn take_in<D>(state: &FrontState<D>, digest: &LoadDigest) {
+    let now = state.clock.now();
+    let replicas = Arc::clone(&state.replicas.borrow());
+    let mut book = state.book();
+    for told in &digest.reports {
+        if let Some(replica) = replicas.replica(&told.replica) {
+            book.record_peer_report(replica, told.report, heard_at(told, now));
+        }
+    }
+}
+
+/// Returns when a report was made that is heard of at `now`.
+fn heard_at(told: &ToldReport, now: MonotonicInstant) -> MonotonicInstant {
+    now - Duration::from_millis(told.age_ms.into())
+}
+
+#[derive(Debug)]
+enum RefusalReason {
+    Problem(MessageProblem),
+    Stranger,
+}
+
+/// Datagrams that were refused since the last note.
+#[derive(Debug, Default)]
+struct RefusedNote {
+    count: u64,
+    last: Option<(SocketAddr, RefusalReason)>,
+    written: Option<Instant>,
+}
+
+impl RefusedNote {
+    fn record(&mut self, from: SocketAddr, reason: RefusalReason) {
+        self.count += 1;
+        self.last = Some((from, reason));
+    }
+
+    /// Writes a line if there is news and the last line is old.
+    fn write<D>(&mut self, state: &FrontState<D>) {
+        let is_early = self.written.is_some_and(|at| at.elapsed() < NOTE_PAUSE);
+        if is_early {
+            return;
+        }
+        if let Some((from, reason)) = self.last.take() {
+            let reason = match reason {
+                RefusalReason::Problem(problem) => problem.to_string(),
+                RefusalReason::Stranger => "no daemon is known there".to_owned(),
+            };
+            warn!(state.log, "datagrams refused"; "count" => self.count,
+                "last-from" => %from, "reason" => reason);
+            self.count = 0;
+            self.written = Some(Instant::now());
+        }
+    }
+}
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -47,6 +47,7 @@
             rank: choice.rank,
             replica: Arc::clone(&choice.replica.id),
             report_age: load.and_then(|load| load.report_age(now)),
+            report_source: load.and_then(ReplicaLoad::report_source),
             requests: choice.requests,
         };
         (choice, note)
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -154,7 +154,7 @@
         return Err(SendOutcome::Broken);
     }
     if let Some(report) = head.load {
-        state.book().record_report(id, report, now);
+        state.book().record_report(&placed.replica, report, now);
     }
     if head.wrong_replica {
         return Err(SendOutcome::WrongReplica);
