Keep a prompt where it was read

Change: a daemon remembers which replicas it sent a prompt to and tells the others; a home with room goes before the order. Six far daemons instead of two are told in each round. The homes lie in a map that expires: a cache set up for its full size cost 2 MB a daemon.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -13,6 +13,7 @@
 mod feed_state;
 mod load_news;
 mod peer_view;
+mod prompt_homes;
 mod prompt_part;
 mod prompt_rates;
 mod replica_book;
@@ -27,13 +28,14 @@
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
     centre_watch::CentreWatch,
-    choice_rule::{ChoiceRequest, ReplicaChoice, choose_replica},
+    choice_rule::{ChoiceRequest, PlacedBy, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     load_news::{LoadDigest, LoadNews, ToldReport},
     peer_view::{PeerEntry, PeerView},
+    prompt_homes::{PromptHomes, ToldHome},
     prompt_part::{PromptPart, placement_key, shared_tokens},
     prompt_rates::PromptRates,
     replica_book::{BookNews, ReplicaBook},
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -2,6 +2,7 @@
     super::{ReplicaBook, ReplicaEntry, ReplicaId, ReplicaLoad},
     crate::instant::MonotonicInstant,
     std::{cmp::Reverse, sync::Arc},
+    strum::IntoStaticStr,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -64,11 +65,25 @@
     pub ticket: u64,
 }
 
+/// What decided on a replica.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PlacedBy {
+    /// It has read the prompt.
+    Home,
+    /// It has the fewest requests.
+    Load,
+    /// It comes first in the prompt's order.
+    Order,
+}
+
 /// The chosen replica and what decided.
 #[derive(Clone, Debug)]
 pub struct ReplicaChoice {
     /// The mean of all replicas' requests, as estimated.
     pub mean: f64,
+    /// What decided.
+    pub placed_by: PlacedBy,
     /// Place in the prompt's order of replicas, from 0; `None` where the load decided.
     pub rank: Option<usize>,
     /// The replica.
@@ -82,6 +97,8 @@
 struct Candidate<'a> {
     entry: &'a Arc<ReplicaEntry>,
     failure_ratio: f64,
+    /// Whether it has probably kept the request's prompt.
+    is_home: bool,
     /// How well the load is known, from 0 to 1.
     knowledge: f64,
     requests: f64,
@@ -89,17 +106,18 @@
 
 /// Chooses the replica for one request, or `None` when there is none to choose.
 ///
-/// A prompt goes to the first replica in rendezvous order of its shared parts whose load stays
-/// under a bound above the mean (Mirrokni, Thorup and Zadimoghaddam, 2018), so that all daemons
-/// find the same replicas without a message. Other requests go to the replica with the fewest
-/// requests, counting distance and failures.
+/// A prompt goes to a replica that has read its shared parts and whose load stays under a bound
+/// above the mean. Where none is known, it goes to the first such replica in rendezvous order of
+/// those parts (Mirrokni, Thorup and Zadimoghaddam, 2018), so that all daemons find the same one
+/// without a message. Other requests go to the replica with the fewest requests, counting
+/// distance and failures.
 #[must_use]
 pub fn choose_replica(
     replicas: &[Arc<ReplicaEntry>],
     book: &ReplicaBook,
     request: &ChoiceRequest<'_>,
 ) -> Option<ReplicaChoice> {
-    let all = candidates(replicas, book, request.now);
+    let all = candidates(replicas, book, request);
     let mean = mean_of(&all);
     let allowed = allowed(&all, book, request);
     let by_prompt = request.key.and_then(|key| {
@@ -107,15 +125,21 @@
         let bound = bound.requests(mean, request.shared_tokens);
         let expected = book.prompt_share(key) * mean * all.len() as f64;
         let copies = copies(expected, bound, allowed.len());
-        by_prompt(&allowed, bound, key, request.ticket % copies)
+        by_prompt(&allowed, bound, key, copies, request.ticket)
     });
     let (rank, chosen) = match by_prompt {
         Some((rank, candidate)) => (Some(rank), candidate),
         None if request.key.is_some() => (None, least(&allowed, |candidate| candidate.requests)?),
         None => (None, by_load(&allowed, request.data_centre)?),
     };
+    let placed_by = match rank {
+        Some(_) if chosen.is_home => PlacedBy::Home,
+        Some(_) => PlacedBy::Order,
+        None => PlacedBy::Load,
+    };
     Some(ReplicaChoice {
         mean,
+        placed_by,
         rank,
         replica: Arc::clone(chosen.entry),
         requests: chosen.requests,
@@ -128,8 +152,13 @@
 fn candidates<'a>(
     replicas: &'a [Arc<ReplicaEntry>],
     book: &ReplicaBook,
-    now: MonotonicInstant,
+    request: &ChoiceRequest<'_>,
 ) -> Vec<Candidate<'a>> {
+    let now = request.now;
+    let is_home = |entry: &ReplicaEntry| {
+        let key = request.key;
+        key.is_some_and(|key| book.is_home(key, entry, now))
+    };
     let loads: Vec<Option<&ReplicaLoad>> =
         replicas.iter().map(|entry| book.load(&entry.id)).collect();
     let mean = mean_of_others(&loads, now);
@@ -145,6 +174,7 @@
         .map(|(entry, load)| Candidate {
             entry,
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
+            is_home: is_home(entry),
             knowledge: load.map_or(0.0, |load| load.report_weight(now)),
             requests: estimate(load),
         })
@@ -239,32 +269,39 @@
     (copies as u64).clamp(1, replicas.max(1) as u64)
 }
 
-/// Returns the first replica in the prompt's order that has room, with its place.
+/// Returns the replica for a prompt with its place in the prompt's order, if one has room.
 ///
-/// The order begins at the place `start` and goes round.
+/// The homes come first. A prompt that needs `copies` begins at one of them, drawn by `ticket`.
 fn by_prompt<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     bound: f64,
     key: u64,
-    start: u64,
+    copies: u64,
+    ticket: u64,
 ) -> Option<(usize, &'b Candidate<'a>)> {
+    let fits = |candidate: &Candidate<'_>| {
+        candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
+    };
+    let ranked = ranked(candidates, key);
+    let (mut order, others): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .partition(|(_, candidate)| candidate.is_home);
+    order.extend(others);
+    let start = (ticket % copies) as usize;
+    order.rotate_left(start.min(candidates.len()));
+    order.into_iter().find(|(_, candidate)| fits(candidate))
+}
+
+/// Returns the candidates in rendezvous order of `key` with their places.
+fn ranked<'a, 'b>(candidates: &'b [Candidate<'a>], key: u64) -> Vec<(usize, &'b Candidate<'a>)> {
     let score = |candidate: &Candidate<'a>| xxh3_64_with_seed(candidate.entry.id.as_bytes(), key);
     let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
         .iter()
         .map(|candidate| (score(candidate), candidate))
         .collect();
     ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    let fits = |candidate: &Candidate<'_>| {
-        candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
-    };
-    let mut order: Vec<(usize, &Candidate<'a>)> = ranked
-        .iter()
-        .map(|(_, candidate)| *candidate)
-        .enumerate()
-        .collect();
-    let start = (start as usize).min(order.len());
-    order.rotate_left(start);
-    order.into_iter().find(|(_, candidate)| fits(candidate))
+    let candidates = ranked.into_iter().map(|(_, candidate)| candidate);
+    candidates.enumerate().collect()
 }
 
 fn by_load<'a, 'b>(
--- a/crates/poplargap-core/src/forward/load_news.rs
+++ b/crates/poplargap-core/src/forward/load_news.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LoadReport, ReplicaId},
+    super::{LoadReport, ReplicaId, ToldHome},
     crate::{collections::HashMap, instant::MonotonicInstant},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -23,14 +23,24 @@
     pub report: LoadReport,
 }
 
-/// The reports that a daemon tells the others at once.
+/// What a daemon tells the others at once.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(transparent)]
+#[serde(rename_all = "kebab-case")]
 pub struct LoadDigest {
+    /// Replicas that have read prompts.
+    pub homes: Vec<ToldHome>,
     /// One report for each replica.
     pub reports: Vec<ToldReport>,
 }
 
+impl LoadDigest {
+    /// Returns whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.homes.is_empty() && self.reports.is_empty()
+    }
+}
+
 /// The newest report of each replica that the other daemons haven't been told.
 #[derive(Debug, Default)]
 pub struct LoadNews {
@@ -47,9 +57,8 @@
     }
 
     /// Takes out what is still new enough to be told.
-    pub fn take(&mut self, now: MonotonicInstant) -> LoadDigest {
-        let reports = self
-            .reports
+    pub fn take(&mut self, now: MonotonicInstant) -> Vec<ToldReport> {
+        self.reports
             .drain()
             .map(|(replica, (report, at))| (replica, report, now.since(at)))
             .filter(|(_, _, age)| *age <= TOLD_AGE_MAX)
@@ -58,7 +67,6 @@
                 replica,
                 report,
             })
-            .collect();
-        LoadDigest { reports }
+            .collect()
     }
 }
--- a/crates/poplargap-core/src/forward/peer_view.rs
+++ b/crates/poplargap-core/src/forward/peer_view.rs
@@ -8,7 +8,7 @@
 const NEAR_MAX: usize = 24;
 
 /// Daemons of other data centres that are told at once.
-const FAR_MAX: usize = 2;
+const FAR_MAX: usize = 6;
 
 /// What a daemon says of itself to the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/poplargap-core/src/forward/replica_book.rs
+++ b/crates/poplargap-core/src/forward/replica_book.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CentreWatch, LoadDigest, LoadNews, LoadReport, PromptRates, ReplicaEntry, ReplicaId,
-        ReplicaLoad, ReportSource, SendOutcome,
+        CentreWatch, LoadDigest, LoadNews, LoadReport, PromptHomes, PromptRates, ReplicaEntry,
+        ReplicaId, ReplicaLoad, ReportSource, SendOutcome,
     },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 pub struct ReplicaBook {
     centres: HashMap<Arc<str>, CentreWatch>,
+    homes: PromptHomes,
     loads: HashMap<ReplicaId, ReplicaLoad>,
     news: LoadNews,
     prompts: PromptRates,
@@ -46,6 +47,22 @@
         self.prompts.record(key, now);
     }
 
+    /// Records that a request for the prompt `key` goes to `replica`.
+    pub fn record_home(&mut self, key: u64, replica: &ReplicaEntry, now: MonotonicInstant) {
+        self.homes.record(key, replica, now);
+    }
+
+    /// Records a home that another daemon told of.
+    pub fn record_told_home(&mut self, key: u64, replica: &ReplicaEntry, now: MonotonicInstant) {
+        self.homes.record_told(key, replica, now);
+    }
+
+    /// Returns whether `replica` has probably kept the prompt `key`.
+    #[must_use]
+    pub fn is_home(&self, key: u64, replica: &ReplicaEntry, now: MonotonicInstant) -> bool {
+        self.homes.is_home(key, replica, now)
+    }
+
     /// Returns the share of the prompt `key` among the requests of the last seconds.
     #[must_use]
     pub fn prompt_share(&self, key: u64) -> f64 {
@@ -96,9 +113,12 @@
         load.record_report(report, ReportSource::Peer, at);
     }
 
-    /// Returns the reports that came since the last time, for the other daemons.
+    /// Returns what is new since the last time, for the other daemons.
     pub fn take_digest(&mut self, now: MonotonicInstant) -> LoadDigest {
-        self.news.take(now)
+        LoadDigest {
+            homes: self.homes.take_news(),
+            reports: self.news.take(now),
+        }
     }
 
     /// Returns whether a replica gets no requests now, for itself or for its data centre.
@@ -173,8 +193,9 @@
         }
     }
 
-    /// Forgets replicas that `keep` doesn't name and that have no requests.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+    /// Forgets replicas that `keep` doesn't name and that have no requests, and old homes.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool, now: MonotonicInstant) {
+        self.homes.expire(now);
         self.loads.retain(|id, load| load.in_flight > 0 || keep(id));
     }
 }
--- /dev/null
+++ b/crates/poplargap-core/tests/forward/homes.rs
@@ -0,0 +1,102 @@
+use {
+    crate::{at, replicas},
+    poplargap_core::forward::{
+        ChoiceRequest, LoadReport, PlacedBy, PromptHomes, ReplicaBook, ReplicaEntry, choose_replica,
+    },
+    std::sync::Arc,
+};
+
+const KEY: u64 = 7;
+
+fn request(ms: u64) -> ChoiceRequest<'static> {
+    ChoiceRequest {
+        data_centre: "ne1",
+        excluded: &[],
+        key: Some(KEY),
+        now: at(ms),
+        prefers_near: false,
+        shared_tokens: 10_512,
+        ticket: 1,
+    }
+}
+
+fn fill(book: &mut ReplicaBook, replica: &ReplicaEntry, running: u32, ms: u64) {
+    let report = LoadReport {
+        running,
+        waiting: 0,
+    };
+    book.record_report(replica, report, at(ms));
+}
+
+/// Seen on quiet days: half of what was read again had its only copy at the second place, since
+/// the first was full when the prompt was new.
+#[test]
+fn prompt_stays_where_it_was_read_when_its_first_place_has_room_again() {
+    let all = replicas(18);
+    let mut book = ReplicaBook::default();
+    for replica in &all {
+        fill(&mut book, replica, 3, 0);
+    }
+    let first = choose_replica(&all, &book, &request(1)).expect("there are replicas");
+    assert_eq!((first.rank, first.placed_by), (Some(0), PlacedBy::Order));
+    fill(&mut book, &first.replica, 40, 1);
+    let second = choose_replica(&all, &book, &request(2)).expect("there are replicas");
+    assert_eq!(second.rank, Some(1));
+    book.record_home(KEY, &second.replica, at(2));
+    fill(&mut book, &first.replica, 3, 3);
+    let third = choose_replica(&all, &book, &request(4)).expect("there are replicas");
+    assert_eq!(third.replica.id, second.replica.id);
+    assert_eq!(third.placed_by, PlacedBy::Home);
+}
+
+#[test]
+fn home_that_started_anew_or_was_not_used_for_long_is_none() {
+    let replica = Arc::clone(&replicas(1)[0]);
+    let mut homes = PromptHomes::default();
+    homes.record(KEY, &replica, at(0));
+    assert!(homes.is_home(KEY, &replica, at(1)));
+    assert!(!homes.is_home(KEY + 1, &replica, at(1)));
+    let restarted = ReplicaEntry {
+        born_ms: replica.born_ms + 1,
+        ..(*replica).clone()
+    };
+    assert!(!homes.is_home(KEY, &restarted, at(1)));
+    assert!(!homes.is_home(KEY, &replica, at(120_000)));
+}
+
+#[test]
+fn home_is_told_once_in_a_while_and_never_by_hearsay() {
+    let replica = Arc::clone(&replicas(1)[0]);
+    let mut homes = PromptHomes::default();
+    homes.record(KEY, &replica, at(0));
+    homes.record(KEY, &replica, at(10));
+    assert_eq!(homes.take_news().len(), 1);
+    homes.record(KEY, &replica, at(20));
+    assert!(homes.take_news().is_empty());
+    homes.record(KEY, &replica, at(20_000));
+    assert_eq!(homes.take_news().len(), 1);
+    homes.record_told(KEY + 1, &replica, at(20_000));
+    homes.record(KEY + 1, &replica, at(20_010));
+    assert!(homes.take_news().is_empty());
+}
+
+#[test]
+fn homes_are_bounded_and_expire() {
+    let all = replicas(40);
+    let mut homes = PromptHomes::default();
+    for replica in &all {
+        homes.record(KEY, replica, at(0));
+    }
+    let held = all
+        .iter()
+        .filter(|replica| homes.is_home(KEY, replica, at(1)));
+    assert_eq!(held.count(), 8);
+    for key in 0..100_000 {
+        homes.record(key, &all[0], at(1));
+    }
+    assert!(homes.take_news().len() <= 48);
+    assert!(!homes.is_home(99_999, &all[0], at(2)));
+    homes.expire(at(120_000));
+    homes.record(99_999, &all[0], at(120_000));
+    assert!(homes.is_home(99_999, &all[0], at(120_000)));
+}
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod close;
 mod events;
+mod homes;
 mod registry;
 mod routes;
 mod sharing;
--- a/crates/poplargap-forward/src/arrival.rs
+++ b/crates/poplargap-forward/src/arrival.rs
@@ -4,7 +4,7 @@
     crate::CallHead,
     bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
-    poplargap_core::forward::{ReplicaId, ReportSource, RouteGrant},
+    poplargap_core::forward::{PlacedBy, ReplicaId, ReportSource, RouteGrant},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -67,6 +67,8 @@
     pub(crate) in_flight: u32,
     /// The mean of the replicas' requests, as estimated.
     pub(crate) mean: f64,
+    /// What decided.
+    pub(crate) placed_by: PlacedBy,
     /// Place in the prompt's order of replicas.
     pub(crate) rank: Option<usize>,
     pub(crate) replica: ReplicaId,
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -130,6 +130,7 @@
             "estimated" => place.map(|place| place.requests.round() as i64),
             "mean" => place.map(|place| place.mean.round() as i64),
             "candidates" => place.map(|place| place.candidates),
+            "placed-by" => place.map(|place| <&str>::from(place.placed_by)),
             "rank" => place.and_then(|place| place.rank),
             "load-age-ms" => place.and_then(|place| place.report_age).map(millis),
             "load-from" => place.and_then(|place| place.report_source).map(<&str>::from),
--- a/crates/poplargap-forward/src/fleet_front.rs
+++ b/crates/poplargap-forward/src/fleet_front.rs
@@ -171,6 +171,7 @@
         let view = Arc::clone(&state.replicas.borrow());
         let known: HashSet<&str> = view.all().map(|replica| replica.id.as_ref()).collect();
         state.connections.sweep(|id| known.contains(id));
-        state.book().retain(|id| known.contains(id));
+        let now = state.clock.now();
+        state.book().retain(|id| known.contains(id), now);
     }
 }
--- a/crates/poplargap-forward/src/peers/exchange.rs
+++ b/crates/poplargap-forward/src/peers/exchange.rs
@@ -51,7 +51,8 @@
     }
 }
 
-/// Tells the other daemons the loads that this one heard of, and hears theirs.
+/// Tells the other daemons the loads that this one heard of and where it sent prompts, and hears
+/// theirs.
 pub(crate) async fn exchange_loads<D>(
     state: Arc<FrontState<D>>,
     socket: PeerSocket,
@@ -64,7 +65,7 @@
         hear(&state, &socket, &view, &mut refused);
         refused.write(&state);
         let digest = state.book().take_digest(state.clock.now());
-        if !digest.reports.is_empty() {
+        if !digest.is_empty() {
             tell(&state, &socket, &view, digest);
         }
     }
@@ -117,11 +118,16 @@
     }
 }
 
-/// Takes in the reports of replicas that are known here.
+/// Takes in what concerns replicas that are known here.
 fn take_in<D>(state: &FrontState<D>, digest: &LoadDigest) {
     let now = state.clock.now();
     let replicas = Arc::clone(&state.replicas.borrow());
     let mut book = state.book();
+    for home in &digest.homes {
+        if let Some(replica) = replicas.replica(&home.replica) {
+            book.record_told_home(home.key, replica, now);
+        }
+    }
     for told in &digest.reports {
         if let Some(replica) = replicas.replica(&told.replica) {
             book.record_peer_report(replica, told.report, heard_at(told, now));
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -44,12 +44,16 @@
             candidates: replicas.len(),
             in_flight: load.map_or(0, ReplicaLoad::in_flight),
             mean: choice.mean,
+            placed_by: choice.placed_by,
             rank: choice.rank,
             replica: Arc::clone(&choice.replica.id),
             report_age: load.and_then(|load| load.report_age(now)),
             report_source: load.and_then(ReplicaLoad::report_source),
             requests: choice.requests,
         };
+        if let Some(key) = call.placement {
+            book.record_home(key, &choice.replica, now);
+        }
         (choice, note)
     };
     Some((PlacedCall::new(state, choice.replica), note))
