Derive the watch's wait from the time to be in touch

On the smaller sites pause, wait, give-up and the pause after the failure came to 3.2 s, more than the 3 s after which a daemon with a silent connection is judged again. Ruled out: one watch for the routes and one for the replicas (twice the idle calls); a longer wait guarded by the peers' revisions (if all connections fall silent at once, someone must look within the same time all the same). Bodies that break off and headers of replies lose a boxed error and a wrapper.

--- a/crates/poplargap-forward/src/body_read.rs
+++ b/crates/poplargap-forward/src/body_read.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     displaydoc::Display,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http_body_util::{BodyExt, Limited},
     hyper::body::{Body, Incoming},
     std::error::Error,
     tokio::time::{Instant, timeout_at},
@@ -13,7 +13,7 @@
 #[derive(Debug, Display)]
 pub(crate) enum BodyProblem {
     /// the body broke off: {0}
-    Broken(Box<dyn Error + Send + Sync>),
+    Broken(hyper::Error),
     /// the body is too long
     TooLong,
     /// the body didn't come in time
@@ -34,8 +34,11 @@
     let limited = Limited::new(body, bytes_max);
     match timeout_at(end, limited.collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyProblem::TooLong),
-        Ok(Err(error)) => Err(BodyProblem::Broken(error)),
+        Ok(Err(error)) => Err(match error.downcast() {
+            Ok(error) => BodyProblem::Broken(*error),
+            // The limit's own error is the only other one.
+            Err(_) => BodyProblem::TooLong,
+        }),
         Err(_) => Err(BodyProblem::TooSlow),
     }
 }
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -51,8 +51,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error after a pause; the next call tries again.
+    /// Returns an error, after a pause if it came soon; the next call tries again.
     pub(super) async fn read(&mut self) -> Result<FeedNews, StoreError> {
+        let began = self.context.clock.now();
         let read = match self.after {
             None => self.list().await,
             Some(after) => self.watch(after).await,
@@ -70,13 +71,14 @@
                 Ok(news)
             }
             Err(error) => {
-                self.fail(&error).await;
+                self.fail(&error, now.since(began)).await;
                 Err(error)
             }
         }
     }
 
-    async fn fail(&mut self, error: &StoreError) {
+    /// Notes a failed read that took `time`, and waits before the next one.
+    async fn fail(&mut self, error: &StoreError, time: Duration) {
         if matches!(error, StoreError::Compacted(_)) {
             info!(self.context.log, "store's history is gone; listing again"; "watched" => &self.watched);
             self.after = None;
@@ -87,7 +89,7 @@
                 "revision" => self.after.map(|after| after.0), "error" => %error);
         }
         let pause = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
-        sleep(pause).await;
+        sleep(pause.saturating_sub(time)).await;
     }
 
     /// Lists everything; the watch starts at the first page's revision.
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -10,7 +10,7 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        HeaderMap, Request, Response, Uri, Version,
+        Request, Response, Uri, Version,
         body::{Body, Incoming},
         client::conn::http1::SendRequest,
         http::response,
@@ -176,11 +176,3 @@
         sender,
     })
 }
-
-/// Returns the headers of a reply for the caller.
-pub(crate) fn reply_headers<D: WireDialect>(
-    state: &FrontState<D>,
-    headers: HeaderMap,
-) -> HeaderMap {
-    state.dialect.write_reply(headers)
-}
--- a/crates/poplargap-forward/src/settle.rs
+++ b/crates/poplargap-forward/src/settle.rs
@@ -10,7 +10,7 @@
         own_answer::NO_ROOM_WAIT,
         relay::{CallRelay, RelayEnd, RelayReply},
         relay_body::{CHUNKS_MAX, RelayBody},
-        send::{OpenReply, reply_headers},
+        send::OpenReply,
         stream_relay::relay_stream,
     },
     bytes::Bytes,
@@ -77,7 +77,7 @@
     mut parts: response::Parts,
     body: Bytes,
 ) -> Response<RelayBody> {
-    parts.headers = reply_headers(&relay.state, parts.headers);
+    parts.headers = relay.state.dialect.write_reply(parts.headers);
     if relay.call.call.method != hyper::Method::HEAD {
         parts.headers.remove(CONTENT_LENGTH);
     }
@@ -87,7 +87,7 @@
 fn begin_stream<D: WireDialect>(relay: CallRelay<D>, reply: OpenReply<D>) -> Response<RelayBody> {
     let mut response = Response::new(RelayBody::Done);
     *response.status_mut() = reply.parts.status;
-    *response.headers_mut() = reply_headers(&relay.state, reply.parts.headers.clone());
+    *response.headers_mut() = relay.state.dialect.write_reply(reply.parts.headers.clone());
     // A stream that goes on elsewhere may differ in length.
     response.headers_mut().remove(CONTENT_LENGTH);
     let (sender, receiver) = mpsc::channel(CHUNKS_MAX);
--- a/crates/poplargapd/src/platform_run.rs
+++ b/crates/poplargapd/src/platform_run.rs
@@ -22,9 +22,6 @@
     },
 };
 
-/// Longest time of one call to the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Time for the last lines of the log to be written.
 const LOG_FLUSH: Duration = Duration::from_millis(20);
 
@@ -55,7 +52,7 @@
 }
 
 async fn serve_until_signal(settings: BootSettings, path: &Path, log: Logger) -> ExitCode {
-    let store = StoreClient::new(settings.store, STORE_TIMEOUT);
+    let store = StoreClient::new(settings.store, settings.store_timeout);
     let store = match store {
         Ok(store) => store,
         Err(problem) => {
