--- a/crates/poplargapd/src/platform_run.rs
+++ b/crates/poplargapd/src/platform_run.rs
@@ -14,6 +14,8 @@
         env,
         path::{Path, PathBuf},
         process::ExitCode,
+        sync::mpsc,
+        thread,
         time::Duration,
     },
     tokio::{
@@ -22,8 +24,8 @@
     },
 };
 
-/// Time for the last lines of the log to be written.
-const LOG_FLUSH: Duration = Duration::from_millis(20);
+/// Longest time for the last lines of the log to be written.
+const LOG_CLOSE_MAX: Duration = Duration::from_millis(200);
 
 /// Serves until the platform ends the process.
 pub(crate) fn serve() -> ExitCode {
@@ -47,10 +49,23 @@
     };
     let log = log::create_output(Level::Info).new(o!("vm" => settings.name.clone()));
     let code = runtime.block_on(serve_until_signal(settings, &path, log.clone()));
-    std::thread::sleep(LOG_FLUSH);
+    drop(runtime);
+    close_log(log);
     code
 }
 
+/// Lets the log write its last lines, unless nobody reads them.
+fn close_log(log: Logger) {
+    let (sender, closed) = mpsc::channel();
+    thread::spawn(move || {
+        drop(log);
+        sender.send(())
+    });
+    if let Err(problem) = closed.recv_timeout(LOG_CLOSE_MAX) {
+        eprintln!("poplargapd: the log's last lines aren't written: {problem}");
+    }
+}
+
 async fn serve_until_signal(settings: BootSettings, path: &Path, log: Logger) -> ExitCode {
     let store = StoreClient::new(settings.store, settings.store_timeout);
     let store = match store {
