Name a replica to fetch a prompt from with every request that has shared parts

Change: prompt_source chooses the replica that recently got the prompt, first in the chosen one's data centre, else the first other one in the rendezvous order, draining replicas included, failing and cut-off ones excluded.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -11,10 +11,12 @@
 mod close_plan;
 mod event_cursor;
 mod feed_state;
+mod load_bound;
 mod peer_view;
 mod pending_reports;
 mod prompt_part;
 mod prompt_rates;
+mod prompt_source;
 mod replica_entry;
 mod replica_load;
 mod replica_registry;
@@ -37,6 +39,7 @@
     pending_reports::{LoadDigest, PeerReport, PendingReports},
     prompt_part::{PromptPart, placement_key, shared_tokens},
     prompt_rates::PromptRates,
+    prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
--- a/crates/poplargap-core/src/forward/cached_replicas.rs
+++ b/crates/poplargap-core/src/forward/cached_replicas.rs
@@ -32,7 +32,7 @@
 
 /// A replica that has a prompt's shared parts in its cache.
 #[derive(Clone, Debug)]
-struct CachedReplica {
+pub(super) struct CachedReplica {
     started_ms: u64,
     replica: ReplicaId,
     announced: Option<MonotonicInstant>,
@@ -43,6 +43,16 @@
     fn is_current(&self, now: MonotonicInstant) -> bool {
         now.since(self.used) < CACHE_TTL
     }
+
+    /// Returns whether this is `replica` since its last start.
+    pub(super) fn is_at(&self, replica: &ReplicaEntry) -> bool {
+        self.started_ms == replica.started_ms && self.replica == replica.id
+    }
+
+    /// Returns the time of the last use.
+    pub(super) fn used(&self) -> MonotonicInstant {
+        self.used
+    }
 }
 
 /// The replicas that probably have each prompt cached, from this daemon's own requests and from
@@ -82,12 +92,17 @@
     /// Returns whether `replica` probably still has the prompt `key` in its cache.
     #[must_use]
     pub fn is_cached(&self, key: u64, replica: &ReplicaEntry, now: MonotonicInstant) -> bool {
-        let entries = self.prompts.get(&key);
-        entries.into_iter().flatten().any(|cached| {
-            cached.replica == replica.id
-                && cached.started_ms == replica.started_ms
-                && cached.is_current(now)
-        })
+        self.holders(key, now).any(|cached| cached.is_at(replica))
+    }
+
+    /// Returns the replicas that probably still have the prompt `key` in their caches.
+    pub(super) fn holders(
+        &self,
+        key: u64,
+        now: MonotonicInstant,
+    ) -> impl Iterator<Item = &CachedReplica> {
+        let entries = self.prompts.get(&key).into_iter().flatten();
+        entries.filter(move |cached| cached.is_current(now))
     }
 
     /// Takes the entries that haven't been sent to the peers yet.
--- a/crates/poplargap-core/src/forward/centre_health.rs
+++ b/crates/poplargap-core/src/forward/centre_health.rs
@@ -47,6 +47,12 @@
         self.unreachable_until.take().is_some()
     }
 
+    /// Returns whether the data centre was unreachable and hasn't replied since.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.unreachable_until.is_some()
+    }
+
     /// Returns whether the data centre is considered unreachable at `now`.
     #[must_use]
     pub fn is_unreachable(&self, now: MonotonicInstant) -> bool {
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -27,6 +27,7 @@
 /// The replicas that accept requests, by service and by id.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaView {
+    draining: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>>,
     ids: HashMap<ReplicaId, Arc<ReplicaEntry>>,
     services: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>>,
 }
@@ -38,6 +39,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the replicas of a service that finish their open requests and take no new ones.
+    #[must_use]
+    pub fn draining(&self, service: &str) -> &[Arc<ReplicaEntry>] {
+        self.draining.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the replica with an id.
     #[must_use]
     pub fn replica(&self, id: &str) -> Option<&Arc<ReplicaEntry>> {
@@ -183,12 +190,26 @@
         let all = services.values().flatten();
         let ids = all.map(|entry| (Arc::clone(&entry.id), Arc::clone(entry)));
         ReplicaView {
+            draining: self.draining(),
             ids: ids.collect(),
             services,
         }
     }
 }
 
+impl ReplicaRegistry {
+    /// Returns the draining replicas by service.
+    fn draining(&self) -> HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> {
+        let mut draining: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> = HashMap::default();
+        let entries = self.records.values().map(|record| &record.entry);
+        for entry in entries.filter(|entry| entry.state == ReplicaState::Draining) {
+            let service = Arc::clone(&entry.service);
+            draining.entry(service).or_default().push(Arc::clone(entry));
+        }
+        draining
+    }
+}
+
 /// The replicas of one service whose last registered state is ready.
 #[derive(Debug, Default)]
 struct ServiceRecords<'a> {
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -2,6 +2,7 @@
     super::{
         CachedReplicas, CentreHealth, LoadDigest, LoadReport, PendingReports, PromptRates,
         ReplicaEntry, ReplicaId, ReplicaLoad, ReportSource, SendOutcome,
+        cached_replicas::CachedReplica,
     },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
@@ -65,6 +66,15 @@
         self.cached_replicas.is_cached(key, replica, now)
     }
 
+    /// Returns the replicas that probably still have the prompt `key` in their caches.
+    pub(super) fn holders(
+        &self,
+        key: u64,
+        now: MonotonicInstant,
+    ) -> impl Iterator<Item = &CachedReplica> {
+        self.cached_replicas.holders(key, now)
+    }
+
     /// Returns the share of the prompt `key` among this daemon's recent requests, from 0 to 1.
     #[must_use]
     pub fn prompt_share(&self, key: u64) -> f64 {
@@ -133,6 +143,14 @@
             || centre.is_some_and(|centre| centre.is_unreachable(now))
     }
 
+    /// Returns whether the last that is known of a replica or of its data centre is a failure.
+    #[must_use]
+    pub fn is_doubtful(&self, replica: &ReplicaEntry) -> bool {
+        let load = self.loads.get(&replica.id);
+        let centre = self.centres.get(&replica.data_centre);
+        load.is_some_and(|load| load.failures > 0) || centre.is_some_and(CentreHealth::is_suspect)
+    }
+
     /// Records a valid reply of a replica.
     pub fn record_success(&mut self, replica: &ReplicaEntry) -> HealthChange {
         let centre = self.centres.get_mut(&replica.data_centre);
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod close;
 mod events;
+mod prompt_source;
 mod registry;
 mod routes;
 mod sharing;
--- a/crates/poplargap-forward/src/call_head.rs
+++ b/crates/poplargap-forward/src/call_head.rs
@@ -3,7 +3,7 @@
 use {
     displaydoc::Display,
     poplargap_core::forward::{LoadReport, PromptPart},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// The contents of a request's head.
@@ -45,6 +45,8 @@
     pub last_event: Option<u64>,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Address of another replica that probably has the prompt's prefix cached.
+    pub prompt_source: Option<SocketAddr>,
     /// Id of the intended replica; another replica at the same address refuses the request.
     pub replica: &'a str,
     /// Name of the caller's workspace.
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -116,6 +116,7 @@
             total,
         );
         let placement = self.placement.as_ref();
+        let source = placement.and_then(|placement| placement.source.as_ref());
         info!(self.log, "request finished";
             "request" => &self.id,
             "outcome" => outcome,
@@ -133,6 +134,8 @@
             "candidates" => placement.map(|placement| placement.candidates),
             "placed-by" => placement.map(|placement| <&str>::from(placement.placed_by)),
             "rank" => placement.and_then(|placement| placement.rank),
+            "source" => source.map(|source| source.replica.id.as_ref()),
+            "source-by" => source.map(|source| <&str>::from(source.basis)),
             "load-age-ms" => placement.and_then(|placement| placement.report_age).map(millis),
             "load-from" => placement.and_then(|placement| placement.report_source).map(<&str>::from),
             "sends" => self.sends,
--- a/crates/poplargap-forward/src/call_stage.rs
+++ b/crates/poplargap-forward/src/call_stage.rs
@@ -4,7 +4,7 @@
     crate::CallHead,
     bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
-    poplargap_core::forward::{PlacedBy, ReplicaId, ReportSource, RouteGrant},
+    poplargap_core::forward::{PlacedBy, PromptSource, ReplicaId, ReportSource, RouteGrant},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -78,4 +78,6 @@
     pub(crate) report_source: Option<ReportSource>,
     /// Estimated requests at the replica.
     pub(crate) requests: f64,
+    /// The replica from which the chosen one may fetch the prompt's prefix.
+    pub(crate) source: Option<PromptSource>,
 }
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -20,6 +20,7 @@
     connections: IntCounterVec,
     first_byte: HistogramVec,
     peer_messages: IntCounterVec,
+    prompt_sources: IntCounterVec,
     registry: Registry,
     store_reads: IntCounterVec,
     total: HistogramVec,
@@ -70,6 +71,11 @@
                 "Datagrams between daemons by what became of them",
                 &["outcome"],
             )?,
+            prompt_sources: counter(
+                "poplargap_prompt_sources_total",
+                "Sends that name a replica to fetch the prompt from, by how it was chosen",
+                &["service", "basis"],
+            )?,
             store_reads: counter(
                 "poplargap_store_reads_total",
                 "Reads of the store by their outcome",
@@ -117,6 +123,12 @@
         self.peer_messages.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn record_prompt_source(&self, service: &str, basis: &str) {
+        self.prompt_sources
+            .with_label_values(&[service, basis])
+            .inc();
+    }
+
     pub(crate) fn record_store_read(&self, outcome: &str) {
         self.store_reads.with_label_values(&[outcome]).inc();
     }
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -10,7 +10,10 @@
         forward::{ReplicaEntry, ReplicaTracker, ReplicaView, RouteTable, ServiceBudget},
     },
     slog::Logger,
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    },
     tokio::sync::watch,
 };
 
@@ -62,13 +65,20 @@
 #[derive(Debug)]
 pub(crate) struct PlacedCall<D> {
     pub(crate) replica: Arc<ReplicaEntry>,
+    /// Address of the replica from which this one may fetch the prompt's prefix.
+    pub(crate) prompt_source: Option<SocketAddr>,
     state: Arc<FrontState<D>>,
 }
 
 impl<D> PlacedCall<D> {
-    pub(crate) fn new(state: &Arc<FrontState<D>>, replica: Arc<ReplicaEntry>) -> Self {
+    pub(crate) fn new(
+        state: &Arc<FrontState<D>>,
+        replica: Arc<ReplicaEntry>,
+        prompt_source: Option<SocketAddr>,
+    ) -> Self {
         state.tracker().begin(&replica);
         Self {
+            prompt_source,
             replica,
             state: Arc::clone(state),
         }
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -6,7 +6,8 @@
         front_state::{FrontState, PlacedCall},
     },
     poplargap_core::forward::{
-        ChoiceRequest, ReplicaId, ReplicaLoad, choose_replica, shared_tokens,
+        ChoiceRequest, ReplicaId, ReplicaLoad, SourceRequest, choose_replica, choose_source,
+        shared_tokens,
     },
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64,
@@ -39,6 +40,16 @@
             tracker.record_prompt(key, now);
         }
         let choice = choose_replica(replicas, &tracker, &request)?;
+        let source = call.placement_key.and_then(|key| {
+            let request = SourceRequest {
+                chosen: &choice.replica,
+                draining: view.draining(&call.service),
+                key,
+                now,
+                replicas,
+            };
+            choose_source(&tracker, &request)
+        });
         let load = tracker.load(&choice.replica.id);
         let placement = PlacementRecord {
             candidates: replicas.len(),
@@ -50,11 +61,17 @@
             report_age: load.and_then(|load| load.report_age(now)),
             report_source: load.and_then(ReplicaLoad::report_source),
             requests: choice.requests,
+            source,
         };
         if let Some(key) = call.placement_key {
             tracker.record_cached(key, &choice.replica, now);
         }
         (choice, placement)
     };
-    Some((PlacedCall::new(state, choice.replica), placement))
+    let source = placement.source.as_ref().map(|source| {
+        let basis: &'static str = source.basis.into();
+        state.metrics.record_prompt_source(&call.service, basis);
+        source.replica.address
+    });
+    Some((PlacedCall::new(state, choice.replica, source), placement))
 }
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -46,7 +46,7 @@
     let replica = &placed.replica;
     let mut connection = connect(state, replica, at_most_once).await?;
     let response = loop {
-        let request = build_request(state, call, replica, last_event);
+        let request = build_request(state, call, &placed, last_event);
         let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
         match sent {
             Ok(Ok(response)) => break response,
@@ -114,7 +114,7 @@
 fn build_request<D: WireDialect>(
     state: &FrontState<D>,
     call: &AdmittedCall,
-    replica: &ReplicaEntry,
+    placed: &PlacedCall<D>,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let received = &call.received;
@@ -122,7 +122,8 @@
         deadline: call.time_left(),
         last_event: last_event.or(received.head.last_event),
         priority: call.priority(),
-        replica: &replica.id,
+        prompt_source: placed.prompt_source,
+        replica: &placed.replica.id,
         workspace: call.workspace(),
     };
     let mut request = Request::new(Full::new(received.body.clone()));
