Hold requests of a starting daemon until it has read its routes

Ruled out: the start of the process (0.1 s on VMs with fast links) and the store's paced answers (one read each).

Change: a request that arrives in the first 3 s of a process without routes waits for them, at most 1 s and half of its time; at most 512 wait. Routes are published after the replicas. The store's client bounds the pieces of an answer instead of the whole: a configuration of 1 MB over 10 Mbit/s took longer than the timeout and was never read; an answer is bounded at 16 MiB.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -9,6 +9,7 @@
 mod choice_rule;
 mod client_limits;
 mod close_plan;
+mod cold_start;
 mod event_cursor;
 mod feed_state;
 mod load_bound;
@@ -33,6 +34,7 @@
     choice_rule::{ChoiceRequest, PlacedBy, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
+    cold_start::{ColdStart, hold_time},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     peer_view::{PeerEntry, PeerView},
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod cached_replicas;
 mod choice;
 mod close;
+mod cold_start;
 mod events;
 mod prompt_source;
 mod registry;
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -5,6 +5,7 @@
         WireDialect,
         admit::admit,
         front_state::FrontState,
+        hold::hold,
         identify::identify,
         relay::{CallRelay, RelayEnd},
         relay_body::RelayBody,
@@ -163,7 +164,7 @@
     let started_at = Instant::now();
     let mut response = match identify(state, request, started_at).await {
         Err(unread) => respond_unread(state, &unread),
-        Ok(call) => match admit(state, call) {
+        Ok(call) => match admit(state, hold(state, call).await) {
             Err(refused) => respond_refused(state, &refused),
             Ok(call) => {
                 let deadline = call.deadline + DEADLINE_SLACK;
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -45,11 +45,13 @@
         tokio::select! {
             read = follower.read() => match read {
                 Ok(update) => {
-                    routes.apply(&update);
                     replicas.apply(&update);
+                    replicas.publish();
                     if let Some(peers) = &mut peers {
                         peers.apply(&update);
                     }
+                    // Requests that are held for the routes need the replicas, too.
+                    routes.apply(&update);
                 }
                 Err(_) => replicas.record_store_failure(),
             },
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -98,6 +98,7 @@
             close: CloseSignal::new(),
             connections: ConnectionPool::new(clock, log.clone()),
             dialect,
+            held: 0.into(),
             open_connections: 0.into(),
             log: log.clone(),
             metrics,
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -28,6 +28,8 @@
     pub(crate) close: CloseSignal,
     pub(crate) connections: ConnectionPool,
     pub(crate) dialect: D,
+    /// Number of requests that wait for the first routes.
+    pub(crate) held: AtomicUsize,
     pub(crate) open_connections: AtomicUsize,
     pub(crate) log: Logger,
     pub(crate) metrics: FrontMetrics,
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod front_proxy;
 mod front_settings;
 mod front_state;
+mod hold;
 mod identify;
 mod local_answer;
 mod peers;
--- a/crates/poplargap-store/src/http_pool.rs
+++ b/crates/poplargap-store/src/http_pool.rs
@@ -2,11 +2,17 @@
 
 use {
     crate::{StoreCounters, StoreError},
-    bytes::Bytes,
-    reqwest::{Client, RequestBuilder, StatusCode, header::ETAG, redirect::Policy, retry},
+    bytes::{Bytes, BytesMut},
+    displaydoc::Display,
+    reqwest::{
+        Client, RequestBuilder, Response, StatusCode, header::ETAG, redirect::Policy, retry,
+    },
     serde::de::DeserializeOwned,
     std::{error::Error, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    tokio::{
+        sync::watch,
+        time::{error::Elapsed, timeout},
+    },
 };
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -17,6 +23,12 @@
 /// Unanswered keep-alive probes after which a connection is closed.
 const KEEPALIVE_PROBES_MAX: u32 = 2;
 
+/// Longest body of an answer in bytes.
+const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Multiple of the timeout within which the body of an answer must have arrived.
+const BODY_TIMEOUTS_MAX: u32 = 4;
+
 /// A complete HTTP answer.
 #[derive(Debug)]
 pub struct HttpAnswer {
@@ -39,6 +51,29 @@
     }
 }
 
+/// Why an answer couldn't be read.
+#[derive(Debug, Display)]
+enum ExchangeError {
+    /// the connection failed: {0}
+    Http(reqwest::Error),
+    /// the answer didn't arrive in time
+    TimedOut,
+    /// the answer is too long
+    TooLong,
+}
+
+impl From<reqwest::Error> for ExchangeError {
+    fn from(error: reqwest::Error) -> Self {
+        Self::Http(error)
+    }
+}
+
+impl From<Elapsed> for ExchangeError {
+    fn from(_: Elapsed) -> Self {
+        Self::TimedOut
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PooledClient {
     client: Client,
@@ -96,7 +131,11 @@
         format!("http://{}{path}", self.address)
     }
 
-    /// Sends a request and reads the answer; `wait` is added to the timeout, for long polling.
+    /// Sends a request and reads the answer.
+    ///
+    /// The head must arrive within the timeout, to which `wait` is added for long polling. Each
+    /// further piece of the body must arrive within the timeout, too, and the whole body within a
+    /// multiple of it: a long answer over a slow link isn't mistaken for a dead connection.
     ///
     /// # Errors
     ///
@@ -109,25 +148,55 @@
     ) -> Result<HttpAnswer, StoreError> {
         let pooled = self.client.borrow().clone();
         let request = request(&pooled.client)
-            .timeout(wait.saturating_add(self.timeout))
             .build()
             .map_err(|error| StoreError::NotSent(error_with_causes(&error)))?;
         let sent = request_len(&request);
-        let result = exchange(&pooled.client, request).await;
+        let result = self.exchange(&pooled.client, request, wait).await;
         let received = result.as_ref().map_or(0, |answer| answer.body.len());
         self.counters.bytes.add_exchange(self.kind, sent, received);
         match result {
             Ok(answer) => Ok(answer),
-            Err(error) if error.is_connect() => Err(StoreError::NotSent(error_with_causes(&error))),
-            Err(error) => {
-                if error.is_timeout() {
-                    self.replace_client(pooled.generation);
-                }
-                Err(StoreError::NoAnswer(error_with_causes(&error)))
+            Err(ExchangeError::Http(error)) if error.is_connect() => {
+                Err(StoreError::NotSent(error_with_causes(&error)))
+            }
+            Err(ExchangeError::Http(error)) => Err(StoreError::NoAnswer(error_with_causes(&error))),
+            Err(error @ (ExchangeError::TimedOut | ExchangeError::TooLong)) => {
+                self.replace_client(pooled.generation);
+                Err(StoreError::NoAnswer(error.to_string()))
             }
         }
     }
 
+    async fn exchange(
+        &self,
+        client: &Client,
+        request: reqwest::Request,
+        wait: Duration,
+    ) -> Result<HttpAnswer, ExchangeError> {
+        let head = timeout(wait.saturating_add(self.timeout), client.execute(request));
+        let response = head.await??;
+        let status = response.status();
+        let tag = response.headers().get(ETAG);
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let body = timeout(self.timeout * BODY_TIMEOUTS_MAX, self.read_body(response));
+        let body = body.await??;
+        Ok(HttpAnswer { body, status, tag })
+    }
+
+    async fn read_body(&self, mut response: Response) -> Result<Bytes, ExchangeError> {
+        let mut body = BytesMut::new();
+        loop {
+            let chunk = timeout(self.timeout, response.chunk()).await;
+            let Some(chunk) = chunk?? else {
+                return Ok(body.freeze());
+            };
+            if body.len() + chunk.len() > BODY_BYTES_MAX {
+                return Err(ExchangeError::TooLong);
+            }
+            body.extend_from_slice(&chunk);
+        }
+    }
+
     fn replace_client(&self, generation: u64) {
         let Ok(client) = build_client(self.timeout) else {
             return;
@@ -153,15 +222,6 @@
     url.path().len() + url.query().map_or(0, str::len) + body.map_or(0, <[u8]>::len)
 }
 
-async fn exchange(client: &Client, request: reqwest::Request) -> reqwest::Result<HttpAnswer> {
-    let response = client.execute(request).await?;
-    let status = response.status();
-    let tag = response.headers().get(ETAG);
-    let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
-    let body = response.bytes().await?;
-    Ok(HttpAnswer { body, status, tag })
-}
-
 /// Builds a client whose connect timeout is shorter than that of the whole call.
 ///
 /// Otherwise a failed connection attempt couldn't be distinguished from a request that was sent.
