Bound every reader of a replica's bytes, and move streams that fall silent

Cause: a replica in trouble may send bytes without end. A call's body could take the whole deadline, a stream of comments or a silent one was relayed until the route's timeout, and interim responses weren't counted. Streams at replicas behind a cut hung until TCP gave up after 3 s.

Change: stream_watch decides when a stream without events resumes (1.2 s, four longest pauses), is given up or has sent too much; a call's body leaves time for a retry; at most 16 interim responses; events up to 256 KiB, bodies up to 4 MiB. The stand-in replica sends eleven kinds of endless bytes; of the 16 tests 4 failed against the code before.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -26,6 +26,7 @@
 mod route_table;
 mod send_outcome;
 mod service_budget;
+mod stream_watch;
 
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
@@ -50,4 +51,5 @@
     route_table::{AccessRefusal, RouteGrant, RouteTable},
     send_outcome::SendOutcome,
     service_budget::ServiceBudget,
+    stream_watch::{EventlessError, StallStep, StreamWatch},
 };
--- a/crates/poplargap-core/src/forward/cached_replicas.rs
+++ b/crates/poplargap-core/src/forward/cached_replicas.rs
@@ -44,6 +44,11 @@
         now.since(self.used) < CACHE_TTL
     }
 
+    /// Returns the replica's id.
+    pub(super) fn id(&self) -> &str {
+        &self.replica
+    }
+
     /// Returns whether this is `replica` since its last start.
     pub(super) fn is_at(&self, replica: &ReplicaEntry) -> bool {
         self.started_ms == replica.started_ms && self.replica == replica.id
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,7 +1,10 @@
 use {
-    super::{ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker, load_bound::LoadBound},
+    super::{
+        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker, cached_replicas::CachedReplica,
+        load_bound::LoadBound,
+    },
     crate::instant::MonotonicInstant,
-    std::{cmp::Reverse, sync::Arc},
+    std::{cmp::Ordering, collections::BinaryHeap, sync::Arc},
     strum::IntoStaticStr,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
@@ -74,6 +77,8 @@
     has_prefix: bool,
     /// Weight of the replica's load report in the estimate, from 0 to 1.
     confidence: f64,
+    /// Whether it is ejected or in an unreachable data centre.
+    is_unavailable: bool,
     requests: f64,
 }
 
@@ -93,7 +98,7 @@
 ) -> Option<ReplicaChoice> {
     let all = candidates(replicas, tracker, request);
     let mean = mean_requests(&all);
-    let eligible = eligible(&all, tracker, request);
+    let eligible = eligible(&all, request);
     let by_prompt = request.key.and_then(|key| {
         let bound = LoadBound::at(mean_confidence(&all));
         let bound = bound.requests(mean, request.shared_tokens);
@@ -132,10 +137,13 @@
     request: &ChoiceRequest<'_>,
 ) -> Vec<Candidate<'a>> {
     let now = request.now;
-    let has_prefix = |entry: &ReplicaEntry| {
-        let key = request.key;
-        key.is_some_and(|key| tracker.is_cached(key, entry, now))
-    };
+    let holders: Vec<&CachedReplica> = request
+        .key
+        .into_iter()
+        .flat_map(|key| tracker.holders(key, now))
+        .collect();
+    let has_prefix = |entry: &ReplicaEntry| holders.iter().any(|cached| cached.is_at(entry));
+    let centres = tracker.unreachable_centres(now);
     let loads: Vec<Option<&ReplicaLoad>> = replicas
         .iter()
         .map(|entry| tracker.load(&entry.id))
@@ -157,6 +165,8 @@
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
             has_prefix: has_prefix(entry),
             confidence: load.map_or(0.0, |load| load.report_weight(now)),
+            is_unavailable: load.is_some_and(|load| load.is_ejected(now))
+                || centres.contains(&entry.data_centre.as_ref()),
             requests: estimate(load),
         })
         .collect()
@@ -176,21 +186,15 @@
 /// Returns the replicas that weren't tried, without the unavailable ones unless all are.
 ///
 /// If the request prefers its own data centre, replicas elsewhere are used only if it has none.
-fn eligible<'a>(
-    all: &[Candidate<'a>],
-    tracker: &ReplicaTracker,
-    request: &ChoiceRequest<'_>,
-) -> Vec<Candidate<'a>> {
+fn eligible<'a>(all: &[Candidate<'a>], request: &ChoiceRequest<'_>) -> Vec<Candidate<'a>> {
     let untried: Vec<Candidate<'a>> = all
         .iter()
         .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
         .copied()
         .collect();
-    let is_unhealthy =
-        |candidate: &Candidate<'_>| tracker.is_unavailable(candidate.entry, request.now);
     let healthy: Vec<Candidate<'a>> = untried
         .iter()
-        .filter(|candidate| !is_unhealthy(candidate))
+        .filter(|candidate| !candidate.is_unavailable)
         .copied()
         .collect();
     let usable = if healthy.is_empty() { untried } else { healthy };
@@ -248,26 +252,62 @@
     let fits = |candidate: &Candidate<'_>| {
         candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
     };
-    let ranked = ranked(candidates, key);
-    let (mut order, others): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
-        .partition(|(_, candidate)| candidate.has_prefix);
-    order.extend(others);
+    let mut order: BinaryHeap<RankedCandidate<'a, 'b>> = candidates
+        .iter()
+        .map(|candidate| RankedCandidate::new(candidate, key))
+        .collect();
     let start = (request_hash % replica_count) as usize;
-    order.rotate_left(start.min(candidates.len()));
-    order.into_iter().find(|(_, candidate)| fits(candidate))
+    let skipped: Vec<_> = (0..start).map_while(|_| order.pop()).collect();
+    let rest = std::iter::from_fn(|| order.pop());
+    let chosen = rest.chain(skipped).find(|ranked| fits(ranked.candidate))?;
+    let is_ahead = |candidate: &&Candidate<'_>| order_score(candidate, key) > chosen.score;
+    let rank = candidates.iter().filter(is_ahead).count();
+    Some((rank, chosen.candidate))
 }
 
-/// Returns the candidates in rendezvous order of `key`, with their positions.
-fn ranked<'a, 'b>(candidates: &'b [Candidate<'a>], key: u64) -> Vec<(usize, &'b Candidate<'a>)> {
-    let score = |candidate: &Candidate<'a>| xxh3_64_with_seed(candidate.entry.id.as_bytes(), key);
-    let mut ranked: Vec<(u64, &Candidate<'a>)> = candidates
-        .iter()
-        .map(|candidate| (score(candidate), candidate))
-        .collect();
-    ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    let candidates = ranked.into_iter().map(|(_, candidate)| candidate);
-    candidates.enumerate().collect()
+/// Returns the candidate's score in the rendezvous order of `key`; the highest one is first.
+fn order_score(candidate: &Candidate<'_>, key: u64) -> u64 {
+    xxh3_64_with_seed(candidate.entry.id.as_bytes(), key)
+}
+
+/// A candidate in the order in which a prompt tries replicas: those that have it cached first.
+#[derive(Clone, Copy, Debug)]
+struct RankedCandidate<'a, 'b> {
+    candidate: &'b Candidate<'a>,
+    score: u64,
+}
+
+impl<'a, 'b> RankedCandidate<'a, 'b> {
+    fn new(candidate: &'b Candidate<'a>, key: u64) -> Self {
+        Self {
+            candidate,
+            score: order_score(candidate, key),
+        }
+    }
+
+    fn position(&self) -> (bool, u64) {
+        (self.candidate.has_prefix, self.score)
+    }
+}
+
+impl Eq for RankedCandidate<'_, '_> {}
+
+impl Ord for RankedCandidate<'_, '_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.position().cmp(&other.position())
+    }
+}
+
+impl PartialEq for RankedCandidate<'_, '_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.position() == other.position()
+    }
+}
+
+impl PartialOrd for RankedCandidate<'_, '_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
 }
 
 fn by_load<'a, 'b>(
--- a/crates/poplargap-core/src/forward/event_cursor.rs
+++ b/crates/poplargap-core/src/forward/event_cursor.rs
@@ -5,17 +5,18 @@
 };
 
 /// Most bytes of one incomplete event.
-const EVENT_BYTES_MAX: usize = 1024 * 1024;
+const EVENT_BYTES_MAX: usize = 256 * 1024;
 
 const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data";
 
 /// An error in an event stream.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum CursorError {
     /// an event came out of order
     OutOfOrder,
-    /// an event is longer than 1 MiB
+    /// an event is longer than 256 KiB
     TooLong,
 }
 
@@ -27,6 +28,7 @@
 /// another replica after the last whole event.
 #[derive(Debug, Default)]
 pub struct EventCursor {
+    event_count: u64,
     last_id: Option<u64>,
     rest: BytesMut,
 }
@@ -36,11 +38,18 @@
     #[must_use]
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
+            event_count: 0,
             last_id,
             rest: BytesMut::new(),
         }
     }
 
+    /// Returns the number of whole events with data so far; comments and blank lines are none.
+    #[must_use]
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Returns the id of the last whole event.
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
@@ -93,6 +102,7 @@
         while let Some(len) = memmem::find(&events[start..], EVENT_END) {
             let event = &events[start..start + len];
             start += len + EVENT_END.len();
+            self.event_count += u64::from(has_data(event));
             let Some(id) = event_id(event) else {
                 continue;
             };
@@ -105,6 +115,12 @@
     }
 }
 
+/// Returns whether an event has a data field.
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(DATA_FIELD))
+}
+
 /// Returns the value of an event's `id` field, if it is a number.
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event
--- a/crates/poplargap-core/src/forward/load_bound.rs
+++ b/crates/poplargap-core/src/forward/load_bound.rs
@@ -18,7 +18,7 @@
 
 /// Bound of a daemon with fresh load reports of all replicas.
 const REPORTED_BOUND: LoadBound = LoadBound {
-    long_factor: 1.9,
+    long_factor: 1.4,
     short_factor: 1.1,
     slack: 2.0,
 };
--- a/crates/poplargap-core/src/forward/prompt_source.rs
+++ b/crates/poplargap-core/src/forward/prompt_source.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ReplicaEntry, ReplicaTracker},
+    super::{ReplicaEntry, ReplicaTracker, ReplicaView, cached_replicas::CachedReplica},
     crate::instant::MonotonicInstant,
     std::sync::Arc,
     strum::IntoStaticStr,
@@ -11,14 +11,12 @@
 pub struct SourceRequest<'a> {
     /// The replica that runs the request.
     pub chosen: &'a ReplicaEntry,
-    /// Replicas of the same weights that take no new requests.
-    pub draining: &'a [Arc<ReplicaEntry>],
     /// Key of the prompt's shared parts.
     pub key: u64,
     /// The current time.
     pub now: MonotonicInstant,
-    /// The replicas that take requests.
-    pub replicas: &'a [Arc<ReplicaEntry>],
+    /// The registered replicas of all services.
+    pub view: &'a ReplicaView,
 }
 
 /// Why a replica is expected to have a prompt's prefix cached.
@@ -75,25 +73,43 @@
     tracker
         .holders(request.key, request.now)
         .filter_map(|cached| {
-            let replica = sources(request).find(|replica| cached.is_at(replica))?;
+            let replica = registered(request, cached)?;
             is_usable(tracker, request, replica).then_some((replica, cached.used()))
         })
         .max_by_key(|(replica, used)| (replica.data_centre == *centre, *used))
         .map(|(replica, _)| replica)
 }
 
+/// Returns the registered replica of a cache entry, unless it has restarted.
+fn registered<'a>(
+    request: &SourceRequest<'a>,
+    cached: &CachedReplica,
+) -> Option<&'a Arc<ReplicaEntry>> {
+    let service = &request.chosen.service;
+    let ready = request.view.replica(cached.id());
+    let mut all = ready.into_iter().chain(request.view.draining(service));
+    all.find(|replica| cached.is_at(replica) && replica.service == *service)
+}
+
 /// Returns the first usable replica in the prompt's rendezvous order.
 fn first_in_order<'a>(
     tracker: &ReplicaTracker,
     request: &SourceRequest<'a>,
 ) -> Option<&'a Arc<ReplicaEntry>> {
-    sources(request)
-        .filter(|replica| is_usable(tracker, request, replica))
-        .max_by_key(|replica| xxh3_64_with_seed(replica.id.as_bytes(), request.key))
-}
-
-fn sources<'a>(request: &SourceRequest<'a>) -> impl Iterator<Item = &'a Arc<ReplicaEntry>> {
-    request.replicas.iter().chain(request.draining)
+    let service = &request.chosen.service;
+    let ready = request.view.replicas(service);
+    let sources = ready.iter().chain(request.view.draining(service));
+    let first = sources.fold(None, |first, replica| {
+        let score = xxh3_64_with_seed(replica.id.as_bytes(), request.key);
+        let is_ahead = first.is_none_or(|(best, _)| score > best);
+        // Most replicas are behind the first one, so few are checked for failures.
+        if is_ahead && is_usable(tracker, request, replica) {
+            Some((score, replica))
+        } else {
+            first
+        }
+    });
+    first.map(|(_, replica)| replica)
 }
 
 fn is_usable(
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -134,6 +134,15 @@
         }
     }
 
+    /// Returns the data centres that are unreachable at `now`.
+    pub(super) fn unreachable_centres(&self, now: MonotonicInstant) -> Vec<&str> {
+        let centres = self.centres.iter();
+        centres
+            .filter(|(_, health)| health.is_unreachable(now))
+            .map(|(centre, _)| centre.as_ref())
+            .collect()
+    }
+
     /// Returns whether a replica is ejected or its data centre unreachable at `now`.
     #[must_use]
     pub fn is_unavailable(&self, replica: &ReplicaEntry, now: MonotonicInstant) -> bool {
--- a/crates/poplargap-core/src/forward/route_entry.rs
+++ b/crates/poplargap-core/src/forward/route_entry.rs
@@ -37,6 +37,8 @@
 pub struct RouteEntry {
     /// Whether replicas cache the requests' prompts.
     pub caches_prompts: bool,
+    /// Longest pause between two events of a stream; zero if none is set.
+    pub gap_target: Duration,
     /// Host name in lower case, without a port.
     pub host: String,
     /// Whether requests need no API key.
--- a/crates/poplargap-core/src/forward/service_budget.rs
+++ b/crates/poplargap-core/src/forward/service_budget.rs
@@ -38,11 +38,16 @@
 
     /// Takes a retry from the budget; returns `false` if it is exhausted.
     pub fn take_retry(&mut self, now: MonotonicInstant) -> bool {
-        let earned = self.requests.total(now) as f64 * self.ratio * DAEMON_RATIO_FACTOR;
-        if self.retries.total(now) >= earned as u64 + RETRIES_MIN {
-            return false;
+        let has_retry = self.has_retry(now);
+        if has_retry {
+            self.retries.record(1, now);
         }
-        self.retries.record(1, now);
-        true
+        has_retry
+    }
+
+    /// Returns whether a retry is left in the budget.
+    pub fn has_retry(&mut self, now: MonotonicInstant) -> bool {
+        let earned = self.requests.total(now) as f64 * self.ratio * DAEMON_RATIO_FACTOR;
+        self.retries.total(now) < earned as u64 + RETRIES_MIN
     }
 }
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod registry;
 mod routes;
 mod sharing;
+mod stream_watch;
 
 use {
     poplargap_core::{
--- a/crates/poplargap-core/tests/forward/prompt_source.rs
+++ b/crates/poplargap-core/tests/forward/prompt_source.rs
@@ -1,8 +1,8 @@
 use {
     crate::{at, replica},
     poplargap_core::forward::{
-        PromptSource, ReplicaEntry, ReplicaTracker, SendOutcome, SourceBasis, SourceRequest,
-        choose_source,
+        PromptSource, ReplicaEntry, ReplicaRegistry, ReplicaState, ReplicaTracker, SendOutcome,
+        SourceBasis, SourceRequest, choose_source,
     },
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -16,12 +16,22 @@
     draining: &[Arc<ReplicaEntry>],
     chosen: &ReplicaEntry,
 ) -> Option<PromptSource> {
+    let mut registry = ReplicaRegistry::default();
+    for replica in replicas {
+        registry.put(replica.as_ref().clone());
+    }
+    for replica in draining {
+        registry.put(ReplicaEntry {
+            state: ReplicaState::Draining,
+            ..replica.as_ref().clone()
+        });
+    }
+    let view = registry.view();
     let request = SourceRequest {
         chosen,
-        draining,
         key: KEY,
         now: at(10),
-        replicas,
+        view: &view,
     };
     choose_source(tracker, &request)
 }
--- a/crates/poplargap-core/tests/forward/routes.rs
+++ b/crates/poplargap-core/tests/forward/routes.rs
@@ -6,9 +6,10 @@
     std::time::Duration,
 };
 
-fn route(name: &str, prefix: &str, is_public: bool) -> RouteEntry {
+pub(crate) fn route(name: &str, prefix: &str, is_public: bool) -> RouteEntry {
     RouteEntry {
         caches_prompts: false,
+        gap_target: Duration::ZERO,
         host: "shop.example".to_owned(),
         is_public,
         is_stream: false,
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -36,7 +36,9 @@
     end: CallEnd,
     first_byte: Option<Duration>,
     id: String,
+    last_event: Option<Instant>,
     log: Logger,
+    longest_pause: Duration,
     metrics: FrontMetrics,
     placement: Option<PlacementRecord>,
     priority: u8,
@@ -60,7 +62,9 @@
             end: CallEnd::CallerGone,
             first_byte: None,
             id: call.received.head.id.clone(),
+            last_event: None,
             log: log.clone(),
+            longest_pause: Duration::ZERO,
             metrics: metrics.clone(),
             placement: None,
             priority: call.priority(),
@@ -87,6 +91,14 @@
         self.first_byte.get_or_insert(self.started_at.elapsed());
     }
 
+    /// Records that events of the stream arrived, and the pause since the previous ones.
+    pub(crate) fn record_events(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_event.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
+    }
+
     /// Counts a resume of the stream at another replica.
     pub(crate) fn record_resume(&mut self) {
         self.resumes += 1;
@@ -141,6 +153,7 @@
             "sends" => self.sends,
             "resumes" => self.resumes,
             "first-byte-ms" => self.first_byte.map(millis),
+            "longest-pause-ms" => self.last_event.map(|_| millis(self.longest_pause)),
             "total-ms" => millis(total));
     }
 }
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod front_state;
 mod hold;
 mod identify;
+mod interim_replies;
 mod local_answer;
 mod peers;
 mod place;
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -43,10 +43,9 @@
         let source = call.placement_key.and_then(|key| {
             let request = SourceRequest {
                 chosen: &choice.replica,
-                draining: view.draining(&call.service),
                 key,
                 now,
-                replicas,
+                view: &view,
             };
             choose_source(&tracker, &request)
         });
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -13,7 +13,8 @@
     bytes::Bytes,
     hyper::http::response,
     poplargap_core::forward::{
-        AttemptHistory, FinalAnswer, NextStep, ReplicaEntry, ReplicaId, SendOutcome, next_step,
+        AttemptHistory, FinalAnswer, NextStep, RepeatRule, ReplicaEntry, ReplicaId, SendOutcome,
+        next_step,
     },
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
@@ -21,7 +22,7 @@
 };
 
 /// Longest reply that is buffered before it is passed to the caller, in bytes.
-const WHOLE_BYTES_MAX: usize = 16 * 1024 * 1024;
+const WHOLE_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Fraction of the latency target after which a request without a reply is retried.
 const CALL_ATTEMPT_SHARE: f64 = 0.6;
@@ -140,6 +141,19 @@
         end.map(|answer| RelayEnd { answer, reason })
     }
 
+    /// Returns whether a stream that its replica still sends may resume at another one now.
+    pub(crate) fn may_resume(&self) -> bool {
+        let route = &self.call.grant.route;
+        let runs = self.history.possible_runs + 1;
+        let has_time = self.call.time_left() > route.latency_target;
+        route.repeat == RepeatRule::Resumable && runs < route.max_attempts && has_time && {
+            let now = self.state.clock.now();
+            let service = &self.call.service;
+            self.state
+                .with_budget(service, |budget| budget.has_retry(now))
+        }
+    }
+
     /// Takes a retry from the budget if the step uses it; ends the request if there is none.
     fn apply_budget(
         &self,
@@ -214,6 +228,15 @@
         self.call.deadline.min(Instant::now() + time)
     }
 
+    /// Returns the time by which a reply's body must have arrived; it leaves time for a retry.
+    fn body_deadline(&self) -> Instant {
+        let route = &self.call.grant.route;
+        let may_retry =
+            route.repeat.is_repeatable() && self.history.possible_runs + 1 < route.max_attempts;
+        let parts = if may_retry { 2 } else { 1 };
+        Instant::now() + self.call.time_left() / parts
+    }
+
     /// Reads a reply's body unless it is a stream; a server error is returned with its outcome.
     async fn read_reply(
         &mut self,
@@ -232,7 +255,7 @@
             placed,
             sender,
         } = reply;
-        let Ok(body) = read_body(body, WHOLE_BYTES_MAX, self.call.deadline).await else {
+        let Ok(body) = read_body(body, WHOLE_BYTES_MAX, self.body_deadline()).await else {
             return Err((SendOutcome::Broken, None));
         };
         let id = &placed.replica.id;
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -6,6 +6,7 @@
         call_stage::AdmittedCall,
         connection_pool::{OpenError, ReplicaConnection},
         front_state::{FrontState, PlacedCall},
+        interim_replies::InterimReplies,
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -46,8 +47,13 @@
     let replica = &placed.replica;
     let mut connection = connect(state, replica, at_most_once).await?;
     let response = loop {
-        let request = build_request(state, call, &placed, last_event);
-        let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+        let mut request = build_request(state, call, &placed, last_event);
+        let interim = InterimReplies::watch(&mut request);
+        let reply = connection.sender.try_send_request(request);
+        let sent = tokio::select! {
+            sent = timeout_at(deadline, reply) => sent,
+            () = interim.exceeded() => return Err(SendOutcome::Broken),
+        };
         match sent {
             Ok(Ok(response)) => break response,
             Ok(Err(mut error)) => {
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -9,12 +9,12 @@
         send::OpenReply,
     },
     http_body_util::BodyExt,
-    poplargap_core::forward::{EventCursor, RepeatRule, SendOutcome},
+    poplargap_core::forward::{EventCursor, RepeatRule, SendOutcome, StallStep, StreamWatch},
     slog::info,
     std::sync::Arc,
     tokio::{
         sync::mpsc,
-        time::{Instant, sleep_until},
+        time::{sleep, sleep_until},
     },
 };
 
@@ -23,6 +23,10 @@
 enum StreamEnd {
     Broken,
     CallerGone,
+    /// No event came for so long that the stream resumes at another replica.
+    Stalled,
+    /// No event came for so long that the stream is given up.
+    Silent,
     TimedOut,
     Whole,
 }
@@ -35,12 +39,15 @@
 ) {
     let mut cursor = EventCursor::new(relay.call.received.head.last_event);
     loop {
-        let deadline = relay.call.received.started_at + relay.call.grant.route.timeout;
-        let end = forward_events(&mut reply, &mut cursor, &caller, deadline).await;
+        let end = forward_events(&mut relay, &mut reply, &mut cursor, &caller).await;
         let (end, reason) = match end {
-            StreamEnd::Broken => {
+            StreamEnd::Broken | StreamEnd::Stalled => {
+                let outcome = match end {
+                    StreamEnd::Stalled => SendOutcome::Silent,
+                    _ => SendOutcome::Broken,
+                };
                 drop(cursor.take_rest());
-                match resume(&mut relay, reply, &cursor).await {
+                match resume(&mut relay, reply, &cursor, outcome).await {
                     Ok(next) => {
                         reply = next;
                         continue;
@@ -48,6 +55,12 @@
                     Err(reason) => (CallEnd::BrokenOff, reason),
                 }
             }
+            StreamEnd::Silent => {
+                let replica = Arc::clone(&reply.placed.replica);
+                drop(reply);
+                relay.record_failure(&replica, SendOutcome::Silent);
+                (CallEnd::BrokenOff, "no-events")
+            }
             StreamEnd::CallerGone => (CallEnd::CallerGone, "caller-gone"),
             StreamEnd::TimedOut => (CallEnd::TimedOut, "route-timeout"),
             StreamEnd::Whole => {
@@ -60,30 +73,48 @@
     }
 }
 
-/// Passes whole events to the caller until the stream ends, breaks or times out.
-async fn forward_events<D>(
+/// Passes whole events to the caller until the stream ends, breaks, stalls or times out.
+async fn forward_events<D: WireDialect>(
+    relay: &mut CallRelay<D>,
     reply: &mut OpenReply<D>,
     cursor: &mut EventCursor,
     caller: &mpsc::Sender<RelayChunk>,
-    deadline: Instant,
 ) -> StreamEnd {
+    let route = &relay.call.grant.route;
+    let deadline = relay.call.received.started_at + route.timeout;
+    let mut watch = StreamWatch::new(route, relay.state.clock.now());
     let mut timer = std::pin::pin!(sleep_until(deadline));
     loop {
+        let step = watch.step(relay.state.clock.now(), || relay.may_resume());
+        let wait = match step {
+            StallStep::GiveUp => return StreamEnd::Silent,
+            StallStep::Resume => return StreamEnd::Stalled,
+            StallStep::Wait(wait) => wait,
+        };
         let frame = tokio::select! {
             biased;
             frame = reply.body.frame() => frame,
             () = caller.closed() => return StreamEnd::CallerGone,
             () = timer.as_mut() => return StreamEnd::TimedOut,
+            () = sleep(wait) => continue,
         };
         let chunk = match frame {
             None => return StreamEnd::Whole,
             Some(Err(_)) => return StreamEnd::Broken,
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
-        let events = match cursor.push(chunk) {
-            Ok(None) => continue,
-            Ok(Some(events)) => events,
-            Err(_) => return StreamEnd::Broken,
+        let (len, known) = (chunk.len(), cursor.event_count());
+        let Ok(events) = cursor.push(chunk) else {
+            return StreamEnd::Broken;
+        };
+        let has_event = cursor.event_count() > known;
+        if has_event {
+            relay.log.record_events();
+        } else if watch.record_bytes(len).is_err() {
+            return StreamEnd::Broken;
+        }
+        let Some(events) = events else {
+            continue;
         };
         let sent = tokio::select! {
             sent = caller.send(RelayChunk::Bytes(events)) => sent.is_ok(),
@@ -92,6 +123,9 @@
         if !sent {
             return StreamEnd::CallerGone;
         }
+        if has_event {
+            watch.record_event(relay.state.clock.now());
+        }
     }
 }
 
@@ -119,11 +153,12 @@
     relay: &mut CallRelay<D>,
     broken: OpenReply<D>,
     cursor: &EventCursor,
+    outcome: SendOutcome,
 ) -> Result<OpenReply<D>, &'static str> {
     let replica = Arc::clone(&broken.placed.replica);
     // Close the connection of the broken stream before another replica runs the request.
     drop(broken);
-    let end = relay.record_failure(&replica, SendOutcome::Broken);
+    let end = relay.record_failure(&replica, outcome);
     if relay.call.grant.route.repeat != RepeatRule::Resumable {
         return Err("not-resumable");
     }
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::EndlessBytes, std::time::Duration};
 
 /// Fault that a replica applies to every request; the default is none.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -7,6 +7,8 @@
     BreakStream(u64),
     /// Runs the request and closes the connection without an answer.
     CloseUnanswered,
+    /// Sends bytes without end until the connection is closed.
+    Endless(EndlessBytes),
     /// Sends the answer twice.
     ExtraAnswer,
     /// Runs the request and answers with status 500.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ReplicaFault, SeenRequest,
+        EndlessBytes, ReplicaFault, SeenRequest,
         wire_answer::{EVENT_COUNT, WireAnswer},
     },
     serde_json::json,
@@ -11,13 +11,22 @@
         time::Duration,
     },
     tokio::{
-        io::AsyncWriteExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::JoinHandle,
         time::sleep,
     },
 };
 
+/// Repetitions of endless bytes in one write.
+const ENDLESS_REPEATS: usize = 512;
+
+/// Pause between two writes of endless bytes.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(2);
+
+/// Header lines of an event stream.
+const STREAM_FRAMING: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(30);
 
@@ -25,6 +34,8 @@
 struct ReplicaState {
     connections: usize,
     cut_off: usize,
+    endless_bytes: usize,
+    endless_open: usize,
     fault: ReplicaFault,
     id: String,
     running: u32,
@@ -107,6 +118,18 @@
         lock(&self.state).cut_off
     }
 
+    /// Returns the number of bytes that were sent without end.
+    #[must_use]
+    pub fn endless_bytes(&self) -> usize {
+        lock(&self.state).endless_bytes
+    }
+
+    /// Returns the number of connections on which bytes are still sent without end.
+    #[must_use]
+    pub fn endless_open(&self) -> usize {
+        lock(&self.state).endless_open
+    }
+
     /// Stops accepting connections; the port refuses new ones.
     pub fn close(self) {
         self.task.abort();
@@ -172,6 +195,7 @@
 ) -> io::Result<()> {
     let whole = wire.whole("200 OK");
     match fault {
+        ReplicaFault::Endless(bytes) => write_endless(stream, state, bytes, wire).await,
         ReplicaFault::CloseUnanswered => Err(io::ErrorKind::ConnectionReset.into()),
         ReplicaFault::ExtraAnswer => {
             stream.write_all(whole.as_bytes()).await?;
@@ -211,6 +235,44 @@
     }
 }
 
+/// Writes bytes without end until the reader closes the connection.
+async fn write_endless(
+    stream: &mut TcpStream,
+    state: &Mutex<ReplicaState>,
+    bytes: EndlessBytes,
+    wire: &WireAnswer,
+) -> io::Result<()> {
+    let head = wire.head("200 OK", STREAM_FRAMING);
+    let start = bytes.start(&head, &wire.whole("200 OK"), &WireAnswer::event(1));
+    lock(state).endless_open += 1;
+    let written = repeat(stream, state, &start, bytes.repeated()).await;
+    lock(state).endless_open -= 1;
+    written
+}
+
+async fn repeat(
+    stream: &mut TcpStream,
+    state: &Mutex<ReplicaState>,
+    start: &str,
+    repeated: &str,
+) -> io::Result<()> {
+    stream.write_all(start.as_bytes()).await?;
+    let block = repeated.repeat(ENDLESS_REPEATS);
+    let mut answer = [0; 1];
+    loop {
+        // The reader sends nothing, so a read ends only when it closes the connection.
+        tokio::select! {
+            read = stream.read(&mut answer) => {
+                read?;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            () = sleep(ENDLESS_PAUSE) => {}
+        }
+        stream.write_all(block.as_bytes()).await?;
+        lock(state).endless_bytes += block.len();
+    }
+}
+
 /// Writes the events that follow the request's `Last-Event-Id`.
 async fn write_stream(
     stream: &mut TcpStream,
@@ -218,10 +280,7 @@
     wire: &WireAnswer,
     request: &SeenRequest,
 ) -> io::Result<()> {
-    let head = wire.head(
-        "200 OK",
-        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
-    );
+    let head = wire.head("200 OK", STREAM_FRAMING);
     stream.write_all(head.as_bytes()).await?;
     let last_event_id = request.header("last-event-id");
     let last_event_id: u64 = last_event_id.and_then(|id| id.parse().ok()).unwrap_or(0);
