Probe a cut data centre with one request, eject replicas that answer nothing

Ruled out: a longer pause, which would also delay the return.

Change: while a data centre is suspect, the request that is sent there keeps the others away for 0.4 s or until its outcome. Two unanswered requests in a row eject a replica; errors still four.

--- a/crates/poplargap-core/src/forward/centre_health.rs
+++ b/crates/poplargap-core/src/forward/centre_health.rs
@@ -13,10 +13,14 @@
 /// Time for which an unreachable data centre gets no requests until it is tried again.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time in which the probe of an unreachable data centre fails or gets a reply.
+const PROBE_TIME: Duration = Duration::from_millis(400);
+
 /// Detects an unreachable data centre by connections that time out.
 ///
 /// During a network partition each replica on the other side costs a request a connection
-/// timeout. After two replicas in a row without a reply in between, the others are skipped.
+/// timeout. After two replicas in a row without a reply in between, the others are skipped. After a
+/// pause, one request at a time probes the data centre, so that the others don't wait for it.
 #[derive(Clone, Debug, Default)]
 pub struct CentreHealth {
     unreachable_until: Option<MonotonicInstant>,
@@ -41,6 +45,14 @@
         newly_unreachable
     }
 
+    /// Records that a request is sent to the data centre; while it is suspect, others stay away until
+    /// the outcome is known.
+    pub fn record_send(&mut self, now: MonotonicInstant) {
+        if self.is_suspect() {
+            self.unreachable_until = self.unreachable_until.max(Some(now + PROBE_TIME));
+        }
+    }
+
     /// Records a reply; returns whether the data centre was considered unreachable.
     pub fn record_answer(&mut self) -> bool {
         self.unreachable_replicas.clear();
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -14,6 +14,9 @@
 /// Consecutive failures after which a reachable replica is ejected.
 const FAILURES_TO_EJECT: u32 = 4;
 
+/// Consecutive requests without a reply after which a replica is ejected.
+const UNANSWERED_TO_EJECT: u32 = 2;
+
 /// Time for which a replica gets no at-most-once requests on reused connections after it sent the
 /// reply to another request.
 const MISMATCH_PENALTY: Duration = Duration::from_secs(10);
@@ -81,8 +84,11 @@
         self.prompts.share(key)
     }
 
-    /// Counts a request that goes to `replica`.
-    pub fn begin(&mut self, replica: &ReplicaEntry) {
+    /// Counts a request that goes to `replica` at `now`.
+    pub fn begin(&mut self, replica: &ReplicaEntry, now: MonotonicInstant) {
+        if let Some(centre) = self.centres.get_mut(&replica.data_centre) {
+            centre.record_send(now);
+        }
         self.load_mut(replica).in_flight += 1;
     }
 
@@ -212,7 +218,11 @@
             outcome,
             SendOutcome::NotSent | SendOutcome::Unreachable | SendOutcome::WrongReplica
         );
-        let ejects = unreachable || load.failures >= FAILURES_TO_EJECT;
+        let failures_max = match outcome {
+            SendOutcome::Broken | SendOutcome::Silent => UNANSWERED_TO_EJECT,
+            _ => FAILURES_TO_EJECT,
+        };
+        let ejects = unreachable || load.failures >= failures_max;
         let newly_ejected = ejects && !load.is_ejected(now);
         if newly_ejected {
             load.eject(now);
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -71,7 +71,7 @@
         tracker.record_prompt(key, now);
         let choice = choose_replica(&self.replicas, tracker, &request);
         let replica = choice.expect("there are replicas").replica;
-        tracker.begin(&replica);
+        tracker.begin(&replica, now);
         tracker.record_cached(key, &replica, now);
         let in_flight = self
             .in_flight
@@ -141,7 +141,7 @@
     let tracker = ReplicaTracker::default();
     let mut busy = ReplicaTracker::default();
     for replica in &replicas {
-        busy.begin(replica);
+        busy.begin(replica, at(0));
     }
     for key in 0..200 {
         let request = request(Some(key), 10_000, at(0));
@@ -172,7 +172,7 @@
 fn unreachable_replica_is_ejected_unless_none_is_left() {
     let replicas = replicas(2);
     let mut tracker = ReplicaTracker::default();
-    tracker.begin(&replicas[0]);
+    tracker.begin(&replicas[0], at(0));
     assert!(
         tracker
             .record_failure(&replicas[0], SendOutcome::NotSent, at(0))
@@ -184,7 +184,7 @@
             choose_replica(&replicas, &tracker, &request_then).expect("one replica is left");
         assert_eq!(choice.replica.id, replicas[1].id);
     }
-    tracker.begin(&replicas[1]);
+    tracker.begin(&replicas[1], at(0));
     tracker.record_failure(&replicas[1], SendOutcome::NotSent, at(0));
     assert!(choose_replica(&replicas, &tracker, &request_then).is_some());
 }
@@ -193,11 +193,11 @@
 fn restart_clears_the_failures_of_a_replica() {
     let mut restarted = (*replicas(1)[0]).clone();
     let mut tracker = ReplicaTracker::default();
-    tracker.begin(&restarted);
+    tracker.begin(&restarted, at(0));
     tracker.end(&restarted.id);
     tracker.record_failure(&restarted, SendOutcome::NotSent, at(0));
     restarted.started_ms += 1;
-    tracker.begin(&restarted);
+    tracker.begin(&restarted, at(0));
     let load = tracker.load(&restarted.id).expect("the replica is known");
     assert!(!load.is_ejected(at(1)));
 }
@@ -213,7 +213,7 @@
     };
     assert!(prefers_local(&tracker));
     for _ in 0..3 {
-        tracker.begin(&replicas[0]);
+        tracker.begin(&replicas[0], at(0));
     }
     assert!(!prefers_local(&tracker));
 }
@@ -224,7 +224,7 @@
     let replicas = replicas(12);
     let mut tracker = ReplicaTracker::default();
     for number in [1, 3] {
-        tracker.begin(&replicas[number]);
+        tracker.begin(&replicas[number], at(0));
         tracker.record_failure(&replicas[number], SendOutcome::Unreachable, at(100));
     }
     for key in 0..100 {
@@ -243,13 +243,65 @@
     assert!(!tracker.is_unavailable(&replicas[7], at(2_100)));
 }
 
+/// In a cut of 6 s, all requests of a daemon went to the other data centre again after each pause.
+#[test]
+fn one_request_at_a_time_probes_an_unreachable_data_centre() {
+    let replicas = replicas(12);
+    let mut tracker = ReplicaTracker::default();
+    for number in [1, 3] {
+        tracker.begin(&replicas[number], at(0));
+        tracker.record_failure(&replicas[number], SendOutcome::Unreachable, at(300));
+    }
+    assert!(!tracker.is_unavailable(&replicas[5], at(1_200)));
+    tracker.begin(&replicas[5], at(1_200));
+    assert!(tracker.is_unavailable(&replicas[7], at(1_201)));
+    assert!(tracker.is_unavailable(&replicas[7], at(1_499)));
+    tracker.record_failure(&replicas[5], SendOutcome::Unreachable, at(1_500));
+    assert!(tracker.is_unavailable(&replicas[7], at(2_200)));
+    tracker.begin(&replicas[9], at(2_400));
+    assert!(tracker.record_success(&replicas[9]).centre);
+    assert!(!tracker.is_unavailable(&replicas[7], at(2_401)));
+}
+
+/// Crashed model replicas took each request and closed its connection, up to 23 times a replica.
+#[test]
+fn replica_that_leaves_two_requests_unanswered_is_ejected() {
+    let replicas = replicas(3);
+    let mut tracker = ReplicaTracker::default();
+    tracker.begin(&replicas[0], at(0));
+    assert!(
+        !tracker
+            .record_failure(&replicas[0], SendOutcome::Broken, at(1))
+            .replica
+    );
+    assert!(
+        tracker
+            .record_failure(&replicas[0], SendOutcome::Silent, at(2))
+            .replica
+    );
+    // An error is an answer: the request itself may be its cause.
+    tracker.begin(&replicas[1], at(0));
+    for ms in [1, 2, 3] {
+        assert!(
+            !tracker
+                .record_failure(&replicas[1], SendOutcome::Failed, at(ms))
+                .replica
+        );
+    }
+    assert!(
+        tracker
+            .record_failure(&replicas[1], SendOutcome::Failed, at(4))
+            .replica
+    );
+}
+
 /// Crashed replicas refuse connections at once, so their data centre is still reachable.
 #[test]
 fn refused_connections_do_not_make_a_data_centre_unreachable() {
     let replicas = replicas(12);
     let mut tracker = ReplicaTracker::default();
     for number in [1, 3, 5] {
-        tracker.begin(&replicas[number]);
+        tracker.begin(&replicas[number], at(0));
         tracker.record_failure(&replicas[number], SendOutcome::NotSent, at(100));
     }
     assert!(!tracker.is_unavailable(&replicas[7], at(200)));
--- a/crates/poplargap-core/tests/forward/prompt_source.rs
+++ b/crates/poplargap-core/tests/forward/prompt_source.rs
@@ -92,7 +92,7 @@
     all[2] = moved_to(&all[2], "ne2");
     let mut tracker = ReplicaTracker::default();
     for replica in &all {
-        tracker.begin(replica);
+        tracker.begin(replica, at(0));
         tracker.record_cached(KEY, replica, at(1));
     }
     tracker.record_failure(&all[0], SendOutcome::NotSent, at(2));
@@ -114,7 +114,7 @@
         .collect();
     let mut tracker = ReplicaTracker::default();
     for replica in &all {
-        tracker.begin(replica);
+        tracker.begin(replica, at(0));
     }
     tracker.record_cached(KEY, &all[3], at(1));
     tracker.record_failure(&all[0], SendOutcome::Unreachable, at(2));
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -142,7 +142,7 @@
         tracker.record_prompt(key, now);
         let choice = choose_replica(&self.replicas, tracker, &request);
         let replica = choice.expect("there are replicas").replica;
-        tracker.begin(&replica);
+        tracker.begin(&replica, now);
         tracker.record_cached(key, &replica, now);
         let total: u32 = self.in_flight.values().sum();
         let mean = f64::from(total) / self.replicas.len() as f64;
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -78,7 +78,8 @@
         replica: Arc<ReplicaEntry>,
         prompt_source: Option<SocketAddr>,
     ) -> Self {
-        state.tracker().begin(&replica);
+        let now = state.clock.now();
+        state.tracker().begin(&replica, now);
         Self {
             prompt_source,
             replica,
