Read the store once for a data centre, and no longer behind old configurations

Ruled out: requests that wait with an old view (each attempt reads it anew), connections whose opening packet was lost (bound 0.3 s).

Change: in a data centre with four daemons or more, the two first in the rendezvous order of their addresses read the store, and the others poll them for changes (reader_rule, change_log, change_server). A reader that is silent, refuses or whose last read is too old costs one poll, then the daemon reads the store itself at once. Values over 4 KB aren't passed on; each daemon reads their newest version from the store. A daemon that reads the store itself follows a long answer at once by the next read.

With the earlier pause read_after_a_long_answer_follows_at_once fails (1.92 s).

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -18,6 +18,7 @@
 mod prompt_part;
 mod prompt_rates;
 mod prompt_source;
+mod reader_rule;
 mod replica_entry;
 mod replica_load;
 mod replica_registry;
@@ -43,6 +44,7 @@
     prompt_part::{PromptPart, placement_key, shared_tokens},
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
+    reader_rule::{ReadSource, ReaderRule},
     replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
--- a/crates/poplargap-core/src/forward/peer_view.rs
+++ b/crates/poplargap-core/src/forward/peer_view.rs
@@ -1,6 +1,10 @@
 use {
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+    },
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -45,6 +49,20 @@
         self.data_centres.contains_key(address)
     }
 
+    /// Returns whether a daemon of the fleet runs on the host with the address `ip`.
+    #[must_use]
+    pub fn is_known_host(&self, ip: IpAddr) -> bool {
+        self.data_centres.keys().any(|address| address.ip() == ip)
+    }
+
+    /// Returns the addresses of the other daemons in `data_centre`.
+    pub fn local(&self, data_centre: &str) -> impl Iterator<Item = SocketAddr> {
+        let daemons = self.data_centres.iter();
+        daemons
+            .filter(move |(_, centre)| centre.as_ref() == data_centre)
+            .map(|(address, _)| *address)
+    }
+
     /// Returns the number of other daemons.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod events;
 mod prompt_source;
+mod readers;
 mod registry;
 mod routes;
 mod sharing;
--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -1,13 +1,27 @@
 //! Follows the routes, the replicas and the peer daemons in the store.
 
+mod change_log;
+mod change_request;
+mod change_server;
+mod change_share;
 mod feed_context;
+mod omitted_values;
 mod peers_feed;
+mod reader_clients;
 mod replicas_feed;
 mod routes_feed;
+mod shared_reads;
 mod store_feed;
 mod store_follower;
 
 pub(crate) use {
+    change_server::{ChangeServer, serve_changes},
+    change_share::ChangeShare,
     feed_context::FeedContext,
+    shared_reads::FeedSharing,
     store_feed::{FeedViews, follow_store},
 };
+
+pub use change_log::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue};
+
+use change_request::ChangeRequest;
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -4,12 +4,13 @@
         peers_feed::PeersFeed,
         replicas_feed::ReplicasFeed,
         routes_feed::RoutesFeed,
-        store_follower::{FeedUpdate, StoreFollower},
+        shared_reads::FeedSharing,
+        store_follower::{FeedRead, FeedUpdate, StoreFollower},
     },
     crate::{FeedDialect, peers::PEERS_PREFIX},
     poplargap_core::forward::{PeerView, ReplicaView, RouteTable},
     poplargap_store::KeyValueStore,
-    std::{net::SocketAddr, sync::Arc},
+    std::sync::Arc,
     tokio::{sync::watch, time::sleep},
 };
 
@@ -23,20 +24,20 @@
 
 /// Keeps the routes in force and the views of replicas and daemons up to date.
 ///
-/// A single watch covers all of them, since calls to the store are costly and every daemon makes
-/// them.
+/// A single watch covers all of them, since calls to the store are costly. In a large data centre
+/// a few daemons read the store, and the others read the changes from these.
 pub(crate) async fn follow_store<F: FeedDialect, S: KeyValueStore>(
     context: FeedContext<F, S>,
     views: FeedViews,
-    own_peer: Option<SocketAddr>,
+    sharing: Option<FeedSharing>,
 ) {
     let mut prefixes = vec![
         context.dialect.routes_key().to_owned(),
         context.dialect.replicas_prefix().to_owned(),
     ];
-    prefixes.extend(own_peer.map(|_| PEERS_PREFIX.to_owned()));
-    let pause = context.settings.pause;
-    let mut follower = StoreFollower::new(context.clone(), prefixes);
+    prefixes.extend(sharing.iter().map(|_| PEERS_PREFIX.to_owned()));
+    let own_peer = sharing.as_ref().map(|sharing| sharing.own);
+    let mut follower = StoreFollower::new(context.clone(), prefixes, sharing);
     let routes = RoutesFeed::new(context.clone(), views.routes);
     let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
     let mut replicas = ReplicasFeed::new(context, views.replicas);
@@ -44,7 +45,10 @@
         let expiry = replicas.expiry();
         tokio::select! {
             read = follower.read() => match read {
-                Ok(update) => {
+                Ok(FeedRead { after_outage, update }) => {
+                    if after_outage {
+                        replicas.record_store_failure();
+                    }
                     replicas.apply(&update);
                     replicas.publish();
                     if let Some(peers) = &mut peers {
@@ -58,7 +62,7 @@
             () = sleep(expiry) => {}
         }
         replicas.publish();
-        sleep(pause).await;
+        sleep(follower.pause()).await;
     }
 }
 
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -1,12 +1,19 @@
 //! Follows key prefixes in the store: lists them first, then watches for changes.
 
 use {
-    super::FeedContext,
-    poplargap_core::forward::FeedState,
-    poplargap_store::{KeyValueStore, StoreError, StoreRevision, StoredValue, WatchChange},
+    super::{
+        FeedContext,
+        omitted_values::OmittedValues,
+        reader_clients::ReaderError,
+        shared_reads::{FeedSharing, SharedReads},
+    },
+    poplargap_core::forward::{FeedState, ReadSource},
+    poplargap_store::{
+        KeyValueStore, StoreError, StoreRevision, StoredValue, WatchBatch, WatchChange,
+    },
     rand::Rng,
     slog::{info, warn},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
 };
 
@@ -16,7 +23,17 @@
 /// Longest pause after a failed read.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
-/// The result of one read of the store.
+/// Pause after a read from another daemon, which paces its answers itself.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bytes of values in an answer of the store after which the next read follows at once.
+///
+/// An answer holds every version of the configuration since the one before. On a slow link it may
+/// take longer than the pause; with a further pause the next one would be as long, and changes of
+/// registrations would wait for both.
+const LONG_ANSWER_BYTES: usize = 32 * 1024;
+
+/// The content of one read.
 #[derive(Debug)]
 pub(super) enum FeedUpdate {
     /// Changes since the last update.
@@ -25,51 +42,203 @@
     Listing(Vec<StoredValue>),
 }
 
+/// The result of one read of the store or of a daemon that reads it.
+#[derive(Debug)]
+pub(super) struct FeedRead {
+    /// Whether the reader couldn't read the store for some time before.
+    pub(super) after_outage: bool,
+    pub(super) update: FeedUpdate,
+}
+
 /// Reads the values under several key prefixes repeatedly.
 #[derive(Debug)]
 pub(super) struct StoreFollower<F, S> {
     after: Option<StoreRevision>,
     context: FeedContext<F, S>,
+    omitted: OmittedValues,
+    pause: Duration,
     prefixes: Vec<String>,
+    sharing: Option<SharedReads>,
     state: FeedState,
     watched: String,
 }
 
+impl Default for FeedRead {
+    /// Returns a read without changes.
+    fn default() -> Self {
+        Self {
+            after_outage: false,
+            update: FeedUpdate::Changes(Vec::new()),
+        }
+    }
+}
+
 impl<F, S: KeyValueStore> StoreFollower<F, S> {
-    pub(super) fn new(context: FeedContext<F, S>, prefixes: Vec<String>) -> Self {
+    pub(super) fn new(
+        context: FeedContext<F, S>,
+        prefixes: Vec<String>,
+        sharing: Option<FeedSharing>,
+    ) -> Self {
         let watched = common_prefix(&prefixes).to_owned();
+        let shared = context.settings.shared;
         Self {
             after: None,
+            omitted: OmittedValues::default(),
+            pause: context.settings.pause,
             context,
             prefixes,
-            watched,
+            sharing: sharing.map(|sharing| SharedReads::new(sharing, shared)),
             state: FeedState::default(),
+            watched,
         }
     }
 
+    /// Returns the pause until the next read.
+    pub(super) fn pause(&self) -> Duration {
+        self.pause
+    }
+
     /// Reads once. It is cancel safe: a dropped read loses no changes.
     ///
     /// # Errors
     ///
     /// Returns an error if the read fails, after a pause if it failed early; the next call tries
     /// again.
-    pub(super) async fn read(&mut self) -> Result<FeedUpdate, StoreError> {
+    pub(super) async fn read(&mut self) -> Result<FeedRead, StoreError> {
+        let settings = self.context.settings;
+        self.pause = settings.pause;
+        let Some(after) = self.after else {
+            return self.read_store(None).await;
+        };
+        if self.omitted.is_due(self.context.clock.now()) {
+            return self.read_omitted().await;
+        }
+        match self.source(after) {
+            ReadSource::Daemon(reader) => {
+                self.pause = POLL_PAUSE;
+                match self.poll(reader, after).await {
+                    Ok(read) => Ok(read),
+                    Err(error) => {
+                        let mut read = self.read_store(Some((after, Duration::ZERO))).await;
+                        if let Ok(read) = &mut read {
+                            read.after_outage |= matches!(error, ReaderError::Aged(_));
+                        }
+                        read
+                    }
+                }
+            }
+            ReadSource::Store => self.read_store(Some((after, settings.watch_wait))).await,
+            ReadSource::StoreForOthers => {
+                self.pause = settings.shared.read_pause;
+                let wait = settings.shared.watch_wait;
+                self.read_store(Some((after, wait))).await
+            }
+        }
+    }
+
+    fn source(&mut self, after: StoreRevision) -> ReadSource {
+        let now = self.context.clock.now();
+        let sharing = self.sharing.as_mut();
+        sharing.map_or(ReadSource::Store, |sharing| {
+            sharing.source(after, now, &self.context.log)
+        })
+    }
+
+    /// Reads the changes after a revision from another daemon.
+    async fn poll(
+        &mut self,
+        reader: SocketAddr,
+        after: StoreRevision,
+    ) -> Result<FeedRead, ReaderError> {
+        let Some(sharing) = &mut self.sharing else {
+            return Err(ReaderError::NotShared);
+        };
+        let now = self.context.clock.now();
+        let wait = self
+            .omitted
+            .wait(now, self.context.settings.shared.poll_wait);
+        let polled = sharing.poll(reader, after, wait).await;
+        let outcome = if polled.is_ok() {
+            "polled"
+        } else {
+            "poll-failed"
+        };
+        self.context.metrics.record_store_read(outcome);
+        match polled {
+            Ok(batch) => {
+                self.after = Some(batch.revision.max(after));
+                let after_outage = batch.after_outage;
+                let changes = self.omitted.split(batch.changes);
+                Ok(FeedRead {
+                    after_outage,
+                    update: FeedUpdate::Changes(changes),
+                })
+            }
+            Err(error) => {
+                let now = self.context.clock.now();
+                sharing.record_failure(reader, &error, now, &self.context.log);
+                Err(error)
+            }
+        }
+    }
+
+    /// Reads a value from the store that another daemon left out.
+    async fn read_omitted(&mut self) -> Result<FeedRead, StoreError> {
+        self.pause = POLL_PAUSE;
+        let Some(key) = self.omitted.next() else {
+            return Ok(FeedRead::default());
+        };
+        let stored = self.context.store.get(&key).await;
+        let outcome = if stored.is_ok() { "read" } else { "failed" };
+        self.context.metrics.record_store_read(outcome);
+        let now = self.context.clock.now();
+        match stored {
+            Ok(stored) => {
+                self.omitted.finish(&key, now + self.context.settings.pause);
+                let change = WatchChange {
+                    revision: stored
+                        .as_ref()
+                        .map_or_else(StoreRevision::default, |stored| stored.revision),
+                    value: stored.map(|stored| stored.value),
+                    key,
+                };
+                Ok(FeedRead {
+                    after_outage: false,
+                    update: FeedUpdate::Changes(vec![change]),
+                })
+            }
+            Err(error) => {
+                let retry = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
+                self.omitted.defer(now + retry);
+                warn!(self.context.log, "value can't be read from the store; trying again";
+                    "key" => &key, "error" => %error, "retry-ms" => crate::call_log::millis(retry));
+                Ok(FeedRead::default())
+            }
+        }
+    }
+
+    /// Reads the changes after a revision from the store, or lists all values.
+    async fn read_store(
+        &mut self,
+        watch: Option<(StoreRevision, Duration)>,
+    ) -> Result<FeedRead, StoreError> {
         let began = self.context.clock.now();
-        let read = match self.after {
+        let read = match watch {
             None => self.list().await,
-            Some(after) => self.watch(after).await,
+            Some((after, wait)) => self.watch(after, wait).await,
         };
         let outcome = if read.is_ok() { "read" } else { "failed" };
         self.context.metrics.record_store_read(outcome);
         let now = self.context.clock.now();
         match read {
-            Ok(update) => {
+            Ok(read) => {
                 let outage = self.state.record_success(now);
                 if let Some(outage) = outage {
                     info!(self.context.log, "store can be read again"; "watched" => &self.watched,
                         "away-ms" => crate::call_log::millis(outage));
                 }
-                Ok(update)
+                let after_outage = outage.is_some();
+                Ok(self.share(read, after_outage))
             }
             Err(error) => {
                 self.fail(&error, now.since(began)).await;
@@ -78,6 +247,34 @@
         }
     }
 
+    /// Records changes for other daemons, if this one reads the store for them.
+    fn share(&mut self, read: StoreRead, after_outage: bool) -> FeedRead {
+        if read.bytes() > LONG_ANSWER_BYTES {
+            self.pause = POLL_PAUSE;
+        }
+        let share = self.sharing.as_ref().map(|sharing| &sharing.share);
+        let update = match read {
+            StoreRead::Changes(batch) => {
+                if let Some(share) = share {
+                    share.append(&batch, after_outage);
+                }
+                self.omitted.remove(&batch.changes);
+                FeedUpdate::Changes(batch.changes)
+            }
+            StoreRead::Listing(values) => {
+                self.omitted.clear();
+                if let Some(share) = share {
+                    share.stop();
+                }
+                FeedUpdate::Listing(values)
+            }
+        };
+        FeedRead {
+            after_outage,
+            update,
+        }
+    }
+
     /// Records a failed read that took `time`, and waits for the rest of the retry pause.
     async fn fail(&mut self, error: &StoreError, time: Duration) {
         if matches!(error, StoreError::Compacted(_)) {
@@ -94,7 +291,7 @@
     }
 
     /// Lists all prefixes; the watch then starts at the revision of the first page.
-    async fn list(&mut self) -> Result<FeedUpdate, StoreError> {
+    async fn list(&mut self) -> Result<StoreRead, StoreError> {
         let mut values = Vec::new();
         let mut revision = None;
         for prefix in &self.prefixes {
@@ -110,14 +307,40 @@
             }
         }
         self.after = revision;
-        Ok(FeedUpdate::Listing(values))
+        Ok(StoreRead::Listing(values))
     }
 
-    async fn watch(&mut self, after: StoreRevision) -> Result<FeedUpdate, StoreError> {
-        let wait = self.context.settings.watch_wait;
+    async fn watch(
+        &mut self,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<StoreRead, StoreError> {
         let batch = self.context.store.watch(&self.watched, after, wait).await?;
         self.after = Some(batch.revision.max(after));
-        Ok(FeedUpdate::Changes(batch.changes))
+        Ok(StoreRead::Changes(batch))
+    }
+}
+
+/// The content of one read of the store.
+#[derive(Debug)]
+enum StoreRead {
+    Changes(WatchBatch),
+    Listing(Vec<StoredValue>),
+}
+
+impl StoreRead {
+    /// Returns the number of bytes of the changed values.
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Changes(batch) => {
+                let values = batch
+                    .changes
+                    .iter()
+                    .filter_map(|change| change.value.as_ref());
+                values.map(String::len).sum()
+            }
+            Self::Listing(_) => 0,
+        }
     }
 }
 
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -6,7 +6,10 @@
         accept::accept,
         close_signal::CloseSignal,
         connection_pool::ConnectionPool,
-        feed::{FeedContext, FeedViews, follow_store},
+        feed::{
+            ChangeServer, ChangeShare, FeedContext, FeedSharing, FeedViews, follow_store,
+            serve_changes,
+        },
         front_metrics::FrontMetrics,
         front_state::FrontState,
         peers::{PeerSocket, announce, exchange_loads},
@@ -72,7 +75,7 @@
         let callers = listen(settings.callers).await?;
         let metrics_listener = listen(settings.metrics).await?;
         let ready = listen(settings.ready).await?;
-        let peer_socket = open_peers(settings.peers)?;
+        let peer_sockets = open_peers(settings.peers).await?;
         let metrics = FrontMetrics::new().map_err(FrontError::Metrics)?;
         let clock = ProcessClock::start();
         let (routes_sender, routes) = watch::channel(None);
@@ -107,16 +110,36 @@
             settings,
         });
         let mut tasks = JoinSet::new();
-        if let Some((socket, address)) = peer_socket {
+        let mut sharing = None;
+        if let Some(PeerSockets {
+            address,
+            changes,
+            datagrams,
+        }) = peer_sockets
+        {
+            let share = Arc::new(ChangeShare::new(clock));
+            sharing = Some(FeedSharing {
+                data_centre: state.settings.data_centre.clone(),
+                own: address,
+                peers: peers.clone(),
+                share: Arc::clone(&share),
+            });
+            let server = ChangeServer {
+                age_max: state.settings.feed.shared.age_max,
+                log: log.clone(),
+                peers: peers.clone(),
+                share,
+            };
+            tasks.spawn(serve_changes(server, changes));
             let data_centre = state.settings.data_centre.as_str().into();
             let entry = PeerEntry {
                 address,
                 data_centre,
             };
             tasks.spawn(announce(feed.store.clone(), entry, log.clone()));
-            tasks.spawn(exchange_loads(Arc::clone(&state), socket, peers));
+            tasks.spawn(exchange_loads(Arc::clone(&state), datagrams, peers));
         }
-        tasks.spawn(follow_store(feed, views, state.settings.peers));
+        tasks.spawn(follow_store(feed, views, sharing));
         tasks.spawn(serve_ready(Arc::clone(&state), ready));
         tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
         tasks.spawn(accept(Arc::clone(&state), callers));
@@ -150,13 +173,25 @@
     }
 }
 
-/// Opens the socket for peer messages if an address is set.
-fn open_peers(address: Option<SocketAddr>) -> Result<Option<(PeerSocket, SocketAddr)>, FrontError> {
+/// The sockets at one address for messages of other daemons.
+#[derive(Debug)]
+struct PeerSockets {
+    address: SocketAddr,
+    changes: TcpListener,
+    datagrams: PeerSocket,
+}
+
+/// Opens the sockets for messages of other daemons if an address is set.
+async fn open_peers(address: Option<SocketAddr>) -> Result<Option<PeerSockets>, FrontError> {
     let Some(address) = address else {
         return Ok(None);
     };
-    let socket = PeerSocket::open(address).map_err(|error| FrontError::Listen(address, error))?;
-    Ok(Some((socket, address)))
+    let datagrams = PeerSocket::open(address);
+    Ok(Some(PeerSockets {
+        address,
+        changes: listen(address).await?,
+        datagrams: datagrams.map_err(|error| FrontError::Listen(address, error))?,
+    }))
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
--- a/crates/poplargap-forward/src/front_settings.rs
+++ b/crates/poplargap-forward/src/front_settings.rs
@@ -16,10 +16,27 @@
 pub struct FeedSettings {
     /// Pause between two reads.
     pub pause: Duration,
+    /// Timing where a few daemons of a data centre read the store for the others.
+    pub shared: SharedFeedSettings,
     /// Longest time for which one watch waits for changes.
     pub watch_wait: Duration,
 }
 
+/// Timing of the reads where a few daemons of a data centre read the store for the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SharedFeedSettings {
+    /// Greatest time since a reader's last read of the store at which others use its changes.
+    pub age_max: Duration,
+    /// Timeout of a request to a reader; a poll times out this long after its wait.
+    pub poll_timeout: Duration,
+    /// Longest time for which a request to a reader waits for changes.
+    pub poll_wait: Duration,
+    /// A reader's pause between two reads of the store.
+    pub read_pause: Duration,
+    /// Longest time for which a reader's watch waits for changes.
+    pub watch_wait: Duration,
+}
+
 /// Settings of a front proxy.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -35,8 +35,9 @@
 pub use {
     call_head::{CallHead, HeadError, ReplyHead, SendHead},
     dialect::{DecodeError, FeedDialect, WireDialect},
+    feed::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
     front_proxy::{FrontError, FrontProxy},
-    front_settings::{FeedSettings, FrontSettings, RetrySettings},
+    front_settings::{FeedSettings, FrontSettings, RetrySettings, SharedFeedSettings},
     local_answer::LocalAnswer,
     peers::{LeasedEntry, MessageError, PEERS_PREFIX, PeerMessage, announce},
     process_clock::ProcessClock,
--- /dev/null
+++ b/crates/poplargap-forward/tests/changes.rs
@@ -0,0 +1,190 @@
+//! Tests of the changes of the store that a daemon keeps for others.
+
+use {
+    poplargap_core::instant::MonotonicInstant,
+    poplargap_forward::{ChangeLog, ChangeLogError, FeedBatch, FeedValue},
+    poplargap_store::{StoreRevision, WatchBatch, WatchChange},
+    proptest::{collection::vec, prop_assert, prop_assert_eq, proptest},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Most bytes of changes that a log may send at once.
+const BATCH_BYTES_MAX: usize = 2 * 1024 * 1024;
+
+fn at(ms: u64) -> MonotonicInstant {
+    MonotonicInstant::from_start(Duration::from_millis(ms))
+}
+
+fn change(revision: u64, key: &str, value: Option<String>) -> WatchChange {
+    WatchChange {
+        key: key.to_owned(),
+        revision: StoreRevision(revision),
+        value,
+    }
+}
+
+fn batch(changes: Vec<WatchChange>, revision: u64) -> WatchBatch {
+    WatchBatch {
+        changes,
+        revision: StoreRevision(revision),
+    }
+}
+
+fn started(revision: u64) -> ChangeLog {
+    let mut log = ChangeLog::default();
+    log.start(StoreRevision(revision), at(0));
+    log
+}
+
+fn since(log: &ChangeLog, after: u64) -> FeedBatch {
+    let read = log.since(StoreRevision(after), at(100));
+    read.expect("the log has the changes")
+}
+
+#[test]
+fn log_that_is_not_started_returns_nothing() {
+    let log = ChangeLog::default();
+    let read = log.since(StoreRevision(1), at(0));
+    assert_eq!(read, Err(ChangeLogError::NotReading));
+}
+
+#[test]
+fn changes_before_the_start_are_refused() {
+    let mut log = started(10);
+    log.append(&batch(vec![change(11, "a", None)], 11), false, at(0));
+    let read = log.since(StoreRevision(9), at(0));
+    assert_eq!(read, Err(ChangeLogError::Dropped(9)));
+    assert_eq!(since(&log, 10).changes.len(), 1);
+}
+
+#[test]
+fn age_is_the_time_since_the_last_read() {
+    let mut log = started(10);
+    assert_eq!(since(&log, 10).age_ms, 100);
+    log.append(&batch(Vec::new(), 10), false, at(60));
+    assert_eq!(since(&log, 10).age_ms, 40);
+}
+
+/// A storm of configurations on a link of 10 Mbit/s: each answer held every version since the one
+/// before, and the changes of registrations behind them came 2.9 s late.
+#[test]
+fn long_values_and_superseded_changes_are_left_out() {
+    let mut log = started(10);
+    let configuration = "c".repeat(50_000);
+    let mut changes: Vec<WatchChange> = (11..40)
+        .map(|revision| change(revision, "op/config", Some(configuration.clone())))
+        .collect();
+    changes.push(change(40, "servers/i-1", Some("ready".to_owned())));
+    changes.push(change(41, "servers/i-1", Some("draining".to_owned())));
+    log.append(&batch(changes, 41), false, at(0));
+    let sent = since(&log, 10);
+    let values: Vec<(&str, &FeedValue)> = sent
+        .changes
+        .iter()
+        .map(|change| (change.key.as_str(), &change.value))
+        .collect();
+    let draining = FeedValue::Given("draining".to_owned());
+    assert_eq!(
+        values,
+        [
+            ("op/config", &FeedValue::Omitted),
+            ("servers/i-1", &draining)
+        ]
+    );
+    let encoded = serde_json::to_vec(&sent).expect("it can be encoded");
+    assert!(encoded.len() < 1_000, "{}", encoded.len());
+}
+
+#[test]
+fn outage_is_reported_to_those_who_did_not_see_the_changes_after_it() {
+    let mut log = started(10);
+    log.append(&batch(vec![change(11, "a", None)], 11), false, at(0));
+    log.append(&batch(vec![change(12, "b", None)], 12), true, at(0));
+    log.append(&batch(vec![change(13, "c", None)], 13), false, at(0));
+    assert!(since(&log, 11).after_outage);
+    assert!(!since(&log, 12).after_outage);
+}
+
+#[test]
+fn log_is_bounded_and_reports_what_it_dropped() {
+    let mut log = started(0);
+    for revision in 1..=20_000 {
+        let value = Some("v".repeat(1_000));
+        let key = format!("servers/{revision}");
+        let changes = vec![change(revision, &key, value)];
+        log.append(&batch(changes, revision), false, at(0));
+    }
+    let early = log.since(StoreRevision(10), at(0));
+    assert_eq!(early, Err(ChangeLogError::Dropped(10)));
+    let kept = (0..20_000)
+        .find_map(|after| log.since(StoreRevision(after), at(0)).ok())
+        .expect("the newest changes are kept");
+    let bytes: usize = kept
+        .changes
+        .iter()
+        .map(|change| change.key.len() + 1_000)
+        .sum();
+    assert!(bytes <= BATCH_BYTES_MAX, "{bytes}");
+    assert_eq!(kept.revision, StoreRevision(20_000));
+}
+
+proptest! {
+    /// A follower that polls at any times, and starts again from a listing when the log no longer
+    /// has its changes, ends with the values of the store; its revision never falls.
+    #[test]
+    fn follower_converges_on_the_values_of_the_store(
+        steps in vec((0_u8..6, 0_u8..5, 1_usize..6_000, 0_u8..8), 1..200),
+    ) {
+        let mut store: BTreeMap<String, String> = BTreeMap::new();
+        let mut follower = store.clone();
+        let mut log = started(0);
+        let mut after = 0;
+        for (revision, (key, kind, len, action)) in (1..).zip(steps) {
+            let key = format!("servers/{key}");
+            let value = (kind > 0).then(|| format!("{revision}-{}", "v".repeat(len)));
+            match &value {
+                Some(value) => store.insert(key.clone(), value.clone()),
+                None => store.remove(&key),
+            };
+            log.append(&batch(vec![change(revision, &key, value)], revision), false, at(0));
+            match action {
+                // The reader restarts.
+                0 => log = started(revision),
+                1..4 => {
+                    if let Ok(sent) = log.since(StoreRevision(after), at(0)) {
+                        prop_assert!(sent.revision.0 >= after);
+                        prop_assert!(sent.changes.iter().all(|change| change.revision.0 > after));
+                        after = sent.revision.0;
+                        apply(&mut follower, sent, &store);
+                    } else {
+                        follower.clone_from(&store);
+                        after = revision;
+                    }
+                }
+                _ => {}
+            }
+            if after == revision {
+                prop_assert_eq!(&follower, &store);
+            }
+        }
+    }
+}
+
+/// Applies a batch; omitted values are read from the store.
+fn apply(
+    values: &mut BTreeMap<String, String>,
+    batch: FeedBatch,
+    store: &BTreeMap<String, String>,
+) {
+    for change in batch.changes {
+        let value = match change.value {
+            FeedValue::Given(value) => Some(value),
+            FeedValue::Omitted => store.get(&change.key).cloned(),
+            FeedValue::Removed => None,
+        };
+        match value {
+            Some(value) => values.insert(change.key, value),
+            None => values.remove(&change.key),
+        };
+    }
+}
