Compute rendezvous scores and count guards in one place each

Cause: left by earlier changes: the score of a replica was written in choice_rule and prompt_source and had to stay the same in both, the guards of held requests and open connections were one type with two names, and choice_rule had grown to 330 lines.

Change: rendezvous, prompt_order and choice_candidate are files of their own, count_guard serves both counts.

--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,26 +1,22 @@
 use {
     super::{
-        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker, cached_replicas::CachedReplica,
+        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
+        cached_replicas::CachedReplica,
+        choice_candidate::Candidate,
         load_bound::LoadBound,
+        prompt_order::{by_prompt, replica_count},
     },
     crate::instant::MonotonicInstant,
-    std::{cmp::Ordering, collections::BinaryHeap, sync::Arc},
+    std::sync::Arc,
     strum::IntoStaticStr,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Share of a replica's bound that one hot prompt may take.
-const HOT_PROMPT_SHARE: f64 = 0.5;
-
 /// Requests that are added to the load of a replica in another data centre.
 const REMOTE_COST_REQUESTS: f64 = 2.0;
 
 /// Requests that are added to the load of a replica, times its failure ratio.
 const FAILURE_COST_REQUESTS: f64 = 8.0;
 
-/// Failure ratio above which a replica isn't chosen by prompt.
-const FAILURE_RATIO_MAX: f64 = 0.45;
-
 /// A request for which a replica is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
@@ -68,20 +64,6 @@
     pub requests: f64,
 }
 
-/// A replica with its estimated load.
-#[derive(Clone, Copy, Debug)]
-struct Candidate<'a> {
-    entry: &'a Arc<ReplicaEntry>,
-    failure_ratio: f64,
-    /// Whether it probably has the prompt's prefix in its cache.
-    has_prefix: bool,
-    /// Weight of the replica's load report in the estimate, from 0 to 1.
-    confidence: f64,
-    /// Whether it is ejected or in an unreachable data centre.
-    is_unavailable: bool,
-    requests: f64,
-}
-
 /// Chooses the replica for one request; `None` if no replica is left.
 ///
 /// This is consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018). A
@@ -229,87 +211,6 @@
     total / candidates.len().max(1) as f64
 }
 
-/// Returns the number of replicas for a prompt that has `expected` open requests in the fleet.
-///
-/// With one replica at a time, all daemons would send to it until their load reports show that it
-/// is full, and then move on to the next one together.
-fn replica_count(expected: f64, bound: f64, replicas: usize) -> u64 {
-    let replica_count = (expected / (bound * HOT_PROMPT_SHARE)).ceil();
-    (replica_count as u64).clamp(1, replicas.max(1) as u64)
-}
-
-/// Returns the first replica within the bound and its position in the prompt's rendezvous order.
-///
-/// Replicas that have the prefix cached come first. The requests of a hot prompt start at one of
-/// the first `replica_count` replicas, selected by `request_hash`.
-fn by_prompt<'a, 'b>(
-    candidates: &'b [Candidate<'a>],
-    bound: f64,
-    key: u64,
-    replica_count: u64,
-    request_hash: u64,
-) -> Option<(usize, &'b Candidate<'a>)> {
-    let fits = |candidate: &Candidate<'_>| {
-        candidate.requests + 1.0 <= bound && candidate.failure_ratio <= FAILURE_RATIO_MAX
-    };
-    let mut order: BinaryHeap<RankedCandidate<'a, 'b>> = candidates
-        .iter()
-        .map(|candidate| RankedCandidate::new(candidate, key))
-        .collect();
-    let start = (request_hash % replica_count) as usize;
-    let skipped: Vec<_> = (0..start).map_while(|_| order.pop()).collect();
-    let rest = std::iter::from_fn(|| order.pop());
-    let chosen = rest.chain(skipped).find(|ranked| fits(ranked.candidate))?;
-    let is_ahead = |candidate: &&Candidate<'_>| order_score(candidate, key) > chosen.score;
-    let rank = candidates.iter().filter(is_ahead).count();
-    Some((rank, chosen.candidate))
-}
-
-/// Returns the candidate's score in the rendezvous order of `key`; the highest one is first.
-fn order_score(candidate: &Candidate<'_>, key: u64) -> u64 {
-    xxh3_64_with_seed(candidate.entry.id.as_bytes(), key)
-}
-
-/// A candidate in the order in which a prompt tries replicas: those that have it cached first.
-#[derive(Clone, Copy, Debug)]
-struct RankedCandidate<'a, 'b> {
-    candidate: &'b Candidate<'a>,
-    score: u64,
-}
-
-impl<'a, 'b> RankedCandidate<'a, 'b> {
-    fn new(candidate: &'b Candidate<'a>, key: u64) -> Self {
-        Self {
-            candidate,
-            score: order_score(candidate, key),
-        }
-    }
-
-    fn position(&self) -> (bool, u64) {
-        (self.candidate.has_prefix, self.score)
-    }
-}
-
-impl Eq for RankedCandidate<'_, '_> {}
-
-impl Ord for RankedCandidate<'_, '_> {
-    fn cmp(&self, other: &Self) -> Ordering {
-        self.position().cmp(&other.position())
-    }
-}
-
-impl PartialEq for RankedCandidate<'_, '_> {
-    fn eq(&self, other: &Self) -> bool {
-        self.position() == other.position()
-    }
-}
-
-impl PartialOrd for RankedCandidate<'_, '_> {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 fn by_load<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     data_centre: &str,
--- a/crates/poplargap-core/src/forward/prompt_source.rs
+++ b/crates/poplargap-core/src/forward/prompt_source.rs
@@ -1,9 +1,10 @@
 use {
-    super::{ReplicaEntry, ReplicaTracker, ReplicaView, cached_replicas::CachedReplica},
+    super::{
+        ReplicaEntry, ReplicaTracker, ReplicaView, cached_replicas::CachedReplica, rendezvous,
+    },
     crate::instant::MonotonicInstant,
     std::sync::Arc,
     strum::IntoStaticStr,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// A request whose prompt the chosen replica may fetch from another replica.
@@ -100,7 +101,7 @@
     let ready = request.view.replicas(service);
     let sources = ready.iter().chain(request.view.draining(service));
     let first = sources.fold(None, |first, replica| {
-        let score = xxh3_64_with_seed(replica.id.as_bytes(), request.key);
+        let score = rendezvous::score(replica.id.as_bytes(), request.key);
         let is_ahead = first.is_none_or(|(best, _)| score > best);
         // Most replicas are behind the first one, so few are checked for failures.
         if is_ahead && is_usable(tracker, request, replica) {
--- a/crates/poplargap-core/src/forward/reader_rule.rs
+++ b/crates/poplargap-core/src/forward/reader_rule.rs
@@ -5,11 +5,10 @@
 //! fail reads the store itself.
 
 use {
-    super::PeerView,
+    super::{PeerView, rendezvous},
     crate::{collections::HashMap, instant::MonotonicInstant},
-    std::{net::SocketAddr, time::Duration},
+    std::{cmp::Reverse, net::SocketAddr, time::Duration},
     strum::IntoStaticStr,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Fewest daemons of a data centre for which a few read the store for the others.
@@ -89,14 +88,14 @@
             self.readers.clear();
             return;
         }
-        daemons.sort_by_cached_key(|address| score(address, READER_SEED));
+        daemons.sort_by_cached_key(|address| Reverse(score(address, READER_SEED)));
         daemons.truncate(READERS_PER_CENTRE);
         self.reads_for_others = daemons.contains(&self.own);
         if self.reads_for_others {
             daemons.clear();
         }
         let preference = score(&self.own, READER_SEED);
-        daemons.sort_by_cached_key(|address| score(address, preference));
+        daemons.sort_by_cached_key(|address| Reverse(score(address, preference)));
         self.failures.retain(|address, _| daemons.contains(address));
         self.readers = daemons;
     }
@@ -140,5 +139,5 @@
 }
 
 fn score(address: &SocketAddr, seed: u64) -> u64 {
-    xxh3_64_with_seed(address.to_string().as_bytes(), seed)
+    rendezvous::score(address.to_string().as_bytes(), seed)
 }
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -4,6 +4,7 @@
     crate::{
         WireDialect,
         admit::admit,
+        count_guard::CountGuard,
         front_state::FrontState,
         hold::hold,
         identify::identify,
@@ -24,10 +25,7 @@
     std::{
         convert::Infallible,
         pin::pin,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicUsize, Ordering},
-        },
+        sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -64,23 +62,6 @@
     }
 }
 
-/// Guard that counts a connection as open until it is dropped.
-#[derive(Debug)]
-struct OpenConnection<'a>(&'a AtomicUsize);
-
-impl<'a> OpenConnection<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for OpenConnection<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Measures how long a connection has been idle.
 #[derive(Debug)]
 struct IdleTimer(Mutex<Instant>);
@@ -103,7 +84,7 @@
 }
 
 async fn serve<D: WireDialect>(state: Arc<FrontState<D>>, stream: TcpStream) {
-    let _open = OpenConnection::new(&state.open_connections);
+    let _open = CountGuard::new(&state.open_connections);
     if let Err(error) = stream.set_nodelay(true) {
         debug!(state.log, "socket options of a caller's connection can't be set"; "error" => %error);
     }
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_stage;
 mod close_signal;
 mod connection_pool;
+mod count_guard;
 mod dialect;
 mod feed;
 mod front_metrics;
