--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -5,12 +5,16 @@
         call_stage::{AdmittedCall, PlacementRecord},
         front_metrics::FrontMetrics,
     },
+    poplargap_core::forward::PromptPart,
     slog::{Logger, info},
-    std::{sync::Arc, time::Duration},
+    std::{fmt, sync::Arc, time::Duration},
     strum::IntoStaticStr,
     tokio::time::Instant,
 };
 
+/// Most parts of a prompt in a log line.
+const LOGGED_PARTS_MAX: usize = 16;
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
@@ -34,6 +38,8 @@
 pub(crate) struct CallLog {
     started_at: Instant,
     end: CallEnd,
+    /// Whole events of the current attempt.
+    events: u64,
     first_byte: Option<Duration>,
     id: String,
     last_event: Option<Instant>,
@@ -60,6 +66,7 @@
         Self {
             started_at: call.received.started_at,
             end: CallEnd::CallerGone,
+            events: 0,
             first_byte: None,
             id: call.received.head.id.clone(),
             last_event: None,
@@ -82,6 +89,7 @@
     /// Records the chosen replica and counts an attempt.
     pub(crate) fn record_placement(&mut self, placement: PlacementRecord) {
         self.sends += 1;
+        self.events = 0;
         self.placement = Some(placement);
     }
 
@@ -91,14 +99,20 @@
         self.first_byte.get_or_insert(self.started_at.elapsed());
     }
 
-    /// Records that events of the stream arrived, and the pause since the previous ones.
-    pub(crate) fn record_events(&mut self) {
+    /// Records that `count` events of the stream arrived, and the pause since the previous ones.
+    pub(crate) fn record_events(&mut self, count: u64) {
+        self.events += count;
         let now = Instant::now();
         if let Some(last) = self.last_event.replace(now) {
             self.longest_pause = self.longest_pause.max(now - last);
         }
     }
 
+    /// Returns the number of whole events of the current attempt.
+    pub(crate) fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Counts a resume of the stream at another replica.
     pub(crate) fn record_resume(&mut self) {
         self.resumes += 1;
@@ -162,3 +176,17 @@
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// The parts of a prompt as a value of a log line: their hashes, separated by commas.
+#[derive(Debug)]
+pub(crate) struct PromptParts<'a>(pub(crate) &'a [PromptPart]);
+
+impl fmt::Display for PromptParts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().take(LOGGED_PARTS_MAX).enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.hash)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         WireDialect,
         body_read::read_body,
-        call_log::CallLog,
+        call_log::{CallLog, PromptParts},
         call_stage::AdmittedCall,
         front_state::FrontState,
         place::place,
@@ -130,6 +130,7 @@
             "request" => &self.call.received.head.id, "replica" => replica.id.as_ref(),
             "replica-data-centre" => replica.data_centre.as_ref(), "outcome" => name,
             "tries" => self.history.tries, "possible-runs" => self.history.possible_runs,
+            "events" => self.log.events(), "prompt" => %PromptParts(&self.call.received.head.prompt),
             "time-left-ms" => crate::call_log::millis(time_left),
             "replica-ejected" => change.replica, "next" => reason);
         if change.centre {
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -107,9 +107,10 @@
         let Ok(events) = cursor.push(chunk) else {
             return StreamEnd::Broken;
         };
-        let has_event = cursor.event_count() > known;
+        let count = cursor.event_count() - known;
+        let has_event = count > 0;
         if has_event {
-            relay.log.record_events();
+            relay.log.record_events(count);
         } else if watch.record_bytes(len).is_err() {
             return StreamEnd::Broken;
         }
