--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -7,6 +7,9 @@
     BreakStream(u64),
     /// Runs the request and closes the connection without an answer.
     CloseUnanswered,
+    /// Ends the whole replica when it begins to answer a request whose prompt has this part, not as
+    /// its last one; it starts again a little later. Other requests are answered.
+    CrashOnPart(u64),
     /// Sends bytes without end until the connection is closed.
     Endless(EndlessBytes),
     /// Sends the answer twice.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -13,7 +13,8 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        task::JoinHandle,
+        sync::Notify,
+        task::{JoinHandle, JoinSet},
         time::sleep,
     },
 };
@@ -24,6 +25,9 @@
 /// Pause between two writes of endless bytes.
 const ENDLESS_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time from a replica's crash until it accepts connections again.
+const CRASH_TIME: Duration = Duration::from_millis(300);
+
 /// Header lines of an event stream.
 const STREAM_FRAMING: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 
@@ -33,6 +37,8 @@
 #[derive(Debug, Default)]
 struct ReplicaState {
     connections: usize,
+    crash: Arc<Notify>,
+    crashes: u64,
     cut_off: usize,
     endless_bytes: usize,
     endless_open: usize,
@@ -85,7 +91,8 @@
         let id = lock(&self.state).id.clone();
         let value = json!({
             "service": self.service, "address": self.address, "zone": "ne1", "version": "v1",
-            "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+            "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "born": 1 + self.crashes(),
         });
         (format!("servers/{id}"), value.to_string())
     }
@@ -106,6 +113,12 @@
         lock(&self.state).seen.clone()
     }
 
+    /// Returns how often the replica crashed.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        lock(&self.state).crashes
+    }
+
     /// Returns the number of accepted connections.
     #[must_use]
     pub fn connections(&self) -> usize {
@@ -140,10 +153,34 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept_connections(listener: TcpListener, state: Arc<Mutex<ReplicaState>>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        lock(&state).connections += 1;
-        tokio::spawn(serve(stream, Arc::clone(&state)));
+/// Accepts connections; after a crash, which ends all of them, the replica starts again.
+async fn accept_connections(mut listener: TcpListener, state: Arc<Mutex<ReplicaState>>) {
+    let crash = Arc::clone(&lock(&state).crash);
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    loop {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else {
+                        return;
+                    };
+                    lock(&state).connections += 1;
+                    connections.spawn(serve(stream, Arc::clone(&state)));
+                }
+                () = crash.notified() => break,
+            }
+        }
+        drop(listener);
+        connections.shutdown().await;
+        lock(&state).running = 0;
+        sleep(CRASH_TIME).await;
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(_) => return,
+        };
     }
 }
 
@@ -181,6 +218,17 @@
         state.seen.push(request.clone());
         WireAnswer::new(&request, state.running)
     };
+    if let ReplicaFault::CrashOnPart(part) = fault
+        && request.shares_part(part)
+    {
+        let crash = {
+            let mut state = lock(state);
+            state.crashes += 1;
+            Arc::clone(&state.crash)
+        };
+        crash.notify_one();
+        return std::future::pending().await;
+    }
     let written = write_answer(stream, state, fault, &wire, &request).await;
     lock(state).running -= 1;
     written
@@ -222,7 +270,10 @@
             Err(io::ErrorKind::ConnectionAborted.into())
         }
         ReplicaFault::Unsigned => stream.write_all(wire.unsigned().as_bytes()).await,
-        ReplicaFault::BreakStream(_) | ReplicaFault::None | ReplicaFault::Full => {
+        ReplicaFault::BreakStream(_)
+        | ReplicaFault::CrashOnPart(_)
+        | ReplicaFault::None
+        | ReplicaFault::Full => {
             if !request.line.contains("/stream") {
                 return stream.write_all(whole.as_bytes()).await;
             }
--- a/crates/poplargap-testbed/src/replica/seen_request.rs
+++ b/crates/poplargap-testbed/src/replica/seen_request.rs
@@ -24,6 +24,18 @@
         self.headers.get(name).map(String::as_str)
     }
 
+    /// Returns whether the prompt has a part with this hash before its last part.
+    #[must_use]
+    pub fn shares_part(&self, hash: u64) -> bool {
+        let prompt = self.header("prefix-hash").unwrap_or("");
+        let Some((shared, _)) = prompt.rsplit_once(',') else {
+            return false;
+        };
+        let name = format!("{hash:x}");
+        let mut parts = shared.split(',').filter_map(|part| part.split_once(':'));
+        parts.any(|(part, _)| part.trim() == name)
+    }
+
     /// Reads one request; `None` when the connection is closed or the request is malformed or too
     /// long.
     pub(super) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
