Refuse requests with a prompt part that crashes replicas

Cause: an input that ends its reader was sent on to the next one without a bound, by retries, resumed streams and callers' own retries, and nothing that one daemon learned of it reached the others.

A daemon whose connection breaks before the first event checks the replica; a registered one that refuses connections has crashed. It reports the crash with the unanswered prompts' parts in the store, and each daemon judges the same reports. The fix works because the guilty part is in each crash and in no answer, while any answer to the parts beside it clears them, and since one daemon's report binds all, also those that start later.

Ruled out: datagrams for the reports (lossy, and lost with a daemon), a counter for each part with compare-and-swap (daemons would contend for the parts that all prompts share), an owner of each part (its loss is felt).

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -4,6 +4,7 @@
 //! outcomes of its own requests, and the load reports of its peers.
 
 mod attempt_rule;
+mod blocked_parts;
 mod cached_replicas;
 mod centre_health;
 mod choice_candidate;
@@ -11,6 +12,8 @@
 mod client_limits;
 mod close_plan;
 mod cold_start;
+mod crash_evidence;
+mod crash_report;
 mod event_cursor;
 mod feed_state;
 mod load_bound;
@@ -30,21 +33,25 @@
 mod route_table;
 mod send_outcome;
 mod service_budget;
+mod sound_parts;
 mod stream_watch;
 
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
+    blocked_parts::{BlockScope, BlockedPart, BlockedParts, SoundNote},
     cached_replicas::{CachedReplicas, PrefixReplica},
     centre_health::CentreHealth,
     choice_rule::{ChoiceRequest, PlacedBy, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
     cold_start::{ColdStart, hold_time},
+    crash_evidence::{CrashEvidence, EvidenceChange},
+    crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     peer_view::{PeerEntry, PeerView},
     pending_reports::{LoadDigest, PeerReport, PendingReports},
-    prompt_part::{PromptPart, placement_key, shared_tokens},
+    prompt_part::{PromptPart, leading_parts, placement_key, shared_tokens},
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
     reader_rule::{ReadSource, ReaderRule},
@@ -56,5 +63,6 @@
     route_table::{AccessRefusal, RouteGrant, RouteTable},
     send_outcome::SendOutcome,
     service_budget::ServiceBudget,
+    sound_parts::SoundParts,
     stream_watch::{EventlessError, StallStep, StreamWatch},
 };
--- a/crates/poplargap-core/src/forward/prompt_part.rs
+++ b/crates/poplargap-core/src/forward/prompt_part.rs
@@ -33,6 +33,12 @@
     shared_parts(parts).iter().map(|part| part.tokens).sum()
 }
 
+/// Returns all parts except the last, which is the request's own.
+#[must_use]
+pub fn leading_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, leading)| leading)
+}
+
 /// Returns all parts except the last, or the only one.
 fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
     match parts {
--- /dev/null
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -0,0 +1,296 @@
+use {
+    poplargap_core::{
+        forward::{
+            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, PromptPart, SoundNote,
+            UnansweredCall,
+        },
+        instant::MonotonicInstant,
+    },
+    proptest::{collection::vec, prelude::*, sample::subsequence},
+    std::time::Duration,
+};
+
+const GUILTY: u64 = 0xdead;
+const FIRST: u64 = 1;
+const SECOND: u64 = 2;
+const OWN: u64 = 99;
+
+fn prompt(parts: &[u64]) -> Vec<PromptPart> {
+    let parts = parts.iter();
+    parts
+        .map(|hash| PromptPart {
+            hash: *hash,
+            tokens: 100,
+        })
+        .collect()
+}
+
+fn call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
+    UnansweredCall::new(id, &prompt(parts), Some(workspace)).expect("the prompt has shared parts")
+}
+
+fn crash(replica: &str) -> CrashId {
+    CrashId {
+        replica: replica.into(),
+        started_ms: 1,
+    }
+}
+
+/// Returns the report of a daemon on a crash, as the store has it.
+fn stored(daemon: u32, replica: &str, calls: Vec<UnansweredCall>) -> EvidenceChange {
+    let key = format!("crash-reports/{replica}/{daemon}");
+    EvidenceChange::Report(key, Some((1, CrashReport::new(crash(replica), calls))))
+}
+
+fn now() -> MonotonicInstant {
+    MonotonicInstant::from_start(Duration::from_mins(1))
+}
+
+/// Returns the evidence of a request that crashed two replicas in turn and of one that crashed a
+/// third; all parts but the guilty one are in sound requests, too.
+fn guilty_evidence() -> Vec<EvidenceChange> {
+    let parts = [FIRST, SECOND, GUILTY, OWN];
+    vec![
+        stored(1, "a", vec![call("r1", &parts, "w")]),
+        stored(1, "b", vec![call("r1", &parts, "w")]),
+        stored(2, "c", vec![call("r2", &parts, "w")]),
+    ]
+}
+
+fn blocked(evidence: &CrashEvidence) -> Vec<u64> {
+    evidence.blocked().parts().keys().copied().collect()
+}
+
+#[test]
+fn part_that_crashed_replicas_in_turn_is_blocked() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    assert!(blocked(&evidence).contains(&GUILTY));
+    let found = evidence.blocked().find(&prompt(&[7, GUILTY, 8]), Some("w"));
+    assert_eq!(found, Some(GUILTY));
+    let last = evidence.blocked().find(&prompt(&[7, GUILTY]), Some("w"));
+    assert_eq!(last, None, "a request's own part is never blocked");
+}
+
+#[test]
+fn parts_of_sound_requests_beside_the_guilty_one_are_not_blocked() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, 5]), now());
+    evidence.apply(guilty_evidence(), now());
+    evidence.apply(
+        vec![EvidenceChange::Note(SECOND, Some(SoundNote::Answered))],
+        now(),
+    );
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn note_that_comes_after_the_crashes_unblocks_a_part() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some(SoundNote::Answered)));
+    evidence.apply(notes.into(), now());
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn crash_counts_once_however_many_daemons_report_it() {
+    let mut evidence = CrashEvidence::default();
+    let reports = (0..50).map(|daemon| {
+        let calls = vec![call(&format!("r{daemon}"), &[GUILTY, OWN], "w")];
+        stored(daemon, "a", calls)
+    });
+    evidence.apply(reports.collect(), now());
+    assert!(blocked(&evidence).is_empty());
+}
+
+#[test]
+fn replicas_that_crash_at_once_block_no_rare_part() {
+    let mut evidence = CrashEvidence::default();
+    let reports = (0..4).map(|number| {
+        let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
+        stored(number, &format!("replica-{number}"), calls)
+    });
+    evidence.apply(reports.collect(), now());
+    assert!(blocked(&evidence).is_empty());
+}
+
+#[test]
+fn replicas_that_crash_at_once_block_no_part_of_answered_prompts() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, 5]), now());
+    let reports = (0..5).map(|number| {
+        let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
+        stored(number, &format!("replica-{number}"), calls)
+    });
+    evidence.apply(reports.collect(), now());
+    assert!(blocked(&evidence).is_empty());
+}
+
+#[test]
+fn part_that_crashes_replicas_without_retries_is_blocked_at_the_fifth() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..5 {
+        assert!(blocked(&evidence).is_empty());
+        let calls = vec![call(&format!("r{number}"), &[GUILTY, OWN], "w")];
+        evidence.apply(vec![stored(1, &format!("replica-{number}"), calls)], now());
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn part_that_was_answered_before_is_blocked_at_the_sixth_crash() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[GUILTY, 5]), now());
+    for number in 0..6 {
+        assert!(blocked(&evidence).is_empty());
+        let calls = vec![call(&format!("r{number}"), &[GUILTY, OWN], "w")];
+        evidence.apply(vec![stored(1, &format!("replica-{number}"), calls)], now());
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn caller_cannot_have_the_prompts_of_another_workspace_refused() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    let scope = &evidence.blocked().parts()[&FIRST].scope;
+    assert_eq!(*scope, BlockScope::Workspace(Some("w".into())));
+    let other = evidence.blocked().find(&prompt(&[FIRST, OWN]), Some("v"));
+    assert_eq!(other, None);
+}
+
+#[test]
+fn part_that_crashes_replicas_for_two_workspaces_is_blocked_for_all() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    let calls = vec![call("r3", &[GUILTY, OWN], "v")];
+    evidence.apply(vec![stored(3, "d", calls)], now());
+    assert_eq!(evidence.blocked().parts()[&GUILTY].scope, BlockScope::All);
+    let third = evidence.blocked().find(&prompt(&[GUILTY, OWN]), Some("u"));
+    assert_eq!(third, Some(GUILTY));
+}
+
+#[test]
+fn operator_lifts_a_block() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    evidence.apply(
+        vec![EvidenceChange::Note(GUILTY, Some(SoundNote::Lifted))],
+        now(),
+    );
+    assert!(!blocked(&evidence).contains(&GUILTY));
+}
+
+#[test]
+fn block_ends_with_its_reports() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    evidence.replace(Vec::new(), now());
+    assert!(blocked(&evidence).is_empty());
+}
+
+#[test]
+fn own_report_counts_before_and_after_the_store_has_it() {
+    let mut evidence = CrashEvidence::default();
+    let calls = vec![call("r1", &[GUILTY, OWN], "w")];
+    let key = "crash-reports/a/1".to_owned();
+    evidence.record_own(key, CrashReport::new(crash("a"), calls.clone()), now());
+    evidence.apply(vec![stored(1, "a", calls.clone())], now());
+    evidence.apply(vec![stored(1, "b", calls)], now());
+    assert!(blocked(&evidence).is_empty());
+    let calls = vec![call("r2", &[GUILTY, OWN], "w")];
+    evidence.apply(vec![stored(1, "c", calls)], now());
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn reports_without_end_take_bounded_memory_and_the_newest_are_kept() {
+    let mut evidence = CrashEvidence::default();
+    let reports = (0..20_000).map(|number: u64| {
+        let part = 1_000 + number;
+        let calls = vec![call(&format!("r{number}"), &[part, OWN], "w")];
+        let report = CrashReport::new(crash(&format!("{number}")), calls);
+        EvidenceChange::Report(format!("{number}"), Some((number, report)))
+    });
+    for batch in reports.collect::<Vec<_>>().chunks(500) {
+        evidence.apply(batch.to_vec(), now());
+    }
+    assert!(evidence.report_count() <= 1_024);
+}
+
+#[test]
+fn request_that_crashed_two_replicas_is_not_sent_again() {
+    let mut evidence = CrashEvidence::default();
+    let rare = prompt(&[GUILTY, OWN]);
+    assert!(evidence.may_retry(&rare, 0, now()));
+    assert!(evidence.may_retry(&rare, 1, now()));
+    assert!(!evidence.may_retry(&rare, 2, now()));
+    evidence.record_answer(&rare, now());
+    assert!(
+        evidence.may_retry(&rare, 2, now()),
+        "an answered prompt is retried"
+    );
+}
+
+#[test]
+fn request_with_a_part_of_two_crashes_is_not_sent_again() {
+    let mut evidence = CrashEvidence::default();
+    let calls = vec![call("r1", &[GUILTY, OWN], "w")];
+    evidence.apply(
+        vec![stored(1, "a", calls.clone()), stored(1, "b", calls)],
+        now(),
+    );
+    assert!(!evidence.may_retry(&prompt(&[GUILTY, OWN]), 1, now()));
+    assert!(evidence.may_retry(&prompt(&[GUILTY, OWN]), 0, now()));
+}
+
+#[test]
+fn odd_reports_are_refused() {
+    let texts = [
+        "{}",
+        r#"{"crash":{"replica":"a","started-ms":1},"calls":[]}"#,
+        r#"{"crash":{"replica":"a","started-ms":-1},"calls":[{"call":1,"parts":[1],"workspace":null}]}"#,
+        r#"{"crash":{"replica":"a","started-ms":1},"calls":[{"call":1,"parts":[],"workspace":null}]}"#,
+        r#"{"crash":{"replica":"a","started-ms":1},"calls":[{"call":1e400,"parts":[1],"workspace":"w"}]}"#,
+    ];
+    for text in texts {
+        assert!(serde_json::from_str::<CrashReport>(text).is_err(), "{text}");
+    }
+    let report = CrashReport::new(crash("a"), vec![call("r1", &[GUILTY, OWN], "w")]);
+    let text = serde_json::to_string(&report).expect("a text");
+    assert_eq!(
+        serde_json::from_str::<CrashReport>(&text).expect("valid"),
+        report
+    );
+}
+
+proptest! {
+    // Whatever crashes, a part that some daemon noted as answered stays free while a guilty part
+    // is in all of its requests, and the order of reports doesn't matter.
+    #[test]
+    fn guilty_part_explains_the_crashes_of_the_others(
+        others in vec(subsequence(vec![1_u64, 2, 3, 4, 5], 1..4), 5..30),
+        seed in any::<u64>(),
+    ) {
+        let reports: Vec<EvidenceChange> = others.iter().enumerate().map(|(number, others)| {
+            let mut parts = others.clone();
+            parts.extend([GUILTY, OWN]);
+            let id = format!("r{number}");
+            let daemon = u32::try_from(number % 7).expect("a small number");
+            stored(daemon, &format!("replica-{number}"), vec![call(&id, &parts, "w")])
+        }).collect();
+        let notes = (1..=5).map(|part| EvidenceChange::Note(part, Some(SoundNote::Answered)));
+        let mut all: Vec<EvidenceChange> = reports.into_iter().chain(notes).collect();
+        let mut evidence = CrashEvidence::default();
+        evidence.apply(all.clone(), now());
+        prop_assert_eq!(blocked(&evidence), vec![GUILTY]);
+        let len = all.len();
+        all.rotate_left(usize::try_from(seed % 64).expect("a small number") % len);
+        let mut rotated = CrashEvidence::default();
+        for change in all {
+            rotated.apply(vec![change], now());
+        }
+        prop_assert_eq!(rotated.blocked(), evidence.blocked());
+    }
+}
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod close;
 mod cold_start;
+mod crash_evidence;
 mod events;
 mod prompt_source;
 mod readers;
--- /dev/null
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -0,0 +1,197 @@
+//! The crashes of replicas as a daemon knows them, shared by its requests, its feed and its reporter.
+
+use {
+    crate::{front_metrics::FrontMetrics, process_clock::ProcessClock},
+    poplargap_core::{
+        collections::HashMap,
+        forward::{
+            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, PromptPart,
+            ReplicaId, UnansweredCall,
+        },
+    },
+    slog::{Logger, info, warn},
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::{Notify, mpsc},
+};
+
+/// Prefix of the keys of crash reports: one key for each crash and daemon.
+pub const CRASHES_PREFIX: &str = "crash-reports/";
+
+/// Prefix of the keys of notes on prompt parts: one key for each part, named by its hash.
+pub const SOUND_PREFIX: &str = "sound-parts/";
+
+/// Most reports that wait to be written to the store.
+const REPORTS_MAX: usize = 32;
+
+/// Most unanswered requests that are kept for one replica until its crash is confirmed.
+const SUSPECTS_MAX: usize = 16;
+
+/// A report of the daemon and its key in the store.
+#[derive(Debug)]
+pub(crate) struct KeyedReport {
+    pub(crate) key: String,
+    pub(crate) report: CrashReport,
+}
+
+/// The evidence of crashes, with a log line for each change of what is blocked.
+#[derive(Debug)]
+pub(crate) struct CrashBoard {
+    changed: Notify,
+    clock: ProcessClock,
+    evidence: Mutex<CrashEvidence>,
+    log: Logger,
+    metrics: FrontMetrics,
+    reports: mpsc::Sender<KeyedReport>,
+    suspects: Mutex<HashMap<ReplicaId, Vec<UnansweredCall>>>,
+}
+
+impl CrashBoard {
+    /// Creates a board and the receiver of the reports that have to be written to the store.
+    pub(crate) fn new(
+        clock: ProcessClock,
+        metrics: FrontMetrics,
+        log: Logger,
+    ) -> (Self, mpsc::Receiver<KeyedReport>) {
+        let (reports, receiver) = mpsc::channel(REPORTS_MAX);
+        let board = Self {
+            changed: Notify::new(),
+            clock,
+            evidence: Mutex::default(),
+            log,
+            metrics,
+            reports,
+            suspects: Mutex::default(),
+        };
+        (board, receiver)
+    }
+
+    /// Returns the part for which a caller's request must not be sent to a replica, if any.
+    pub(crate) fn blocking_part(
+        &self,
+        prompt: &[PromptPart],
+        workspace: Option<&str>,
+    ) -> Option<u64> {
+        if prompt.is_empty() {
+            return None;
+        }
+        self.evidence().blocked().find(prompt, workspace)
+    }
+
+    /// Returns whether a request may be sent again after `unanswered` unanswered attempts.
+    pub(crate) fn may_retry(&self, prompt: &[PromptPart], unanswered: u32) -> bool {
+        let now = self.clock.now();
+        self.evidence().may_retry(prompt, unanswered, now)
+    }
+
+    /// Records that a replica answered a request with this prompt.
+    pub(crate) fn record_answer(&self, prompt: &[PromptPart]) {
+        if !prompt.is_empty() {
+            let now = self.clock.now();
+            self.evidence().record_answer(prompt, now);
+        }
+    }
+
+    /// Adds a request whose connection broke before the answer began; returns whether it is the
+    /// first one at this replica, which has to be checked for a crash.
+    pub(crate) fn add_suspect(&self, replica: &ReplicaId, call: UnansweredCall) -> bool {
+        let mut suspects = self.suspects();
+        let calls = suspects.entry(Arc::clone(replica)).or_default();
+        if calls.len() < SUSPECTS_MAX {
+            calls.push(call);
+        }
+        calls.len() == 1
+    }
+
+    /// Takes the requests that were unanswered at a replica.
+    pub(crate) fn take_suspects(&self, replica: &ReplicaId) -> Vec<UnansweredCall> {
+        self.suspects().remove(replica).unwrap_or_default()
+    }
+
+    /// Records a crash that this daemon saw and queues its report for the store.
+    pub(crate) fn record_crash(&self, key: String, report: CrashReport) {
+        let now = self.clock.now();
+        let own = report.clone();
+        self.update(|evidence| evidence.record_own(key.clone(), own, now));
+        if self.reports.try_send(KeyedReport { key, report }).is_err() {
+            self.metrics.record_crash_report("dropped");
+            warn!(self.log, "crash report dropped because too many wait");
+        }
+    }
+
+    /// Drops what is too old.
+    pub(crate) fn expire(&self) {
+        let now = self.clock.now();
+        self.update(|evidence| evidence.expire(now));
+    }
+
+    /// Applies changes from the store.
+    pub(crate) fn apply(&self, changes: Vec<EvidenceChange>) {
+        if !changes.is_empty() {
+            let now = self.clock.now();
+            self.update(|evidence| evidence.apply(changes, now));
+        }
+    }
+
+    /// Replaces what came from the store by a listing.
+    pub(crate) fn replace(&self, changes: Vec<EvidenceChange>) {
+        let now = self.clock.now();
+        self.update(|evidence| evidence.replace(changes, now));
+    }
+
+    /// Returns the parts on which the store lacks a note that a replica answered them.
+    pub(crate) fn missing_notes(&self) -> Vec<u64> {
+        let now = self.clock.now();
+        self.evidence().missing_notes(now)
+    }
+
+    /// Returns whether any crash is on record.
+    pub(crate) fn has_crashes(&self) -> bool {
+        self.evidence().report_count() > 0
+    }
+
+    /// Waits for the next change of the evidence.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn update(&self, change: impl FnOnce(&mut CrashEvidence)) {
+        let (before, after) = {
+            let mut evidence = self.evidence();
+            let before = Arc::clone(evidence.blocked());
+            change(&mut evidence);
+            (before, Arc::clone(evidence.blocked()))
+        };
+        if before != after {
+            self.log_change(&before, &after);
+            self.metrics.set_blocked_parts(after.parts().len());
+        }
+        self.changed.notify_one();
+    }
+
+    fn log_change(&self, before: &BlockedParts, after: &BlockedParts) {
+        for (part, blocked) in after.parts() {
+            if before.parts().get(part) == Some(blocked) {
+                continue;
+            }
+            let scope = match &blocked.scope {
+                BlockScope::All => "all",
+                BlockScope::Workspace(Some(workspace)) => workspace,
+                BlockScope::Workspace(None) => "callers without a key",
+            };
+            warn!(self.log, "prompt part crashes replicas; its requests are refused";
+                "part" => format!("{part:x}"), "crashes" => blocked.crashes, "workspaces" => scope);
+        }
+        let released = before.parts().keys();
+        for part in released.filter(|part| !after.parts().contains_key(part)) {
+            info!(self.log, "prompt part is no longer blocked"; "part" => format!("{part:x}"));
+        }
+    }
+
+    fn evidence(&self) -> MutexGuard<'_, CrashEvidence> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn suspects(&self) -> MutexGuard<'_, HashMap<ReplicaId, Vec<UnansweredCall>>> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/crash_reporter.rs
@@ -0,0 +1,219 @@
+//! Writes crash reports and notes on sound prompt parts to the store.
+
+use {
+    crate::{
+        crash_board::{CrashBoard, KeyedReport, SOUND_PREFIX},
+        front_metrics::FrontMetrics,
+    },
+    poplargap_core::forward::{EvidenceChange, SoundNote},
+    poplargap_store::{KeyValueStore, LeaseId, StoreError, SwapOutcome, SwapWrite},
+    rand::Rng,
+    slog::{Logger, info, warn},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep},
+    },
+};
+
+/// Time to live of reports and notes; a part is blocked for as long as its reports last.
+const LEASE_TTL: Duration = Duration::from_mins(10);
+
+/// Age above which a lease isn't used for further keys.
+const LEASE_AGE_MAX: Duration = Duration::from_mins(4);
+
+/// Age above which a key that couldn't be written is dropped.
+const WRITE_AGE_MAX: Duration = Duration::from_mins(1);
+
+/// Pause between two looks for missing notes while crashes are on record.
+const NOTES_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest random pause before a note, so that one daemon writes it and the others see it.
+const NOTE_SPREAD: Duration = Duration::from_millis(150);
+
+/// Most notes that are written at a time.
+const NOTES_MAX: usize = 8;
+
+/// Writes that may follow each other without a pause.
+const BURST_MAX: u32 = 8;
+
+/// Time after which one more write is allowed.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Shortest pause after a failed write.
+const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
+
+/// Longest pause after a failed write.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// A key that has to be written.
+#[derive(Debug)]
+struct PendingWrite {
+    key: String,
+    since: Instant,
+    value: String,
+}
+
+/// Writes a daemon's evidence of crashes to the store.
+#[derive(Debug)]
+pub(crate) struct CrashReporter<S> {
+    pub(crate) board: Arc<CrashBoard>,
+    pub(crate) log: Logger,
+    pub(crate) metrics: FrontMetrics,
+    pub(crate) reports: mpsc::Receiver<KeyedReport>,
+    pub(crate) store: S,
+}
+
+/// Writes reports and notes until the task is aborted.
+pub(crate) async fn report_crashes<S: KeyValueStore>(mut reporter: CrashReporter<S>) {
+    let mut lease = None;
+    let mut pending = VecDeque::new();
+    let mut allowance = WriteAllowance::new();
+    loop {
+        reporter.collect(&mut pending).await;
+        while let Some(write) = pending.pop_front() {
+            sleep(allowance.take()).await;
+            if let Err(error) = reporter.write(&write, &mut lease).await {
+                reporter.record_failure(write, &error, &mut pending);
+                sleep(random_pause(RETRY_PAUSE_MIN, RETRY_PAUSE_MAX)).await;
+                break;
+            }
+            reporter.metrics.record_crash_report("written");
+        }
+    }
+}
+
+impl<S: KeyValueStore> CrashReporter<S> {
+    /// Waits for something to write, unless something is left.
+    async fn collect(&mut self, pending: &mut VecDeque<PendingWrite>) {
+        while let Ok(report) = self.reports.try_recv() {
+            pending.extend(pending_report(&report));
+        }
+        if !pending.is_empty() {
+            return;
+        }
+        let has_crashes = self.board.has_crashes();
+        tokio::select! {
+            report = self.reports.recv() => {
+                pending.extend(report.as_ref().and_then(pending_report));
+            }
+            () = sleep(NOTES_PAUSE), if has_crashes => self.collect_notes(pending).await,
+            () = self.board.changed(), if !has_crashes => {}
+        }
+    }
+
+    async fn collect_notes(&self, pending: &mut VecDeque<PendingWrite>) {
+        if self.board.missing_notes().is_empty() {
+            return;
+        }
+        sleep(random_pause(Duration::ZERO, NOTE_SPREAD)).await;
+        let missing = self.board.missing_notes().into_iter().take(NOTES_MAX);
+        for part in missing {
+            info!(self.log, "prompt part was answered, though replicas crashed beside it";
+                "part" => format!("{part:x}"));
+            pending.extend(pending_note(part));
+            let note = EvidenceChange::Note(part, Some(SoundNote::Answered));
+            self.board.apply(vec![note]);
+        }
+    }
+
+    /// Writes a key unless it is there already.
+    async fn write(
+        &self,
+        pending: &PendingWrite,
+        lease: &mut Option<(LeaseId, Instant)>,
+    ) -> Result<(), StoreError> {
+        let id = match lease {
+            Some((id, granted)) if granted.elapsed() < LEASE_AGE_MAX => *id,
+            _ => {
+                let granted = Instant::now();
+                let id = self.store.grant_lease(LEASE_TTL).await?.id;
+                *lease = Some((id, granted));
+                id
+            }
+        };
+        let write = SwapWrite {
+            expected: None,
+            key: pending.key.clone(),
+            lease: Some(id),
+            value: Some(pending.value.clone()),
+        };
+        match self.store.swap(&write).await {
+            SwapOutcome::Applied(_) | SwapOutcome::Conflict(_) => Ok(()),
+            SwapOutcome::Failed(error) | SwapOutcome::Unknown(error) => {
+                *lease = None;
+                Err(error)
+            }
+        }
+    }
+
+    fn record_failure(
+        &self,
+        write: PendingWrite,
+        error: &StoreError,
+        pending: &mut VecDeque<PendingWrite>,
+    ) {
+        let is_dropped = write.since.elapsed() > WRITE_AGE_MAX;
+        warn!(self.log, "evidence of a crash can't be written"; "key" => &write.key,
+            "error" => %error, "dropped" => is_dropped);
+        if is_dropped {
+            self.metrics.record_crash_report("dropped");
+        } else {
+            pending.push_front(write);
+        }
+    }
+}
+
+fn random_pause(min: Duration, max: Duration) -> Duration {
+    rand::rng().random_range(min..max)
+}
+
+fn pending_report(report: &KeyedReport) -> Option<PendingWrite> {
+    Some(PendingWrite {
+        key: report.key.clone(),
+        since: Instant::now(),
+        value: serde_json::to_string(&report.report).ok()?,
+    })
+}
+
+fn pending_note(part: u64) -> Option<PendingWrite> {
+    Some(PendingWrite {
+        key: format!("{SOUND_PREFIX}{part:x}"),
+        since: Instant::now(),
+        value: serde_json::to_string(&SoundNote::Answered).ok()?,
+    })
+}
+
+/// Bounds the writes of a daemon, as when many replicas crash at once.
+#[derive(Debug)]
+struct WriteAllowance {
+    left: u32,
+    since: Instant,
+}
+
+impl WriteAllowance {
+    fn new() -> Self {
+        Self {
+            left: BURST_MAX,
+            since: Instant::now(),
+        }
+    }
+
+    /// Takes one write and returns the pause before it.
+    fn take(&mut self) -> Duration {
+        while self.left < BURST_MAX && self.since.elapsed() >= WRITE_INTERVAL {
+            self.left += 1;
+            self.since += WRITE_INTERVAL;
+        }
+        if self.left == BURST_MAX {
+            self.since = Instant::now();
+        }
+        if self.left == 0 {
+            let pause = WRITE_INTERVAL.saturating_sub(self.since.elapsed());
+            self.since += WRITE_INTERVAL;
+            return pause;
+        }
+        self.left -= 1;
+        Duration::ZERO
+    }
+}
--- /dev/null
+++ b/crates/poplargap-forward/src/feed/evidence_feed.rs
@@ -0,0 +1,68 @@
+use {
+    super::{FeedContext, store_follower::FeedUpdate},
+    crate::crash_board::{CRASHES_PREFIX, CrashBoard, SOUND_PREFIX},
+    poplargap_core::forward::EvidenceChange,
+    poplargap_store::StoreRevision,
+    serde::de::DeserializeOwned,
+    slog::info,
+    std::sync::Arc,
+};
+
+/// Passes crash reports and notes on prompt parts from the store to the board.
+#[derive(Debug)]
+pub(super) struct EvidenceFeed<F, S> {
+    board: Arc<CrashBoard>,
+    context: FeedContext<F, S>,
+}
+
+impl<F, S> EvidenceFeed<F, S> {
+    pub(super) fn new(context: FeedContext<F, S>, board: Arc<CrashBoard>) -> Self {
+        Self { board, context }
+    }
+
+    /// Applies an update of the store.
+    pub(super) fn apply(&self, update: &FeedUpdate) {
+        match update {
+            FeedUpdate::Changes(changes) => {
+                let changes = changes.iter().filter_map(|change| {
+                    self.read(&change.key, change.revision, change.value.as_deref())
+                });
+                self.board.apply(changes.collect());
+            }
+            FeedUpdate::Listing(values) => {
+                let values = values
+                    .iter()
+                    .filter_map(|value| self.read(&value.key, value.revision, Some(&value.value)));
+                self.board.replace(values.collect());
+            }
+        }
+    }
+
+    /// Reads a key; `None` if it is another one or has no part's name.
+    fn read(
+        &self,
+        key: &str,
+        revision: StoreRevision,
+        value: Option<&str>,
+    ) -> Option<EvidenceChange> {
+        if let Some(part) = key.strip_prefix(SOUND_PREFIX) {
+            let part = u64::from_str_radix(part, 16).ok()?;
+            return Some(EvidenceChange::Note(part, self.decode(key, value)));
+        }
+        key.starts_with(CRASHES_PREFIX).then(|| {
+            let report = self.decode(key, value);
+            EvidenceChange::Report(key.to_owned(), report.map(|report| (revision.0, report)))
+        })
+    }
+
+    fn decode<T: DeserializeOwned>(&self, key: &str, value: Option<&str>) -> Option<T> {
+        match serde_json::from_str(value?) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                info!(self.context.log, "evidence of a crash can't be read";
+                    "key" => key, "reason" => %error);
+                None
+            }
+        }
+    }
+}
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -1,13 +1,18 @@
 use {
     super::{
         FeedContext,
+        evidence_feed::EvidenceFeed,
         peers_feed::PeersFeed,
         replicas_feed::ReplicasFeed,
         routes_feed::RoutesFeed,
         shared_reads::FeedSharing,
         store_follower::{FeedRead, FeedUpdate, StoreFollower},
     },
-    crate::{FeedDialect, peers::PEERS_PREFIX},
+    crate::{
+        FeedDialect,
+        crash_board::{CRASHES_PREFIX, CrashBoard, SOUND_PREFIX},
+        peers::PEERS_PREFIX,
+    },
     poplargap_core::forward::{PeerView, ReplicaView, RouteTable},
     poplargap_store::KeyValueStore,
     std::sync::Arc,
@@ -17,6 +22,7 @@
 /// The channels on which a feed publishes its views.
 #[derive(Debug)]
 pub(crate) struct FeedViews {
+    pub(crate) crashes: Arc<CrashBoard>,
     pub(crate) peers: watch::Sender<Arc<PeerView>>,
     pub(crate) replicas: watch::Sender<Arc<ReplicaView>>,
     pub(crate) routes: watch::Sender<Option<Arc<RouteTable>>>,
@@ -34,10 +40,13 @@
     let mut prefixes = vec![
         context.dialect.routes_key(),
         context.dialect.replicas_prefix(),
+        CRASHES_PREFIX,
+        SOUND_PREFIX,
     ];
     prefixes.extend(sharing.iter().map(|_| PEERS_PREFIX));
     let own_peer = sharing.as_ref().map(|sharing| sharing.own);
     let mut follower = StoreFollower::new(context.clone(), &prefixes, sharing);
+    let evidence = EvidenceFeed::new(context.clone(), views.crashes);
     let routes = RoutesFeed::new(context.clone(), views.routes);
     let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
     let mut replicas = ReplicasFeed::new(context, views.replicas);
@@ -54,6 +63,7 @@
                     if let Some(peers) = &mut peers {
                         peers.apply(&update);
                     }
+                    evidence.apply(&update);
                     // Requests that are held for the routes need the replicas, too.
                     routes.apply(&update);
                 }
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     prometheus::{
-        Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+        Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     },
     std::time::Duration,
 };
@@ -16,8 +16,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FrontMetrics {
     attempts: IntCounterVec,
+    blocked_parts: IntGauge,
     calls: IntCounterVec,
     connections: IntCounterVec,
+    crash_reports: IntCounterVec,
     first_byte: HistogramVec,
     peer_messages: IntCounterVec,
     prompt_sources: IntCounterVec,
@@ -45,12 +47,18 @@
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
+        let blocked_parts = IntGauge::new(
+            "poplargap_blocked_parts",
+            "Prompt parts whose requests are refused because they crash replicas",
+        )?;
+        registry.register(Box::new(blocked_parts.clone()))?;
         Ok(Self {
             attempts: counter(
                 "poplargap_attempts_total",
                 "Sends to replicas by their outcome",
                 &["service", "outcome"],
             )?,
+            blocked_parts,
             calls: counter(
                 "poplargap_requests_total",
                 "Requests of callers by their end",
@@ -61,6 +69,11 @@
                 "Connections to replicas that were opened or failed to open",
                 &["service", "outcome"],
             )?,
+            crash_reports: counter(
+                "poplargap_crash_reports_total",
+                "Writes of crash reports and notes on prompt parts to the store by their outcome",
+                &["outcome"],
+            )?,
             first_byte: histogram(
                 "poplargap_first_byte_seconds",
                 "Time from a request to the head of its answer, by workspace",
@@ -119,6 +132,15 @@
             .inc();
     }
 
+    pub(crate) fn record_crash_report(&self, outcome: &str) {
+        self.crash_reports.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn set_blocked_parts(&self, count: usize) {
+        self.blocked_parts
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_peer_message(&self, outcome: &str) {
         self.peer_messages.with_label_values(&[outcome]).inc();
     }
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -6,6 +6,8 @@
         accept::accept,
         close_signal::CloseSignal,
         connection_pool::ConnectionPool,
+        crash_board::CrashBoard,
+        crash_reporter::{CrashReporter, report_crashes},
         feed::{
             ChangeServer, ChangeShare, FeedContext, FeedSharing, FeedViews, follow_store,
             serve_changes,
@@ -78,10 +80,13 @@
         let peer_sockets = open_peers(settings.peers).await?;
         let metrics = FrontMetrics::new().map_err(FrontError::Metrics)?;
         let clock = ProcessClock::start();
+        let (crashes, reports) = CrashBoard::new(clock, metrics.clone(), log.clone());
+        let crashes = Arc::new(crashes);
         let (routes_sender, routes) = watch::channel(None);
         let (replicas_sender, replicas) = watch::channel(Arc::new(ReplicaView::default()));
         let (peers_sender, peers) = watch::channel(Arc::new(PeerView::default()));
         let views = FeedViews {
+            crashes: Arc::clone(&crashes),
             peers: peers_sender,
             replicas: replicas_sender,
             routes: routes_sender,
@@ -100,6 +105,7 @@
             clock,
             close: CloseSignal::new(),
             connections: ConnectionPool::new(clock, log.clone()),
+            crashes: Arc::clone(&crashes),
             dialect,
             held: 0.into(),
             open_connections: 0.into(),
@@ -139,6 +145,13 @@
             tasks.spawn(announce(feed.store.clone(), entry, log.clone()));
             tasks.spawn(exchange_loads(Arc::clone(&state), datagrams, peers));
         }
+        tasks.spawn(report_crashes(CrashReporter {
+            board: crashes,
+            log: log.clone(),
+            metrics: state.metrics.clone(),
+            reports,
+            store: feed.store.clone(),
+        }));
         tasks.spawn(follow_store(feed, views, sharing));
         tasks.spawn(serve_ready(Arc::clone(&state), ready));
         tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
@@ -208,6 +221,7 @@
         let known: HashSet<&str> = view.all().map(|replica| replica.id.as_ref()).collect();
         state.connections.sweep(|id| known.contains(id));
         let now = state.clock.now();
+        state.crashes.expire();
         state.tracker().retain(|id| known.contains(id), now);
     }
 }
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        close_signal::CloseSignal, connection_pool::ConnectionPool, front_metrics::FrontMetrics,
-        front_settings::FrontSettings, process_clock::ProcessClock,
+        close_signal::CloseSignal, connection_pool::ConnectionPool, crash_board::CrashBoard,
+        front_metrics::FrontMetrics, front_settings::FrontSettings, process_clock::ProcessClock,
     },
     poplargap_core::{
         collections::HashMap,
@@ -27,6 +27,7 @@
     pub(crate) clock: ProcessClock,
     pub(crate) close: CloseSignal,
     pub(crate) connections: ConnectionPool,
+    pub(crate) crashes: Arc<CrashBoard>,
     pub(crate) dialect: D,
     /// Number of requests that wait for the first routes.
     pub(crate) held: AtomicUsize,
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -13,6 +13,9 @@
 mod close_signal;
 mod connection_pool;
 mod count_guard;
+mod crash_board;
+mod crash_check;
+mod crash_reporter;
 mod dialect;
 mod feed;
 mod front_metrics;
@@ -35,6 +38,7 @@
 
 pub use {
     call_head::{CallHead, HeadError, ReplyHead, SendHead},
+    crash_board::{CRASHES_PREFIX, SOUND_PREFIX},
     dialect::{DecodeError, FeedDialect, WireDialect},
     feed::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
     front_proxy::{FrontError, FrontProxy},
--- a/crates/poplargap-forward/src/local_answer.rs
+++ b/crates/poplargap-forward/src/local_answer.rs
@@ -49,3 +49,6 @@
 
 /// Retry-after time for callers of a service without free replicas.
 pub(crate) const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Retry-after time for callers whose prompt crashes replicas; it is blocked for minutes.
+pub(crate) const BLOCKED_RETRY_AFTER: Duration = Duration::from_mins(1);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -6,6 +6,7 @@
         body_read::read_body,
         call_log::{CallLog, PromptParts},
         call_stage::AdmittedCall,
+        crash_check::check_for_crash,
         front_state::FrontState,
         place::place,
         send::{OpenReply, send},
@@ -30,6 +31,9 @@
 /// Multiple of the latency target after which a stream without a reply's head is retried.
 const STREAM_ATTEMPT_SHARE: f64 = 2.0;
 
+/// Reason for the end of a request with a part that crashes replicas.
+pub(crate) const BLOCKED_PART: &str = "prompt-crashes-replicas";
+
 /// A replica's reply.
 #[derive(Debug)]
 pub(crate) enum RelayReply<D> {
@@ -56,6 +60,8 @@
     /// Whether a replica was unreachable.
     met_unreachable: bool,
     pub(crate) state: Arc<FrontState<D>>,
+    /// Attempts whose connection broke before the answer began.
+    unanswered: u32,
 }
 
 impl<D: WireDialect> CallRelay<D> {
@@ -71,6 +77,7 @@
             log,
             met_unreachable: false,
             state: Arc::clone(state),
+            unanswered: 0,
         }
     }
 
@@ -82,6 +89,9 @@
         last_event: Option<u64>,
     ) -> Result<RelayReply<D>, RelayEnd> {
         loop {
+            if let Some(part) = self.blocking_part() {
+                return Err(self.refuse_part(part));
+            }
             let Some((placed, placement)) = place(
                 &self.state,
                 &self.call,
@@ -99,6 +109,10 @@
             };
             let (outcome, error_reply) = match reply {
                 Ok(reply) => {
+                    if matches!(&reply, RelayReply::Whole { parts, .. } if parts.status.is_success())
+                    {
+                        self.record_answer();
+                    }
                     self.record_success(&replica);
                     return Ok(reply);
                 }
@@ -117,6 +131,10 @@
         outcome: SendOutcome,
     ) -> Option<RelayEnd> {
         let now = self.state.clock.now();
+        if outcome == SendOutcome::Broken && self.log.events() == 0 {
+            self.unanswered += 1;
+            check_for_crash(&self.state, replica, &self.call);
+        }
         self.history.record(outcome);
         self.met_unreachable |= outcome == SendOutcome::Unreachable;
         let change = self.state.tracker().record_failure(replica, outcome, now);
@@ -125,7 +143,7 @@
         let route = &self.call.grant.route;
         let time_left = self.call.time_left();
         let step = next_step(route.repeat, route.max_attempts, self.history, time_left);
-        let (end, reason) = self.apply_budget(step, name);
+        let (end, reason) = self.apply_suspicion(step, name);
         info!(self.state.log, "attempt failed";
             "request" => &self.call.received.head.id, "replica" => replica.id.as_ref(),
             "replica-data-centre" => replica.data_centre.as_ref(), "outcome" => name,
@@ -142,6 +160,13 @@
         end.map(|answer| RelayEnd { answer, reason })
     }
 
+    /// Records that a replica answered the request without crashing.
+    pub(crate) fn record_answer(&self) {
+        self.state
+            .crashes
+            .record_answer(&self.call.received.head.prompt);
+    }
+
     /// Returns whether a stream that its replica still sends may resume at another one now.
     pub(crate) fn may_resume(&self) -> bool {
         let route = &self.call.grant.route;
@@ -155,6 +180,46 @@
         }
     }
 
+    fn blocking_part(&self) -> Option<u64> {
+        let prompt = &self.call.received.head.prompt;
+        let workspace = self.call.workspace();
+        self.state.crashes.blocking_part(prompt, workspace)
+    }
+
+    /// Ends a request with a part that crashes replicas.
+    fn refuse_part(&self, part: u64) -> RelayEnd {
+        info!(self.state.log, "request isn't sent, since a part of its prompt crashes replicas";
+            "request" => &self.call.received.head.id, "part" => format!("{part:x}"),
+            "possible-runs" => self.history.possible_runs);
+        RelayEnd {
+            answer: self.unanswered_end(),
+            reason: BLOCKED_PART,
+        }
+    }
+
+    /// Ends a request that may crash further replicas; else takes a retry from the budget.
+    fn apply_suspicion(
+        &self,
+        step: NextStep,
+        cause: &'static str,
+    ) -> (Option<FinalAnswer>, &'static str) {
+        let prompt = &self.call.received.head.prompt;
+        let may_retry = self.state.crashes.may_retry(prompt, self.unanswered);
+        if matches!(step, NextStep::Retry { .. }) && !may_retry {
+            return (Some(self.unanswered_end()), "may-crash-replicas");
+        }
+        self.apply_budget(step, cause)
+    }
+
+    /// Returns the answer to a request that is given up.
+    fn unanswered_end(&self) -> FinalAnswer {
+        if self.history.possible_runs > 0 {
+            FinalAnswer::Lost
+        } else {
+            FinalAnswer::Refused
+        }
+    }
+
     /// Takes a retry from the budget if the step uses it; ends the request if there is none.
     fn apply_budget(
         &self,
@@ -173,12 +238,7 @@
                 {
                     return (None, "retry");
                 }
-                let answer = if self.history.possible_runs > 0 {
-                    FinalAnswer::Lost
-                } else {
-                    FinalAnswer::Refused
-                };
-                (Some(answer), "retry-budget")
+                (Some(self.unanswered_end()), "retry-budget")
             }
         }
     }
@@ -200,13 +260,8 @@
     }
 
     fn no_replica(&self) -> RelayEnd {
-        let answer = if self.history.possible_runs > 0 {
-            FinalAnswer::Lost
-        } else {
-            FinalAnswer::Refused
-        };
         RelayEnd {
-            answer,
+            answer: self.unanswered_end(),
             reason: "no-replica",
         }
     }
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -18,6 +18,9 @@
     },
 };
 
+/// Events of an attempt after which the replica has answered the prompt.
+const EVENTS_OF_ANSWER: u64 = 2;
+
 /// How one replica's stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StreamEnd {
@@ -110,7 +113,11 @@
         let count = cursor.event_count() - known;
         let has_event = count > 0;
         if has_event {
+            let before = relay.log.events();
             relay.log.record_events(count);
+            if before < EVENTS_OF_ANSWER && relay.log.events() >= EVENTS_OF_ANSWER {
+                relay.record_answer();
+            }
         } else if watch.record_bytes(len).is_err() {
             return StreamEnd::Broken;
         }
