Read the store again at once after a failed read, before a reader is asked

A daemon of a large data centre could miss changes for longer than contactMs + the bound, though it reached the store: a stale registration or key for its callers.

Cause, from the trace of the shrunk schedule: the preferred reader froze, the other one was killed, and a 100 ms cut from the store hit the daemon's own watch. The watch ended after its whole wait and give-up (3.6 s), the pause of a successful read followed (1.3 s), and then the frozen reader was polled again (1.6 s).

--- a/crates/poplargap-core/src/forward/reader_rule.rs
+++ b/crates/poplargap-core/src/forward/reader_rule.rs
@@ -64,6 +64,10 @@
     own: SocketAddr,
     /// The other daemons that read the store, the preferred one first.
     readers: Vec<SocketAddr>,
+    /// Whether the next read is another one of the store, since the last one failed.
+    retries_store: bool,
+    /// Whether this daemon's last read of the store failed.
+    store_failed: bool,
 }
 
 impl ReaderRule {
@@ -76,6 +80,8 @@
             reads_for_others: false,
             own,
             readers: Vec::new(),
+            retries_store: false,
+            store_failed: false,
         }
     }
 
@@ -112,6 +118,9 @@
         if self.reads_for_others {
             return ReadSource::StoreForOthers;
         }
+        if self.retries_store {
+            return ReadSource::Store;
+        }
         let usable = |address: &&SocketAddr| {
             let failure = self.failures.get(*address);
             failure.is_none_or(|failure| failure.until <= now)
@@ -132,6 +141,28 @@
         pause
     }
 
+    /// Records whether this daemon's own read of the store succeeded.
+    ///
+    /// A failed read took its time, and a reader may take as long to fail. The store is read once more
+    /// before a reader is asked, which also serves a daemon that is cut off from the store alone.
+    pub fn record_store_read(&mut self, is_read: bool) {
+        self.retries_store = !is_read && !self.retries_store;
+        self.store_failed = !is_read;
+    }
+
+    /// Returns how long a watch of the store may wait for changes, usually `wait`.
+    ///
+    /// A watch that a cut interrupts is noticed only after its whole wait, so there is none until the
+    /// store has answered again.
+    #[must_use]
+    pub fn store_wait(&self, wait: Duration) -> Duration {
+        if self.store_failed {
+            Duration::ZERO
+        } else {
+            wait
+        }
+    }
+
     /// Records that the reader at `address` sent changes that are recent enough.
     pub fn record_success(&mut self, address: &SocketAddr) {
         self.failures.remove(address);
--- a/crates/poplargap-forward/src/feed/shared_reads.rs
+++ b/crates/poplargap-forward/src/feed/shared_reads.rs
@@ -72,6 +72,16 @@
         source
     }
 
+    /// Records whether the daemon's own read of the store succeeded.
+    pub(super) fn record_store_read(&mut self, is_read: bool) {
+        self.rule.record_store_read(is_read);
+    }
+
+    /// Returns how long a watch of the store may wait for changes, usually `wait`.
+    pub(super) fn store_wait(&self, wait: Duration) -> Duration {
+        self.rule.store_wait(wait)
+    }
+
     /// Requests the changes after a revision from a reader, and records whether it sent them.
     pub(super) async fn poll(
         &mut self,
