Take a refusal as proof only if it carries the request's own id

Callers were told 503 (not run, send it again) for requests that a replica had run or was running, and such a request could run at a second replica (REFUSED, TWICE).

Cause: a reply with Not-Executed or status 421 counted as proof for whatever request was waiting on the connection, unless it named another request. A faulty replica that writes an earlier refusal once more on a kept connection, without an id or for an id that its caller uses again, refuted a run.

Now a refusal without the request's own id is no reply: the connection is closed, the outcome is that of a lost reply (502 where the request may not be repeated), and the event has a log line. A connection remembers the ids that were refused on it, up to 16, and isn't used for them again, so the same id's earlier refusal can't pass for a new one.

The stand-in echoes it now, too.

--- a/crates/poplargap-forward/src/connection_pool.rs
+++ b/crates/poplargap-forward/src/connection_pool.rs
@@ -20,6 +20,7 @@
         time::Duration,
     },
     tokio::{net::TcpStream, time::timeout},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Timeout for opening a connection; it is shorter than TCP's first retransmission of a SYN.
@@ -41,6 +42,9 @@
 /// Longest idle time of a connection that is reused for an at-most-once request.
 const AT_MOST_ONCE_IDLE_MAX: Duration = Duration::from_secs(2);
 
+/// Refusals after which a connection isn't used again.
+const REFUSALS_MAX: usize = 16;
+
 /// Size limit of a connection's read buffer in bytes.
 const BUFFER_BYTES_MAX: usize = 64 * 1024;
 
@@ -61,13 +65,28 @@
 #[derive(Debug)]
 pub(crate) struct ReplicaConnection {
     pub(crate) is_new: bool,
+    /// Hashes of the ids of the requests that the replica refused on this connection.
+    pub(crate) refused: Vec<u64>,
     pub(crate) sender: SendRequest<Full<Bytes>>,
 }
 
+impl ReplicaConnection {
+    /// Records that the replica refused a request on this connection.
+    ///
+    /// The replica may repeat the refusal later, and it would pass for one of the same request.
+    pub(crate) fn record_refusal(&mut self, call_id: &str) {
+        self.refused.push(xxh3_64(call_id.as_bytes()));
+    }
+
+    fn has_refused(&self, call_id: &str) -> bool {
+        self.refused.contains(&xxh3_64(call_id.as_bytes()))
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
+    connection: ReplicaConnection,
     since: MonotonicInstant,
-    sender: SendRequest<Full<Bytes>>,
     until: MonotonicInstant,
 }
 
@@ -88,27 +107,27 @@
         }
     }
 
-    /// Takes an idle connection; with `at_most_once` only one that was used recently.
+    /// Takes an idle connection on which the request wasn't refused before; with `at_most_once` only
+    /// one that was used recently.
     pub(crate) fn take(
         &self,
         replica: &ReplicaEntry,
+        call_id: &str,
         at_most_once: bool,
     ) -> Option<ReplicaConnection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&replica.id)?;
-        while let Some(connection) = connections.pop() {
-            if connection.sender.is_closed() || connection.until <= now {
+        while let Some(idle) = connections.pop() {
+            if idle.connection.sender.is_closed() || idle.until <= now {
                 continue;
             }
-            if at_most_once && now.since(connection.since) > AT_MOST_ONCE_IDLE_MAX {
-                connections.push(connection);
+            let is_old = at_most_once && now.since(idle.since) > AT_MOST_ONCE_IDLE_MAX;
+            if is_old || idle.connection.has_refused(call_id) {
+                connections.push(idle);
                 return None;
             }
-            return Some(ReplicaConnection {
-                is_new: false,
-                sender: connection.sender,
-            });
+            return Some(idle.connection);
         }
         None
     }
@@ -118,23 +137,24 @@
     pub(crate) fn put(
         &self,
         replica: &ReplicaId,
-        sender: SendRequest<Full<Bytes>>,
+        mut connection: ReplicaConnection,
         keep_alive: Option<Duration>,
     ) {
-        if sender.is_closed() {
+        if connection.sender.is_closed() || connection.refused.len() > REFUSALS_MAX {
             return;
         }
+        connection.is_new = false;
         let now = self.clock.now();
         let kept = keep_alive.map_or(IDLE_DEFAULT, |wait| wait.saturating_sub(IDLE_MARGIN));
-        let connection = IdleConnection {
+        let idle = IdleConnection {
+            connection,
             since: now,
-            sender,
             until: now + kept,
         };
         self.lock()
             .entry(Arc::clone(replica))
             .or_default()
-            .push(connection);
+            .push(idle);
     }
 
     /// Opens a new connection.
@@ -162,6 +182,7 @@
         });
         Ok(ReplicaConnection {
             is_new: true,
+            refused: Vec::new(),
             sender,
         })
     }
@@ -170,7 +191,7 @@
     pub(crate) fn sweep(&self, keep: impl Fn(&str) -> bool) {
         let now = self.clock.now();
         self.lock().retain(|id, connections| {
-            connections.retain(|idle| !idle.sender.is_closed() && idle.until > now);
+            connections.retain(|idle| !idle.connection.sender.is_closed() && idle.until > now);
             keep(id) && !connections.is_empty()
         });
     }
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -306,16 +306,16 @@
         }
         let OpenReply {
             body,
+            connection,
             head,
             parts,
             placed,
-            sender,
         } = reply;
         let Ok(body) = read_body(body, WHOLE_BYTES_MAX, self.body_deadline()).await else {
             return Err((SendOutcome::Broken, None));
         };
         let id = &placed.replica.id;
-        self.state.connections.put(id, sender, head.keep_alive);
+        self.state.connections.put(id, connection, head.keep_alive);
         let whole = RelayReply::Whole { body, parts };
         if status.is_server_error() {
             return Err((SendOutcome::Failed, Some(whole)));
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -13,11 +13,10 @@
     hyper::{
         Request, Response, Uri, Version,
         body::{Body, Incoming},
-        client::conn::http1::SendRequest,
         http::response,
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
-    slog::debug,
+    slog::{debug, info},
     std::time::Duration,
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -29,10 +28,10 @@
 #[derive(Debug)]
 pub(crate) struct OpenReply<D> {
     pub(crate) body: Incoming,
+    pub(crate) connection: ReplicaConnection,
     pub(crate) head: ReplyHead,
     pub(crate) parts: response::Parts,
     pub(crate) placed: PlacedCall<D>,
-    pub(crate) sender: SendRequest<Full<Bytes>>,
 }
 
 /// Sends a request and waits for the head of the reply until `deadline`.
@@ -45,7 +44,8 @@
 ) -> Result<OpenReply<D>, SendOutcome> {
     let at_most_once = call.grant.route.repeat == RepeatRule::Once;
     let replica = &placed.replica;
-    let mut connection = connect(state, replica, at_most_once).await?;
+    let call_id = &call.received.head.id;
+    let mut connection = connect(state, replica, call_id, at_most_once).await?;
     let response = loop {
         let mut request = build_request(state, call, &placed, last_event);
         let interim = InterimReplies::watch(&mut request);
@@ -72,7 +72,7 @@
             Err(_) => return Err(SendOutcome::Silent),
         }
     };
-    check_reply(state, call, placed, connection.sender, response)
+    check_reply(state, call, placed, connection, response)
 }
 
 /// Returns an idle connection or opens a new one.
@@ -82,6 +82,7 @@
 async fn connect<D>(
     state: &FrontState<D>,
     replica: &ReplicaEntry,
+    call_id: &str,
     at_most_once: bool,
 ) -> Result<ReplicaConnection, SendOutcome> {
     let is_suspect = at_most_once && {
@@ -91,7 +92,9 @@
             .load(&replica.id)
             .is_some_and(|load| load.has_recent_mismatch(now))
     };
-    if !is_suspect && let Some(mut connection) = state.connections.take(replica, at_most_once) {
+    if !is_suspect
+        && let Some(mut connection) = state.connections.take(replica, call_id, at_most_once)
+    {
         let ready = timeout(READY_WAIT, connection.sender.ready()).await;
         if matches!(ready, Ok(Ok(()))) {
             return Ok(connection);
@@ -151,15 +154,20 @@
     state: &FrontState<D>,
     call: &AdmittedCall,
     placed: PlacedCall<D>,
-    sender: SendRequest<Full<Bytes>>,
+    mut connection: ReplicaConnection,
     response: Response<Incoming>,
 ) -> Result<OpenReply<D>, SendOutcome> {
     let (parts, body) = response.into_parts();
     let head = state.dialect.read_reply(&parts);
     let id = &placed.replica.id;
     let now = state.clock.now();
-    let is_own = head.call_id.as_ref() == Some(&call.received.head.id);
-    if head.call_id.is_some() && !is_own {
+    let call_id = &call.received.head.id;
+    let is_own = head.call_id.as_ref() == Some(call_id);
+    let is_refusal = head.not_executed || head.wrong_replica;
+    if !is_own && (head.call_id.is_some() || is_refusal) {
+        info!(state.log, "reply doesn't belong to the request; the connection is closed";
+            "request" => call_id, "replica" => id.as_ref(), "reply-to" => head.call_id.as_deref(),
+            "status" => parts.status.as_u16(), "refusal" => is_refusal);
         state.tracker().record_mismatch(id, now);
         return Err(SendOutcome::Broken);
     }
@@ -171,7 +179,8 @@
     }
     if head.not_executed {
         if body.is_end_stream() {
-            state.connections.put(id, sender, head.keep_alive);
+            connection.record_refusal(call_id);
+            state.connections.put(id, connection, head.keep_alive);
         }
         return Err(SendOutcome::NotExecuted);
     }
@@ -180,9 +189,9 @@
     }
     Ok(OpenReply {
         body,
+        connection,
         head,
         parts,
         placed,
-        sender,
     })
 }
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -153,7 +153,7 @@
     relay
         .state
         .connections
-        .put(id, reply.sender, reply.head.keep_alive);
+        .put(id, reply.connection, reply.head.keep_alive);
 }
 
 /// Resumes a broken stream at another replica; the error is the reason if that isn't possible.
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -21,12 +21,24 @@
     /// Answers without a fault.
     #[default]
     None,
+    /// Answers a stream's request with a signed text of status 200 that is no stream.
+    PlainText,
+    /// Refuses the first request of each connection without running it. It runs the others, but
+    /// writes the refusal once more before their answers.
+    RepeatRefusal {
+        /// Whether the repeated refusal carries the id of the refused request.
+        has_id: bool,
+    },
     /// Runs the request and answers after this delay.
     Slow(Duration),
     /// Omits the last three bytes of the answer and closes the connection.
     Truncate,
     /// Sends an answer without a length, whose body ends where the connection is closed.
     Unframed,
+    /// Sends a stream without a length, which ends in the middle of the event after this number.
+    UnframedCutStream(u64),
+    /// Sends a whole stream without a length.
+    UnframedStream,
     /// Answers with status 200 but without a signature.
     Unsigned,
 }
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -186,31 +186,44 @@
 
 /// Serves the requests of one connection until it is closed or an answer fails.
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<ReplicaState>>) {
+    let mut refusal = None;
     while let Some(request) = SeenRequest::read(&mut stream).await {
-        if answer(&mut stream, &state, request).await.is_err() {
+        if answer(&mut stream, &state, request, &mut refusal)
+            .await
+            .is_err()
+        {
             return;
         }
     }
 }
 
-/// Answers one request; an error closes the connection.
+/// Answers one request; an error closes the connection. `refusal` is the connection's earlier one.
 async fn answer(
     stream: &mut TcpStream,
     state: &Mutex<ReplicaState>,
     request: SeenRequest,
+    refusal: &mut Option<String>,
 ) -> io::Result<()> {
     let (fault, id) = {
         let state = lock(state);
         (state.fault, state.id.clone())
     };
     if request.header("expect-instance") != Some(id.as_str()) {
-        let refusal = WireAnswer::wrong_replica(&id);
+        let refusal = WireAnswer::wrong_replica(&id, &request);
         return stream.write_all(refusal.as_bytes()).await;
     }
     if fault == ReplicaFault::Full {
-        return stream
-            .write_all(WireAnswer::not_executed().as_bytes())
-            .await;
+        let refusal = WireAnswer::not_executed(request.header("attempt-id"));
+        return stream.write_all(refusal.as_bytes()).await;
+    }
+    if let ReplicaFault::RepeatRefusal { has_id } = fault {
+        let id = request.header("attempt-id");
+        let Some(earlier) = refusal else {
+            *refusal = Some(WireAnswer::not_executed(id.filter(|_| has_id)));
+            let first = WireAnswer::not_executed(id);
+            return stream.write_all(first.as_bytes()).await;
+        };
+        stream.write_all(earlier.as_bytes()).await?;
     }
     let wire = {
         let mut state = lock(state);
@@ -254,6 +267,11 @@
             let failure = wire.whole("500 Internal Server Error");
             stream.write_all(failure.as_bytes()).await
         }
+        ReplicaFault::PlainText => {
+            let framing = "Content-Type: text/plain\r\nContent-Length: 15\r\n";
+            let plain = wire.head("200 OK", framing) + "it went wrong\n\n";
+            stream.write_all(plain.as_bytes()).await
+        }
         ReplicaFault::Slow(time) => {
             sleep(time).await;
             stream.write_all(whole.as_bytes()).await
@@ -269,11 +287,16 @@
             stream.write_all(unframed.as_bytes()).await?;
             Err(io::ErrorKind::ConnectionAborted.into())
         }
+        ReplicaFault::UnframedCutStream(count) => {
+            write_unframed_stream(stream, wire, request, Some(count)).await
+        }
+        ReplicaFault::UnframedStream => write_unframed_stream(stream, wire, request, None).await,
         ReplicaFault::Unsigned => stream.write_all(wire.unsigned().as_bytes()).await,
         ReplicaFault::BreakStream(_)
         | ReplicaFault::CrashOnPart(_)
         | ReplicaFault::None
-        | ReplicaFault::Full => {
+        | ReplicaFault::Full
+        | ReplicaFault::RepeatRefusal { .. } => {
             if !request.line.contains("/stream") {
                 return stream.write_all(whole.as_bytes()).await;
             }
@@ -324,6 +347,29 @@
     }
 }
 
+/// Writes a stream whose end is that of its connection; it ends in the middle of the event after
+/// number `cut_after`, if that is set.
+async fn write_unframed_stream(
+    stream: &mut TcpStream,
+    wire: &WireAnswer,
+    request: &SeenRequest,
+    cut_after: Option<u64>,
+) -> io::Result<()> {
+    let head = wire.head("200 OK", "Content-Type: text/event-stream\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    for number in request.last_event() + 1..=EVENT_COUNT {
+        let event = WireAnswer::event_text(number);
+        if cut_after == Some(number - 1) {
+            let half = &event.as_bytes()[..event.len() / 2];
+            stream.write_all(half).await?;
+            break;
+        }
+        stream.write_all(event.as_bytes()).await?;
+        sleep(EVENT_PAUSE).await;
+    }
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
+
 /// Writes the events that follow the request's `Last-Event-Id`.
 async fn write_stream(
     stream: &mut TcpStream,
@@ -333,9 +379,7 @@
 ) -> io::Result<()> {
     let head = wire.head("200 OK", STREAM_FRAMING);
     stream.write_all(head.as_bytes()).await?;
-    let last_event_id = request.header("last-event-id");
-    let last_event_id: u64 = last_event_id.and_then(|id| id.parse().ok()).unwrap_or(0);
-    for number in last_event_id + 1..=EVENT_COUNT {
+    for number in request.last_event() + 1..=EVENT_COUNT {
         let event = WireAnswer::event(number);
         if fault == ReplicaFault::BreakStream(number - 1) {
             stream
--- a/crates/poplargap-testbed/src/replica/seen_request.rs
+++ b/crates/poplargap-testbed/src/replica/seen_request.rs
@@ -24,6 +24,13 @@
         self.headers.get(name).map(String::as_str)
     }
 
+    /// Returns the id of the event after which a stream resumes; 0 if there is none.
+    #[must_use]
+    pub fn last_event(&self) -> u64 {
+        let id = self.header("last-event-id");
+        id.and_then(|id| id.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns whether the prompt has a part with this hash before its last part.
     #[must_use]
     pub fn shares_part(&self, hash: u64) -> bool {
--- a/crates/poplargap-testbed/src/replica/wire_answer.rs
+++ b/crates/poplargap-testbed/src/replica/wire_answer.rs
@@ -41,22 +41,37 @@
         )
     }
 
-    pub(super) fn not_executed() -> &'static str {
-        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    /// Returns a refusal; `id` is that of the refused request.
+    pub(super) fn not_executed(id: Option<&str>) -> String {
+        let id = id_line(id);
+        format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
     }
 
-    pub(super) fn wrong_replica(own: &str) -> String {
+    /// Returns the answer to a request for another replica.
+    pub(super) fn wrong_replica(own: &str, request: &SeenRequest) -> String {
+        let id = id_line(request.header("attempt-id"));
         format!(
-            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 421 Misdirected Request\r\n{id}Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n"
         )
     }
 
+    /// Returns the text of one event.
+    pub(super) fn event_text(number: u64) -> String {
+        format!("id: {number}\ndata: piece {number}\n\n")
+    }
+
     /// Returns one event as an HTTP chunk.
     pub(super) fn event(number: u64) -> String {
-        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        let event = Self::event_text(number);
         let mut chunk = format!("{:x}\r\n", event.len());
         // Writing to a string can't fail.
         let _ = write!(chunk, "{event}\r\n");
         chunk
     }
 }
+
+fn id_line(id: Option<&str>) -> String {
+    id.map_or_else(String::new, |id| format!("Attempt-Id: {id}\r\n"))
+}
