Treat a stream that ends inside an event as broken off

A stream without a length or chunks ends with its connection.

Cause: the end of the body alone decided; the bytes after the last whole event were sent as the rest of the stream. Now an event stream with a begun event at its end has been broken off: it resumes at another replica where it may, else the caller's answer is visibly cut off. Blank lines after the last event are no event. A body of another type is passed on as before.

--- a/crates/poplargap-core/src/forward/event_cursor.rs
+++ b/crates/poplargap-core/src/forward/event_cursor.rs
@@ -78,10 +78,10 @@
         Ok(Some(chunk))
     }
 
-    /// Returns whether no incomplete event is buffered.
+    /// Returns whether no incomplete event is buffered; blank lines are none.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
-        self.rest.is_empty()
+        self.rest.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
     }
 
     /// Takes the bytes after the last whole event.
--- a/crates/poplargap-core/tests/forward/events.rs
+++ b/crates/poplargap-core/tests/forward/events.rs
@@ -60,3 +60,14 @@
     let long = Bytes::from(vec![b'a'; 1024 * 1024 + 1]);
     assert_eq!(cursor.push(long), Err(CursorError::TooLong));
 }
+
+#[test]
+fn blank_lines_after_the_last_event_are_no_event() {
+    let mut cursor = EventCursor::new(None);
+    for (chunk, is_between) in [("data: a\n\n", true), ("\r\n", true), ("id", false)] {
+        cursor
+            .push(Bytes::from_static(chunk.as_bytes()))
+            .expect("events in order");
+        assert_eq!(cursor.is_between_events(), is_between, "{chunk:?}");
+    }
+}
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -13,6 +13,7 @@
     hyper::{
         Request, Response, Uri, Version,
         body::{Body, Incoming},
+        header::{CONTENT_TYPE, HeaderValue},
         http::response,
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
@@ -24,6 +25,9 @@
 /// Longest wait for an idle connection to be ready; its last reply may just have been read.
 const READY_WAIT: Duration = Duration::from_millis(5);
 
+/// The content type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A replica's reply whose body hasn't been read.
 #[derive(Debug)]
 pub(crate) struct OpenReply<D> {
@@ -34,6 +38,16 @@
     pub(crate) placed: PlacedCall<D>,
 }
 
+impl<D> OpenReply<D> {
+    /// Returns whether the reply's body is a stream of events.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        let kind = self.parts.headers.get(CONTENT_TYPE);
+        let kind = kind.map_or(&b""[..], HeaderValue::as_bytes);
+        kind.get(..EVENT_STREAM.len())
+            .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+    }
+}
+
 /// Sends a request and waits for the head of the reply until `deadline`.
 pub(crate) async fn send<D: WireDialect>(
     state: &FrontState<D>,
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -102,6 +102,9 @@
             () = sleep(wait) => continue,
         };
         let chunk = match frame {
+            None if reply.is_event_stream() && !cursor.is_between_events() => {
+                return StreamEnd::Broken;
+            }
             None => return StreamEnd::Whole,
             Some(Err(_)) => return StreamEnd::Broken,
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
