Continue a stream only with an event stream of status 200

Cause: when a stream resumed, any reply with a success status was relayed as its continuation. Replies with an error status ended the stream visibly already. Now a reply that is no event stream, or has another status than 200, counts as a broken attempt once the caller has a part of the answer: another replica is tried while that is allowed, else the stream is cut off.

--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -12,7 +12,7 @@
         send::{OpenReply, send},
     },
     bytes::Bytes,
-    hyper::http::response,
+    hyper::{StatusCode, http::response},
     poplargap_core::forward::{
         AttemptHistory, FinalAnswer, NextStep, RepeatRule, ReplicaEntry, ReplicaId, SendOutcome,
         next_step,
@@ -55,6 +55,8 @@
 pub(crate) struct CallRelay<D> {
     pub(crate) call: Arc<AdmittedCall>,
     excluded: Vec<ReplicaId>,
+    /// Whether the caller has got a part of the answer, which only a stream can continue.
+    has_begun: bool,
     history: AttemptHistory,
     pub(crate) log: CallLog,
     /// Whether a replica was unreachable.
@@ -73,6 +75,7 @@
         Self {
             call: Arc::new(call),
             excluded: Vec::new(),
+            has_begun: false,
             history: AttemptHistory::default(),
             log,
             met_unreachable: false,
@@ -167,6 +170,20 @@
             .record_answer(&self.call.received.head.prompt);
     }
 
+    /// Resumes a stream of which the caller has got a part; the error is the reason if that isn't
+    /// possible.
+    pub(crate) async fn resume(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<OpenReply<D>, &'static str> {
+        self.has_begun = true;
+        match self.dispatch(last_event).await {
+            Ok(RelayReply::Stream(reply)) => Ok(reply),
+            Ok(RelayReply::Whole { .. }) => Err("replica-failed"),
+            Err(end) => Err(end.reason),
+        }
+    }
+
     /// Returns whether a stream that its replica still sends may resume at another one now.
     pub(crate) fn may_resume(&self) -> bool {
         let route = &self.call.grant.route;
@@ -302,6 +319,9 @@
         self.log.record_reply(status.as_u16());
         let route = &self.call.grant.route;
         if route.is_stream && status.is_success() {
+            if self.has_begun && !(status == StatusCode::OK && reply.is_event_stream()) {
+                return Err((SendOutcome::Broken, None));
+            }
             return Ok(RelayReply::Stream(reply));
         }
         let OpenReply {
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -2,11 +2,7 @@
 
 use {
     crate::{
-        WireDialect,
-        call_log::CallEnd,
-        relay::{CallRelay, RelayReply},
-        relay_body::RelayChunk,
-        send::OpenReply,
+        WireDialect, call_log::CallEnd, relay::CallRelay, relay_body::RelayChunk, send::OpenReply,
     },
     http_body_util::BodyExt,
     poplargap_core::forward::{EventCursor, RepeatRule, SendOutcome, StallStep, StreamWatch},
@@ -179,9 +175,5 @@
     relay.log.record_resume();
     info!(relay.state.log, "stream resumes at another replica";
         "request" => &relay.call.received.head.id, "last-event" => cursor.last_id());
-    match relay.dispatch(cursor.last_id()).await {
-        Ok(RelayReply::Stream(reply)) => Ok(reply),
-        Ok(RelayReply::Whole { .. }) => Err("replica-failed"),
-        Err(end) => Err(end.reason),
-    }
+    relay.resume(cursor.last_id()).await
 }
