--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -55,7 +55,7 @@
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
     reader_rule::{ReadSource, ReaderRule},
-    replica_entry::{ReplicaEntry, ReplicaId, ReplicaState},
+    replica_entry::{AddressError, ProcessAddress, ReplicaEntry, ReplicaId, ReplicaState},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     replica_tracker::{HealthChange, ReplicaTracker},
--- a/crates/poplargap-core/src/forward/replica_entry.rs
+++ b/crates/poplargap-core/src/forward/replica_entry.rs
@@ -1,4 +1,43 @@
-use std::{net::SocketAddr, sync::Arc};
+use {
+    displaydoc::Display,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// An address of a process that connections can be opened to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProcessAddress(SocketAddr);
+
+/// An address at which no process can be reached.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum AddressError {
+    /// the address {0} has no port
+    NoPort(SocketAddr),
+    /// the address {0} isn't that of one machine
+    NoMachine(SocketAddr),
+}
+
+impl std::error::Error for AddressError {}
+
+impl TryFrom<SocketAddr> for ProcessAddress {
+    type Error = AddressError;
+
+    fn try_from(address: SocketAddr) -> Result<Self, AddressError> {
+        if address.port() == 0 {
+            return Err(AddressError::NoPort(address));
+        }
+        let host = address.ip();
+        if host.is_unspecified() || host.is_multicast() {
+            return Err(AddressError::NoMachine(address));
+        }
+        Ok(Self(address))
+    }
+}
+
+impl From<ProcessAddress> for SocketAddr {
+    fn from(address: ProcessAddress) -> Self {
+        address.0
+    }
+}
 
 /// A replica's id; most restarts change it.
 pub type ReplicaId = Arc<str>;
--- a/crates/poplargap-forward/src/feed/peers_feed.rs
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -1,7 +1,10 @@
 use {
     super::{FeedContext, store_follower::FeedUpdate},
-    crate::peers::{LeasedEntry, PEERS_PREFIX},
-    poplargap_core::forward::{PeerEntry, PeerView},
+    crate::{
+        DecodeError,
+        peers::{LeasedEntry, PEERS_PREFIX},
+    },
+    poplargap_core::forward::{PeerEntry, PeerView, ProcessAddress},
     slog::info,
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
     tokio::sync::watch,
@@ -66,10 +69,8 @@
         let Some(value) = value else {
             return self.entries.remove(key).is_some();
         };
-        match serde_json::from_str::<LeasedEntry>(value) {
-            Ok(LeasedEntry { entry, .. }) => {
-                self.entries.insert(key.to_owned(), entry.clone()) != Some(entry)
-            }
+        match read_entry(value) {
+            Ok(entry) => self.entries.insert(key.to_owned(), entry.clone()) != Some(entry),
             Err(error) => {
                 info!(self.context.log, "daemon's entry can't be read"; "key" => key, "reason" => %error);
                 self.entries.remove(key).is_some()
@@ -77,3 +78,11 @@
         }
     }
 }
+
+fn read_entry(value: &str) -> Result<PeerEntry, DecodeError> {
+    let leased: LeasedEntry =
+        serde_json::from_str(value).map_err(|error| DecodeError(error.to_string()))?;
+    let address = ProcessAddress::try_from(leased.entry.address);
+    address.map_err(|error| DecodeError(error.to_string()))?;
+    Ok(leased.entry)
+}
