Send nothing new to replicas that say they leave or refuse for a time

ReplicaIntake keeps both for each replica: leaving until another start, a refusal until its end, at most a minute. The choice of a replica leaves such replicas out; the last one of a service serves for half of the drain time. Leaving is passed on to peers in a new datagram, four rounds each, since a daemon among hundreds sees few answers. Callers of a service whose replicas all refuse get 503 at once with a Retry-After that spreads their return.

Ruled out: a field in the load digest (its encoding goes by order, so a roll of the fleet would refuse all digests), the replica's own time passed on (all callers return at once).

Nine tests of whole daemons; with the statements ignored seven fail (sends after the word with the store up and down, the last replica, the peers, the new start, the refusal's time, all refusing), two guard what held (streams go on, odd times). Five of the pure decision.

--- a/crates/poplargap-core/benches/choice.rs
+++ b/crates/poplargap-core/benches/choice.rs
@@ -47,6 +47,7 @@
         tracker.record_cached(7, &replicas[size / 2], now);
         let request = ChoiceRequest {
             data_centre: "dc-1",
+            drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(7),
             now,
--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -18,6 +18,7 @@
 mod feed_state;
 mod load_bound;
 mod peer_view;
+mod pending_leaving;
 mod pending_reports;
 mod prompt_order;
 mod prompt_part;
@@ -26,6 +27,7 @@
 mod reader_rule;
 mod rendezvous;
 mod replica_entry;
+mod replica_intake;
 mod replica_load;
 mod replica_registry;
 mod replica_tracker;
@@ -50,12 +52,14 @@
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     peer_view::{PeerEntry, PeerView},
+    pending_leaving::{LeavingReplica, PendingLeaving},
     pending_reports::{LoadDigest, PeerReport, PendingReports},
     prompt_part::{PromptPart, leading_parts, placement_key, shared_tokens},
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
     reader_rule::{ReadSource, ReaderRule},
     replica_entry::{AddressError, ProcessAddress, ReplicaEntry, ReplicaId, ReplicaState},
+    replica_intake::{IntakeState, ReplicaIntake},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     replica_tracker::{HealthChange, ReplicaTracker},
--- a/crates/poplargap-core/src/forward/choice_candidate.rs
+++ b/crates/poplargap-core/src/forward/choice_candidate.rs
@@ -1,4 +1,7 @@
-use {super::ReplicaEntry, std::sync::Arc};
+use {
+    super::{IntakeState, ReplicaEntry},
+    std::sync::Arc,
+};
 
 /// A replica with its estimated load.
 #[derive(Clone, Copy, Debug)]
@@ -9,6 +12,8 @@
     pub(super) has_prefix: bool,
     /// Weight of the replica's load report in the estimate, from 0 to 1.
     pub(super) confidence: f64,
+    /// Whether it takes new requests.
+    pub(super) intake: IntakeState,
     /// Whether it is ejected or in an unreachable data centre.
     pub(super) is_unavailable: bool,
     pub(super) requests: f64,
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,13 +1,13 @@
 use {
     super::{
-        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
+        IntakeState, ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
         cached_replicas::CachedReplica,
         choice_candidate::Candidate,
         load_bound::LoadBound,
         prompt_order::{by_prompt, replica_count},
     },
     crate::instant::MonotonicInstant,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     strum::IntoStaticStr,
 };
 
@@ -22,6 +22,8 @@
 pub struct ChoiceRequest<'a> {
     /// The daemon's data centre.
     pub data_centre: &'a str,
+    /// Time for which a leaving replica serves.
+    pub drain: Duration,
     /// Replicas that the request was already sent to.
     pub excluded: &'a [ReplicaId],
     /// Key of the prompt's shared parts; `None` if it has none.
@@ -147,6 +149,9 @@
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
             has_prefix: has_prefix(entry),
             confidence: load.map_or(0.0, |load| load.report_weight(now)),
+            intake: load.map_or(IntakeState::Open, |load| {
+                load.intake_state(entry, request.drain, now)
+            }),
             is_unavailable: load.is_some_and(|load| load.is_ejected(now))
                 || centres.contains(&entry.data_centre.as_ref()),
             requests: estimate(load),
@@ -165,15 +170,27 @@
     if weights > 0.0 { total / weights } else { 0.0 }
 }
 
-/// Returns the replicas that weren't tried, without the unavailable ones unless all are.
+/// Returns the replicas that weren't tried and take requests, without the unavailable ones unless
+/// all are.
 ///
-/// If the request prefers its own data centre, replicas elsewhere are used only if it has none.
+/// Leaving replicas are used only while no other one takes requests. If the request prefers its own data centre, replicas elsewhere are used only if it has none.
 fn eligible<'a>(all: &[Candidate<'a>], request: &ChoiceRequest<'_>) -> Vec<Candidate<'a>> {
     let untried: Vec<Candidate<'a>> = all
         .iter()
         .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
         .copied()
         .collect();
+    let in_state = |state: IntakeState| -> Vec<Candidate<'a>> {
+        let candidates = untried.iter();
+        let candidates = candidates.filter(|candidate| candidate.intake == state);
+        candidates.copied().collect()
+    };
+    let open = in_state(IntakeState::Open);
+    let untried = if open.is_empty() {
+        in_state(IntakeState::LastResort)
+    } else {
+        open
+    };
     let healthy: Vec<Candidate<'a>> = untried
         .iter()
         .filter(|candidate| !candidate.is_unavailable)
--- a/crates/poplargap-core/src/forward/replica_load.rs
+++ b/crates/poplargap-core/src/forward/replica_load.rs
@@ -1,4 +1,5 @@
 use {
+    super::{IntakeState, ReplicaEntry, ReplicaIntake},
     crate::instant::MonotonicInstant,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -52,11 +53,27 @@
     pub(super) failure_ratio: f64,
     pub(super) failures: u32,
     pub(super) in_flight: u32,
+    pub(super) intake: ReplicaIntake,
     report: Option<KnownReport>,
     pub(super) mismatch_until: MonotonicInstant,
 }
 
 impl ReplicaLoad {
+    /// Returns whether the replica, as it is registered now, may be sent new requests.
+    pub(super) fn intake_state(
+        &self,
+        replica: &ReplicaEntry,
+        drain: Duration,
+        now: MonotonicInstant,
+    ) -> IntakeState {
+        let intake = if replica.started_ms == self.started_ms {
+            self.intake
+        } else {
+            self.intake.restarted()
+        };
+        intake.state(drain, now)
+    }
+
     /// Returns the number of this daemon's own requests at the replica.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -129,6 +146,7 @@
         Self {
             started_ms,
             in_flight: self.in_flight,
+            intake: self.intake.restarted(),
             ..Self::default()
         }
     }
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        CachedReplicas, CentreHealth, LoadDigest, LoadReport, PendingReports, PromptRates,
-        ReplicaEntry, ReplicaId, ReplicaLoad, ReportSource, SendOutcome,
-        cached_replicas::CachedReplica,
+        CachedReplicas, CentreHealth, IntakeState, LeavingReplica, LoadDigest, LoadReport,
+        PendingLeaving, PendingReports, PromptRates, ReplicaEntry, ReplicaId, ReplicaLoad,
+        ReportSource, SendOutcome, cached_replicas::CachedReplica,
     },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
@@ -37,6 +37,7 @@
     centres: HashMap<Arc<str>, CentreHealth>,
     cached_replicas: CachedReplicas,
     loads: HashMap<ReplicaId, ReplicaLoad>,
+    pending_leaving: PendingLeaving,
     pending_reports: PendingReports,
     prompts: PromptRates,
 }
@@ -140,6 +141,54 @@
         }
     }
 
+    /// Records that a replica is leaving, for this daemon and for its peers; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, replica: &ReplicaEntry, now: MonotonicInstant) -> bool {
+        let is_new = self.load_mut(replica).intake.record_leaving(now);
+        if is_new {
+            self.pending_leaving.record(replica);
+        }
+        is_new
+    }
+
+    /// Records that a replica wants no requests for `time`; returns the time that is kept.
+    pub fn record_refusal(
+        &mut self,
+        replica: &ReplicaEntry,
+        time: Duration,
+        now: MonotonicInstant,
+    ) -> Duration {
+        self.load_mut(replica).intake.record_refusal(time, now)
+    }
+
+    /// Returns the leaving replicas for one round of messages to the peers.
+    pub fn take_leaving(&mut self) -> Vec<LeavingReplica> {
+        self.pending_leaving.take()
+    }
+
+    /// Returns the time until one of the replicas takes requests again, if all refuse them for a time
+    /// or are leaving.
+    #[must_use]
+    pub fn refusal_time(
+        &self,
+        replicas: &[Arc<ReplicaEntry>],
+        drain: Duration,
+        now: MonotonicInstant,
+    ) -> Option<Duration> {
+        let mut shortest = None;
+        for replica in replicas {
+            let load = self.loads.get(&replica.id)?;
+            match load.intake_state(replica, drain, now) {
+                IntakeState::Open | IntakeState::LastResort => return None,
+                IntakeState::Closed => {}
+                IntakeState::Refusing(left) => {
+                    shortest = Some(shortest.map_or(left, |time: Duration| time.min(left)));
+                }
+            }
+        }
+        shortest
+    }
+
     /// Returns the data centres that are unreachable at `now`.
     pub(super) fn unreachable_centres(&self, now: MonotonicInstant) -> Vec<&str> {
         let centres = self.centres.iter();
--- a/crates/poplargap-core/tests/forward/cached_replicas.rs
+++ b/crates/poplargap-core/tests/forward/cached_replicas.rs
@@ -4,7 +4,7 @@
         CachedReplicas, ChoiceRequest, LoadReport, PlacedBy, ReplicaEntry, ReplicaTracker,
         choose_replica,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 const KEY: u64 = 7;
@@ -12,6 +12,7 @@
 fn request(ms: u64) -> ChoiceRequest<'static> {
     ChoiceRequest {
         data_centre: "ne1",
+        drain: Duration::from_secs(2),
         excluded: &[],
         key: Some(KEY),
         now: at(ms),
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -6,7 +6,7 @@
         },
         instant::MonotonicInstant,
     },
-    std::{collections::HashMap, sync::Arc},
+    std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
 /// A replica is overloaded with more requests than this multiple of the mean plus the slack.
@@ -16,6 +16,7 @@
 fn request(key: Option<u64>, shared_tokens: u64, now: MonotonicInstant) -> ChoiceRequest<'static> {
     ChoiceRequest {
         data_centre: "ne1",
+        drain: Duration::from_secs(2),
         excluded: &[],
         key,
         now,
@@ -323,6 +324,7 @@
         assert_eq!(choice.replica.data_centre.as_ref(), "ne1");
         let remote_only = ChoiceRequest {
             data_centre: "ne9",
+            drain: Duration::from_secs(2),
             ..local
         };
         assert!(choose_replica(&replicas, &tracker, &remote_only).is_some());
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod crash_evidence;
 mod events;
+mod intake;
 mod prompt_source;
 mod readers;
 mod registry;
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -4,7 +4,7 @@
         ChoiceRequest, LoadReport, PeerEntry, PeerView, PendingReports, ReplicaEntry, ReplicaLoad,
         ReplicaTracker, ReportSource, choose_replica,
     },
-    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// A replica is overloaded with more requests than this multiple of the mean plus the slack.
@@ -128,6 +128,7 @@
         let tracker = &mut self.trackers[daemon];
         let request = ChoiceRequest {
             data_centre: centre(daemon),
+            drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(key),
             now,
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -8,6 +8,7 @@
         front_state::FrontState,
         hold::hold,
         identify::identify,
+        local_answer::OVERLOADED_RETRY_AFTER,
         relay::{CallRelay, RelayEnd},
         relay_body::RelayBody,
         respond::{respond_refused, respond_relayed, respond_unread},
@@ -167,4 +168,5 @@
 const DEADLINE_PASSED: RelayEnd = RelayEnd {
     answer: FinalAnswer::TimedOut,
     reason: "deadline",
+    retry_after: OVERLOADED_RETRY_AFTER,
 };
--- a/crates/poplargap-forward/src/call_head.rs
+++ b/crates/poplargap-forward/src/call_head.rs
@@ -53,6 +53,15 @@
     pub workspace: Option<&'a str>,
 }
 
+/// Why a replica didn't run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplyRefusal {
+    /// The replica refused the request.
+    NotExecuted,
+    /// Another replica than the intended one answered.
+    WrongReplica,
+}
+
 /// The contents of a reply's head.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplyHead {
@@ -60,12 +69,16 @@
     pub call_id: Option<String>,
     /// Whether the reply has the replica's signature and its body isn't encoded.
     pub is_signed: bool,
+    /// Whether the replica is leaving.
+    pub is_leaving: bool,
     /// Time for which the replica keeps the idle connection open.
     pub keep_alive: Option<Duration>,
     /// The replica's load report.
     pub load: Option<LoadReport>,
-    /// Whether the replica states that it didn't run the request.
-    pub not_executed: bool,
-    /// Whether another replica than the intended one answered.
-    pub wrong_replica: bool,
+    /// The replica's statement that it didn't run the request.
+    pub refusal: Option<ReplyRefusal>,
+    /// Id of the replica that answered, if it states one.
+    pub replica: Option<String>,
+    /// Time for which the replica wants no further requests.
+    pub retry_after: Option<Duration>,
 }
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -21,6 +21,7 @@
     connections: IntCounterVec,
     crash_reports: IntCounterVec,
     first_byte: HistogramVec,
+    notices: IntCounterVec,
     peer_messages: IntCounterVec,
     prompt_sources: IntCounterVec,
     registry: Registry,
@@ -79,6 +80,11 @@
                 "Time from a request to the head of its answer, by workspace",
                 &["service", "workspace"],
             )?,
+            notices: counter(
+                "poplargap_replica_notices_total",
+                "Statements of replicas about new requests: leaving, leaving as a peer sent it, refusal",
+                &["notice"],
+            )?,
             peer_messages: counter(
                 "poplargap_peer_messages_total",
                 "Datagrams between daemons by what became of them",
@@ -141,6 +147,10 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn record_notice(&self, notice: &str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     pub(crate) fn record_peer_message(&self, outcome: &str) {
         self.peer_messages.with_label_values(&[outcome]).inc();
     }
--- a/crates/poplargap-forward/src/front_settings.rs
+++ b/crates/poplargap-forward/src/front_settings.rs
@@ -44,6 +44,8 @@
     pub callers: SocketAddr,
     /// The daemon's data centre.
     pub data_centre: String,
+    /// Time for which a leaving replica serves.
+    pub drain: Duration,
     /// Timing of the reads of the store.
     pub feed: FeedSettings,
     /// Time from the termination signal until the process must have exited.
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -37,7 +37,7 @@
 mod stream_relay;
 
 pub use {
-    call_head::{CallHead, HeadError, ReplyHead, SendHead},
+    call_head::{CallHead, HeadError, ReplyHead, ReplyRefusal, SendHead},
     crash_board::{CRASHES_PREFIX, SOUND_PREFIX},
     dialect::{DecodeError, FeedDialect, WireDialect},
     feed::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
--- a/crates/poplargap-forward/src/peers/exchange.rs
+++ b/crates/poplargap-forward/src/peers/exchange.rs
@@ -2,11 +2,11 @@
     super::{MessageError, PeerMessage},
     crate::front_state::FrontState,
     poplargap_core::{
-        forward::{LoadDigest, PeerReport, PeerView},
+        forward::{LeavingReplica, LoadDigest, PeerReport, PeerView},
         instant::MonotonicInstant,
     },
     rand::Rng,
-    slog::warn,
+    slog::{info, warn},
     std::{
         io::{self, ErrorKind},
         net::{SocketAddr, UdpSocket},
@@ -65,17 +65,26 @@
         refused.write(&state);
         let digest = state.tracker().take_digest(state.clock.now());
         if !digest.is_empty() {
-            send_digest(&state, &socket, &view, digest);
+            send_message(&state, &socket, &view, &PeerMessage::Loads(digest));
+        }
+        let leaving = state.tracker().take_leaving();
+        if !leaving.is_empty() {
+            send_message(&state, &socket, &view, &PeerMessage::Leaving(leaving));
         }
     }
 }
 
-/// Sends a digest to a sample of the other daemons.
-fn send_digest<D>(state: &FrontState<D>, socket: &PeerSocket, view: &PeerView, digest: LoadDigest) {
-    let bytes = match PeerMessage::Loads(digest).write() {
+/// Sends a message to a sample of the other daemons.
+fn send_message<D>(
+    state: &FrontState<D>,
+    socket: &PeerSocket,
+    view: &PeerView,
+    message: &PeerMessage,
+) {
+    let bytes = match message.write() {
         Ok(bytes) => bytes,
         Err(error) => {
-            warn!(state.log, "load digest can't be encoded"; "error" => %error);
+            warn!(state.log, "message to the peers can't be encoded"; "error" => %error);
             return;
         }
     };
@@ -115,6 +124,10 @@
                 state.metrics.record_peer_message("heard");
                 apply_digest(state, &digest);
             }
+            Ok(PeerMessage::Leaving(leaving)) => {
+                state.metrics.record_peer_message("heard");
+                apply_leaving(state, &leaving);
+            }
             Err(reason) => {
                 state.metrics.record_peer_message("refused");
                 refused.record(from, reason);
@@ -140,6 +153,27 @@
     }
 }
 
+/// Records the leaving replicas that are registered with the same start.
+fn apply_leaving<D>(state: &FrontState<D>, leaving: &[LeavingReplica]) {
+    let now = state.clock.now();
+    let replicas = Arc::clone(&state.replicas.borrow());
+    for LeavingReplica {
+        replica,
+        started_ms,
+    } in leaving
+    {
+        let known = replicas.replica(replica);
+        let Some(known) = known.filter(|known| known.started_ms == *started_ms) else {
+            continue;
+        };
+        if state.tracker().record_leaving(known, now) {
+            state.metrics.record_notice("leaving-peer");
+            info!(state.log, "replica is leaving; it gets no new requests";
+                "replica" => replica.as_ref(), "started-ms" => *started_ms, "said-by" => "peer");
+        }
+    }
+}
+
 /// Returns the time at which a report that is received at `now` was made.
 fn report_time(peer_report: &PeerReport, now: MonotonicInstant) -> MonotonicInstant {
     now - Duration::from_millis(peer_report.age_ms.into())
--- a/crates/poplargap-forward/src/peers/peer_message.rs
+++ b/crates/poplargap-forward/src/peers/peer_message.rs
@@ -1,6 +1,6 @@
 use {
     displaydoc::Display,
-    poplargap_core::forward::LoadDigest,
+    poplargap_core::forward::{LeavingReplica, LoadDigest},
     serde::{Deserialize, Serialize},
 };
 
@@ -21,6 +21,8 @@
 pub enum PeerMessage {
     /// Load reports and cached prompts.
     Loads(LoadDigest),
+    /// Replicas that are leaving.
+    Leaving(Vec<LeavingReplica>),
 }
 
 impl PeerMessage {
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -25,6 +25,7 @@
     let now = state.clock.now();
     let request = ChoiceRequest {
         data_centre: &state.settings.data_centre,
+        drain: state.settings.drain,
         excluded,
         key: call.placement_key,
         now,
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -8,6 +8,7 @@
         call_stage::AdmittedCall,
         crash_check::check_for_crash,
         front_state::FrontState,
+        local_answer::{BLOCKED_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         place::place,
         send::{OpenReply, send},
     },
@@ -17,6 +18,7 @@
         AttemptHistory, FinalAnswer, NextStep, RepeatRule, ReplicaEntry, ReplicaId, SendOutcome,
         next_step,
     },
+    rand::Rng,
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -31,9 +33,6 @@
 /// Multiple of the latency target after which a stream without a reply's head is retried.
 const STREAM_ATTEMPT_SHARE: f64 = 2.0;
 
-/// Reason for the end of a request with a part that crashes replicas.
-pub(crate) const BLOCKED_PART: &str = "prompt-crashes-replicas";
-
 /// A replica's reply.
 #[derive(Debug)]
 pub(crate) enum RelayReply<D> {
@@ -48,6 +47,8 @@
 pub(crate) struct RelayEnd {
     pub(crate) answer: FinalAnswer,
     pub(crate) reason: &'static str,
+    /// Time after which a refused caller may retry.
+    pub(crate) retry_after: Duration,
 }
 
 /// The attempts to send one request.
@@ -160,7 +161,11 @@
                 "replica-data-centre" => replica.data_centre.as_ref());
         }
         self.excluded.push(Arc::clone(&replica.id));
-        end.map(|answer| RelayEnd { answer, reason })
+        end.map(|answer| RelayEnd {
+            answer,
+            reason,
+            retry_after: OVERLOADED_RETRY_AFTER,
+        })
     }
 
     /// Records that a replica answered the request without crashing.
@@ -210,7 +215,8 @@
             "possible-runs" => self.history.possible_runs);
         RelayEnd {
             answer: self.unanswered_end(),
-            reason: BLOCKED_PART,
+            reason: "prompt-crashes-replicas",
+            retry_after: BLOCKED_RETRY_AFTER,
         }
     }
 
@@ -277,9 +283,19 @@
     }
 
     fn no_replica(&self) -> RelayEnd {
+        let now = self.state.clock.now();
+        let view = Arc::clone(&self.state.replicas.borrow());
+        let replicas = view.replicas(&self.call.service);
+        let drain = self.state.settings.drain;
+        let refusal = self.state.tracker().refusal_time(replicas, drain, now);
+        let (reason, retry_after) = match refusal {
+            Some(left) => ("replicas-refuse", spread(left)),
+            None => ("no-replica", OVERLOADED_RETRY_AFTER),
+        };
         RelayEnd {
             answer: self.unanswered_end(),
-            reason: "no-replica",
+            reason,
+            retry_after,
         }
     }
 
@@ -346,3 +362,14 @@
 
 /// Least time for an attempt that may be retried.
 const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(50);
+
+/// Shortest and longest time by which the returns of refused callers are spread.
+const SPREAD_MIN: Duration = Duration::from_millis(300);
+const SPREAD_MAX: Duration = Duration::from_secs(5);
+
+/// Returns a random time from `left`, when replicas take requests again, so that callers don't all
+/// return at once.
+fn spread(left: Duration) -> Duration {
+    let spread = (left / 2).clamp(SPREAD_MIN, SPREAD_MAX);
+    left + rand::rng().random_range(Duration::ZERO..spread)
+}
--- a/crates/poplargap-forward/src/respond.rs
+++ b/crates/poplargap-forward/src/respond.rs
@@ -7,8 +7,7 @@
         call_log::CallEnd,
         front_state::FrontState,
         identify::UnreadCall,
-        local_answer::{BLOCKED_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
-        relay::{BLOCKED_PART, CallRelay, RelayEnd, RelayReply},
+        relay::{CallRelay, RelayEnd, RelayReply},
         relay_body::{CHUNKS_MAX, RelayBody},
         send::OpenReply,
         stream_relay::relay_stream,
@@ -65,10 +64,7 @@
     let (answer, outcome) = match end.answer {
         FinalAnswer::Lost => (LocalAnswer::Lost, CallEnd::Lost),
         FinalAnswer::Refused => {
-            let retry_after = match end.reason {
-                BLOCKED_PART => BLOCKED_RETRY_AFTER,
-                _ => OVERLOADED_RETRY_AFTER,
-            };
+            let retry_after = end.retry_after;
             (LocalAnswer::Refused { retry_after }, CallEnd::Refused)
         }
         FinalAnswer::TimedOut => (LocalAnswer::TimedOut, CallEnd::TimedOut),
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        ReplyHead, SendHead, WireDialect,
+        ReplyHead, ReplyRefusal, SendHead, WireDialect,
         call_stage::AdmittedCall,
         connection_pool::{OpenError, ReplicaConnection},
         front_state::{FrontState, PlacedCall},
@@ -18,7 +18,7 @@
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
     slog::{debug, info},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -177,26 +177,27 @@
     let now = state.clock.now();
     let call_id = &call.received.head.id;
     let is_own = head.call_id.as_ref() == Some(call_id);
-    let is_refusal = head.not_executed || head.wrong_replica;
-    if !is_own && (head.call_id.is_some() || is_refusal) {
+    if !is_own && (head.call_id.is_some() || head.refusal.is_some()) {
         info!(state.log, "reply doesn't belong to the request; the connection is closed";
             "request" => call_id, "replica" => id.as_ref(), "reply-to" => head.call_id.as_deref(),
-            "status" => parts.status.as_u16(), "refusal" => is_refusal);
+            "status" => parts.status.as_u16(), "refusal" => head.refusal.is_some());
         state.tracker().record_mismatch(id, now);
         return Err(SendOutcome::Broken);
     }
+    record_notices(state, &placed.replica, &head, call_id);
     if let Some(report) = head.load {
         state.tracker().record_report(&placed.replica, report, now);
     }
-    if head.wrong_replica {
-        return Err(SendOutcome::WrongReplica);
-    }
-    if head.not_executed {
-        if body.is_end_stream() {
-            connection.record_refusal(call_id);
-            state.connections.put(id, connection, head.keep_alive);
+    match head.refusal {
+        Some(ReplyRefusal::WrongReplica) => return Err(SendOutcome::WrongReplica),
+        Some(ReplyRefusal::NotExecuted) => {
+            if body.is_end_stream() {
+                connection.record_refusal(call_id);
+                state.connections.put(id, connection, head.keep_alive);
+            }
+            return Err(SendOutcome::NotExecuted);
         }
-        return Err(SendOutcome::NotExecuted);
+        None => {}
     }
     if parts.status.is_success() && !(is_own && head.is_signed) {
         return Err(SendOutcome::Broken);
@@ -209,3 +210,36 @@
         placed,
     })
 }
+
+/// Records what a reply says about new requests to its replica.
+fn record_notices<D>(
+    state: &FrontState<D>,
+    replica: &ReplicaEntry,
+    head: &ReplyHead,
+    call_id: &str,
+) {
+    let now = state.clock.now();
+    let view = Arc::clone(&state.replicas.borrow());
+    // A reply of another replica at the address says nothing of the intended one.
+    let speaker = match &head.replica {
+        Some(id) if **id != *replica.id => view.replica(id).map(Arc::as_ref),
+        None if head.refusal == Some(ReplyRefusal::WrongReplica) => None,
+        _ => Some(replica),
+    };
+    let Some(speaker) = speaker else {
+        return;
+    };
+    if head.is_leaving && state.tracker().record_leaving(speaker, now) {
+        state.metrics.record_notice("leaving");
+        info!(state.log, "replica is leaving; it gets no new requests";
+            "request" => call_id, "replica" => speaker.id.as_ref(),
+            "started-ms" => speaker.started_ms, "said-by" => "replica");
+    }
+    if let Some(time) = head.retry_after {
+        let kept = state.tracker().record_refusal(speaker, time, now);
+        state.metrics.record_notice("refusal");
+        info!(state.log, "replica refuses requests for a time";
+            "request" => call_id, "replica" => speaker.id.as_ref(),
+            "for-ms" => crate::call_log::millis(kept));
+    }
+}
--- a/crates/poplargap-forward/tests/peers.rs
+++ b/crates/poplargap-forward/tests/peers.rs
@@ -213,8 +213,11 @@
     #[test]
     fn any_datagram_is_decoded_or_refused(bytes in vec(any::<u8>(), 0..2_000)) {
         if let Ok(message) = PeerMessage::read(&bytes) {
-            let PeerMessage::Loads(digest) = &message;
-            prop_assert!(digest.reports.len() + digest.prefix_replicas.len() <= bytes.len());
+            let entries = match &message {
+                PeerMessage::Leaving(leaving) => leaving.len(),
+                PeerMessage::Loads(digest) => digest.reports.len() + digest.prefix_replicas.len(),
+            };
+            prop_assert!(entries <= bytes.len());
             let again = message.write().expect("the message can be encoded");
             prop_assert_eq!(PeerMessage::read(&again), Ok(message));
         }
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -18,6 +18,8 @@
     Fail,
     /// Rejects the request with status 503 without running it.
     Full,
+    /// Rejects the request as `Full` does, with this `Retry-After`.
+    FullFor(&'static str),
     /// Answers without a fault.
     #[default]
     None,
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -44,6 +44,8 @@
     endless_open: usize,
     fault: ReplicaFault,
     id: String,
+    is_leaving: bool,
+    refused: u64,
     running: u32,
     seen: Vec<SeenRequest>,
 }
@@ -102,6 +104,17 @@
         id.clone_into(&mut lock(&self.state).id);
     }
 
+    /// Sets whether the replica says in its answers that it is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        lock(&self.state).is_leaving = is_leaving;
+    }
+
+    /// Returns the number of requests that the replica refused for being full.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        lock(&self.state).refused
+    }
+
     /// Sets the fault that applies to all further requests.
     pub fn set_fault(&self, fault: ReplicaFault) {
         lock(&self.state).fault = fault;
@@ -204,23 +217,34 @@
     request: SeenRequest,
     refusal: &mut Option<String>,
 ) -> io::Result<()> {
-    let (fault, id) = {
+    let (fault, id, is_leaving) = {
         let state = lock(state);
-        (state.fault, state.id.clone())
+        (state.fault, state.id.clone(), state.is_leaving)
     };
     if request.header("expect-instance") != Some(id.as_str()) {
         let refusal = WireAnswer::wrong_replica(&id, &request);
         return stream.write_all(refusal.as_bytes()).await;
     }
-    if fault == ReplicaFault::Full {
-        let refusal = WireAnswer::not_executed(request.header("attempt-id"));
+    let retry_after = match fault {
+        ReplicaFault::Full => Some(""),
+        ReplicaFault::FullFor(time) => Some(time),
+        _ => None,
+    };
+    if let Some(retry_after) = retry_after {
+        lock(state).refused += 1;
+        let id = request.header("attempt-id");
+        let refusal = WireAnswer::not_executed(id, is_leaving, retry_after);
         return stream.write_all(refusal.as_bytes()).await;
     }
     if let ReplicaFault::RepeatRefusal { has_id } = fault {
         let id = request.header("attempt-id");
         let Some(earlier) = refusal else {
-            *refusal = Some(WireAnswer::not_executed(id.filter(|_| has_id)));
-            let first = WireAnswer::not_executed(id);
+            *refusal = Some(WireAnswer::not_executed(
+                id.filter(|_| has_id),
+                is_leaving,
+                "",
+            ));
+            let first = WireAnswer::not_executed(id, is_leaving, "");
             return stream.write_all(first.as_bytes()).await;
         };
         stream.write_all(earlier.as_bytes()).await?;
@@ -229,7 +253,7 @@
         let mut state = lock(state);
         state.running += 1;
         state.seen.push(request.clone());
-        WireAnswer::new(&request, state.running)
+        WireAnswer::new(&request, state.running, is_leaving)
     };
     if let ReplicaFault::CrashOnPart(part) = fault
         && request.shares_part(part)
@@ -296,6 +320,7 @@
         | ReplicaFault::CrashOnPart(_)
         | ReplicaFault::None
         | ReplicaFault::Full
+        | ReplicaFault::FullFor(_)
         | ReplicaFault::RepeatRefusal { .. } => {
             if !request.line.contains("/stream") {
                 return stream.write_all(whole.as_bytes()).await;
--- a/crates/poplargap-testbed/src/replica/wire_answer.rs
+++ b/crates/poplargap-testbed/src/replica/wire_answer.rs
@@ -7,13 +7,15 @@
 #[derive(Clone, Debug)]
 pub(super) struct WireAnswer {
     id: String,
+    is_leaving: bool,
     load: u32,
 }
 
 impl WireAnswer {
-    pub(super) fn new(request: &SeenRequest, load: u32) -> Self {
+    pub(super) fn new(request: &SeenRequest, load: u32, is_leaving: bool) -> Self {
         Self {
             id: request.header("attempt-id").unwrap_or("").to_owned(),
+            is_leaving,
             load,
         }
     }
@@ -22,8 +24,9 @@
     pub(super) fn head(&self, status: &str, framing: &str) -> String {
         format!(
             "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Signature: signed-{id}\r\n\
-             Instance-Load: {load},0,64\r\nKeep-Alive: timeout=5\r\n{framing}\r\n",
+             Instance-Load: {load},0,64\r\nKeep-Alive: timeout=5\r\n{leaving}{framing}\r\n",
             id = self.id,
+            leaving = leaving_line(self.is_leaving),
             load = self.load,
         )
     }
@@ -42,10 +45,16 @@
     }
 
     /// Returns a refusal; `id` is that of the refused request.
-    pub(super) fn not_executed(id: Option<&str>) -> String {
+    pub(super) fn not_executed(id: Option<&str>, is_leaving: bool, retry_after: &str) -> String {
         let id = id_line(id);
+        let leaving = leaving_line(is_leaving);
+        let retry = if retry_after.is_empty() {
+            String::new()
+        } else {
+            format!("Retry-After: {retry_after}\r\n")
+        };
         format!(
-            "HTTP/1.1 503 Service Unavailable\r\n{id}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\n{id}{leaving}{retry}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         )
     }
 
@@ -72,6 +81,14 @@
     }
 }
 
+fn leaving_line(is_leaving: bool) -> &'static str {
+    if is_leaving {
+        "Server-Leaving: 1\r\n"
+    } else {
+        ""
+    }
+}
+
 fn id_line(id: Option<&str>) -> String {
     id.map_or_else(String::new, |id| format!("Attempt-Id: {id}\r\n"))
 }
