Split the replica stand-in and the ends of relayed requests; a planned exit is no crash

RelayEnd has one with a constructor for each kind of end, which were built in three places.

A replica that has said it leaves exits with connections open and then refuses new ones, as a crashed one does: it isn't reported as a crash any more.

--- a/crates/poplargap-core/src/forward/replica_intake.rs
+++ b/crates/poplargap-core/src/forward/replica_intake.rs
@@ -34,6 +34,12 @@
         is_new
     }
 
+    /// Returns whether the replica has said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
     /// Records that the replica wants no requests for `time`; returns the time that is kept.
     pub fn record_refusal(&mut self, time: Duration, now: MonotonicInstant) -> Duration {
         let time = time.min(REFUSAL_MAX);
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -151,6 +151,13 @@
         is_new
     }
 
+    /// Returns whether a replica, as it is registered now, has said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, replica: &ReplicaEntry) -> bool {
+        let load = self.loads.get(&replica.id);
+        load.is_some_and(|load| load.started_ms == replica.started_ms && load.intake.is_leaving())
+    }
+
     /// Records that a replica wants no requests for `time`; returns the time that is kept.
     pub fn record_refusal(
         &mut self,
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -9,8 +9,9 @@
         hold::hold,
         identify::identify,
         local_answer::OVERLOADED_RETRY_AFTER,
-        relay::{CallRelay, RelayEnd},
+        relay::CallRelay,
         relay_body::RelayBody,
+        relay_end::RelayEnd,
         respond::{respond_refused, respond_relayed, respond_unread},
     },
     hyper::{
--- a/crates/poplargap-forward/src/crash_check.rs
+++ b/crates/poplargap-forward/src/crash_check.rs
@@ -20,7 +20,7 @@
 /// Records a request whose connection broke before its answer began, and checks the replica.
 ///
 /// A reset connection or a lost answer alone is no crash: the replica must refuse a new connection,
-/// though it is registered as ready.
+/// though it is registered as ready and hasn't said that it is leaving.
 pub(crate) fn check_for_crash<D: Send + Sync + 'static>(
     state: &Arc<FrontState<D>>,
     replica: &ReplicaEntry,
@@ -38,7 +38,8 @@
 async fn check<D>(state: Arc<FrontState<D>>, replica: ReplicaEntry) {
     sleep(CHECK_PAUSE).await;
     let is_registered = state.replicas.borrow().replica(&replica.id).is_some();
-    let has_crashed = is_registered && refuses_connections(&replica).await;
+    let is_leaving = state.tracker().is_leaving(&replica);
+    let has_crashed = is_registered && !is_leaving && refuses_connections(&replica).await;
     let calls = state.crashes.take_suspects(&replica.id);
     if !has_crashed || calls.is_empty() {
         return;
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod process_clock;
 mod relay;
 mod relay_body;
+mod relay_end;
 mod respond;
 mod send;
 mod status_server;
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -8,8 +8,8 @@
         call_stage::AdmittedCall,
         crash_check::check_for_crash,
         front_state::FrontState,
-        local_answer::{BLOCKED_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
         place::place,
+        relay_end::RelayEnd,
         send::{OpenReply, send},
     },
     bytes::Bytes,
@@ -18,7 +18,6 @@
         AttemptHistory, FinalAnswer, NextStep, RepeatRule, ReplicaEntry, ReplicaId, SendOutcome,
         next_step,
     },
-    rand::Rng,
     slog::{info, warn},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -33,6 +32,9 @@
 /// Multiple of the latency target after which a stream without a reply's head is retried.
 const STREAM_ATTEMPT_SHARE: f64 = 2.0;
 
+/// Least time for an attempt that may be retried.
+const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(50);
+
 /// A replica's reply.
 #[derive(Debug)]
 pub(crate) enum RelayReply<D> {
@@ -42,15 +44,6 @@
     Whole { body: Bytes, parts: response::Parts },
 }
 
-/// The end of a request that got no reply.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RelayEnd {
-    pub(crate) answer: FinalAnswer,
-    pub(crate) reason: &'static str,
-    /// Time after which a refused caller may retry.
-    pub(crate) retry_after: Duration,
-}
-
 /// The attempts to send one request.
 #[derive(Debug)]
 pub(crate) struct CallRelay<D> {
@@ -161,11 +154,7 @@
                 "replica-data-centre" => replica.data_centre.as_ref());
         }
         self.excluded.push(Arc::clone(&replica.id));
-        end.map(|answer| RelayEnd {
-            answer,
-            reason,
-            retry_after: OVERLOADED_RETRY_AFTER,
-        })
+        end.map(|answer| RelayEnd::new(answer, reason))
     }
 
     /// Records that a replica answered the request without crashing.
@@ -213,11 +202,7 @@
         info!(self.state.log, "request isn't sent, since a part of its prompt crashes replicas";
             "request" => &self.call.received.head.id, "part" => format!("{part:x}"),
             "possible-runs" => self.history.possible_runs);
-        RelayEnd {
-            answer: self.unanswered_end(),
-            reason: "prompt-crashes-replicas",
-            retry_after: BLOCKED_RETRY_AFTER,
-        }
+        RelayEnd::blocked(self.unanswered_end())
     }
 
     /// Ends a request that may crash further replicas; else takes a retry from the budget.
@@ -288,15 +273,7 @@
         let replicas = view.replicas(&self.call.service);
         let drain = self.state.settings.drain;
         let refusal = self.state.tracker().refusal_time(replicas, drain, now);
-        let (reason, retry_after) = match refusal {
-            Some(left) => ("replicas-refuse", spread(left)),
-            None => ("no-replica", OVERLOADED_RETRY_AFTER),
-        };
-        RelayEnd {
-            answer: self.unanswered_end(),
-            reason,
-            retry_after,
-        }
+        RelayEnd::without_replica(self.unanswered_end(), refusal)
     }
 
     /// Returns the deadline of the current attempt: it is earlier than the request's deadline if
@@ -359,17 +336,3 @@
         Ok(whole)
     }
 }
-
-/// Least time for an attempt that may be retried.
-const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(50);
-
-/// Shortest and longest time by which the returns of refused callers are spread.
-const SPREAD_MIN: Duration = Duration::from_millis(300);
-const SPREAD_MAX: Duration = Duration::from_secs(5);
-
-/// Returns a random time from `left`, when replicas take requests again, so that callers don't all
-/// return at once.
-fn spread(left: Duration) -> Duration {
-    let spread = (left / 2).clamp(SPREAD_MIN, SPREAD_MAX);
-    left + rand::rng().random_range(Duration::ZERO..spread)
-}
--- a/crates/poplargap-testbed/src/replica.rs
+++ b/crates/poplargap-testbed/src/replica.rs
@@ -1,5 +1,6 @@
 //! A stand-in for a replica that is registered in the platform's store.
 
+mod answer_writer;
 mod endless_bytes;
 mod replica_fault;
 mod replica_stand_in;
