Never block a prompt part that replicas have answered

Cause: a part that was known from answers was still blocked after six crashes. The first part that all prompts of a class share is among the unanswered ones of every crash, so it was blocked when more than five replicas crashed at once at 33.5 s, and stayed so, since refused requests bring no answers. A part that crashes each replica that begins to answer it is never answered, so an answer clears it; the six-crash rule served no stated rule and is gone.

A part that begins to crash replicas after it was answered is blocked only when the memory of its answers has ended (two minutes in a daemon, ten for the note); listed as open.

--- a/crates/poplargap-core/src/forward/blocked_parts.rs
+++ b/crates/poplargap-core/src/forward/blocked_parts.rs
@@ -2,7 +2,7 @@
     super::{CrashId, CrashReport, PromptPart, UnansweredCall, leading_parts},
     crate::collections::{HashMap, HashSet},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
 
 /// Crashes after which a part is blocked if one request with it crashed two replicas in turn.
@@ -13,9 +13,6 @@
 /// Crashes after which a part is blocked.
 const CRASHES_TO_BLOCK: usize = 5;
 
-/// Crashes after which a part is blocked that replicas are known to have answered.
-const SOUND_CRASHES_TO_BLOCK: usize = 6;
-
 /// Least requests with a part that is blocked.
 const CALLS_TO_BLOCK: usize = 2;
 
@@ -23,7 +20,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum SoundNote {
-    /// A replica answered a request with the part.
+    /// A replica answered a request with the part, which therefore isn't blocked.
     Answered,
     /// An operator lifted the block; the part is never blocked.
     Lifted,
@@ -79,9 +76,10 @@
 
     /// Decides which parts are blocked.
     ///
-    /// Each crash counts once, however many daemons report it. Parts without an answer are judged
-    /// first, those with most crashes before others; the crashes that they explain don't count
-    /// against other parts, which were in the same prompts or on the same replicas.
+    /// Each crash counts once, however many daemons report it. Parts with a note aren't blocked: a
+    /// part that crashes replicas is never answered, while one that many requests share is among
+    /// the unanswered ones of every crash. Parts with most crashes are judged first; the crashes
+    /// that they explain don't count against parts that were on the same replicas.
     #[must_use]
     pub fn judge<'a>(
         reports: impl Iterator<Item = &'a CrashReport>,
@@ -95,20 +93,16 @@
                 }
             }
         }
-        records.retain(|part, _| notes.get(part) != Some(&SoundNote::Lifted));
-        let is_sound = |part: &u64| notes.contains_key(part);
+        records.retain(|part, _| !notes.contains_key(part));
         let mut ranked: Vec<(u64, PartRecord<'a>)> = records.into_iter().collect();
-        ranked.sort_by_key(|(part, record)| {
-            let crashes = record.crashes.len();
-            (is_sound(part), usize::MAX - crashes)
-        });
+        ranked.sort_by_key(|(_, record)| Reverse(record.crashes.len()));
         let mut blocked = Self::default();
         let mut explained: HashSet<&CrashId> = HashSet::default();
         let mut guilty: Vec<HashSet<&CrashId>> = Vec::new();
         for (part, record) in ranked {
-            let in_same_calls = !is_sound(&part) && guilty.contains(&record.crashes);
+            let in_same_calls = guilty.contains(&record.crashes);
             let unexplained = record.crashes.difference(&explained).count();
-            if !in_same_calls && !record.is_guilty(unexplained, is_sound(&part)) {
+            if !in_same_calls && !record.is_guilty(unexplained) {
                 continue;
             }
             explained.extend(&record.crashes);
@@ -135,12 +129,12 @@
     }
 
     /// Returns whether the part is guilty of `unexplained` crashes.
-    fn is_guilty(&self, unexplained: usize, is_sound: bool) -> bool {
+    fn is_guilty(&self, unexplained: usize) -> bool {
         let in_turn = self.calls.values().any(|crashes| crashes.len() > 1);
-        let crashes_min = match (is_sound, in_turn) {
-            (true, _) => SOUND_CRASHES_TO_BLOCK,
-            (false, true) => CRASHES_IN_TURN_TO_BLOCK,
-            (false, false) => CRASHES_TO_BLOCK,
+        let crashes_min = if in_turn {
+            CRASHES_IN_TURN_TO_BLOCK
+        } else {
+            CRASHES_TO_BLOCK
         };
         unexplained >= crashes_min && self.calls.len() >= CALLS_TO_BLOCK
     }
