--- a/deploy/regression.sh
+++ b/deploy/regression.sh
@@ -3,9 +3,9 @@
 #
 #   deploy/regression.sh BENCH SITES
 #
-# BENCH is the bench's program, SITES the folder that holds the folders of the deployments. Each site of the milestone is
-# scored and hunted, each earlier one gets a quick score. The output of each run is kept in target/regression/; the
-# exit status is 1 if a gate failed or a rule was broken, 2 on wrong arguments.
+# BENCH is the bench's program, SITES the folder that holds the folders of the deployments. Each site in force is hunted and
+# gets a quick score. The output of each run is kept in target/regression/; the exit status is 1 if a gate failed or a rule
+# was broken, 2 on wrong arguments.
 set -uo pipefail
 
 if [ $# -ne 2 ] || [ ! -x "$1" ] || [ ! -d "$2" ]; then
@@ -36,16 +36,16 @@
 unbroken=", 0 with a rule broken"
 gate="^GATE passed"
 large=$sites/large/quabbin-match-large.toml
-further=$sites/further/caroni-habitsync.toml
-further_grown=$sites/further-grown/caroni-habitsync-grown.toml
 
-play hunt-further "$unbroken" hunt "$further" --days 40
-play hunt-further-grown "$unbroken" hunt "$further_grown" --days 8
+for site in sites/quabbin-match sites/stropfleet; do
+    play "hunt-$(basename "$site")" "$unbroken" hunt "$sites/$site.toml" --days 40
+done
+for site in grown/quabbin-match-grown grown/stropfleet-grown; do
+    play "hunt-$(basename "$site")" "$unbroken" hunt "$sites/$site.toml" --days 8
+done
 play hunt-large "$unbroken" hunt "$large" --days 8
-play score-further "$gate" score "$further"
-play score-further-grown "$gate" score "$further_grown"
-play score-large "$gate" score "$large"
-for earlier in sites/quabbin-match sites/stropfleet grown/quabbin-match-grown grown/stropfleet-grown; do
-    play "quick-$(basename "$earlier")" "$gate" score "$sites/$earlier.toml" --quick
+for site in sites/quabbin-match sites/stropfleet grown/quabbin-match-grown grown/stropfleet-grown; do
+    play "quick-$(basename "$site")" "$gate" score "$sites/$site.toml" --quick
 done
+play quick-large "$gate" score "$large" --quick
 exit $failed
