--- /dev/null
+++ b/review/harness/case_crash.rs
@@ -0,0 +1,261 @@
+//! Requests with one part of a prompt crash each replica that begins to write their answer.
+
+use {
+    crate::{
+        client::Attempt,
+        record::{now, record, tell},
+        replica::Replica,
+        site::{MODEL, Site, ZONE, end_children, keep_child, unix_ms},
+    },
+    std::{
+        io::{BufRead, BufReader},
+        net::{SocketAddr, TcpListener},
+        process::{Command, Stdio},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+const REPLICAS: usize = 8;
+const DAEMONS: usize = 2;
+
+/// The part that crashes replicas.
+const PART: &str = "dead:300";
+
+/// Time from a crash until the replica is back.
+const DOWN: Duration = Duration::from_secs(3);
+
+/// `contactMs` in seconds.
+const CONTACT_S: f64 = 3.0;
+
+const TRAFFIC: Duration = Duration::from_secs(40);
+
+/// Requests with the part that may reach replicas after the bound.
+const SENT_MAX: usize = 3;
+
+/// A replica as a process of its own: `ADDRESS ID BORN EVENTS`.
+///
+/// It ends itself after it has written EVENTS events of an answer on the part.
+pub fn run_replica(words: &[&str]) {
+    let [address, id, born, events] = words else {
+        eprintln!("usage: harness replica ADDRESS ID BORN EVENTS");
+        std::process::exit(2);
+    };
+    let address: SocketAddr = address.parse().expect("an address");
+    let events: u64 = events.parse().expect("a number");
+    let listener = TcpListener::bind(address).expect("the address is free");
+    let replica = Replica {
+        address,
+        born: born.parse().expect("a number"),
+        id: (*id).to_owned(),
+        service: MODEL,
+        slots: 64,
+        zone: ZONE,
+    };
+    record("listening");
+    replica.serve(
+        listener,
+        Arc::new(move |call| {
+            call.run();
+            let prompt = call.request.header("prefix-hash").unwrap_or("").to_owned();
+            thread::sleep(Duration::from_millis(20));
+            let first = call.first_event();
+            call.begin_stream()?;
+            if prompt.contains(PART) && events < 100 {
+                for number in first..first + events {
+                    call.event(number)?;
+                }
+                record(&format!(
+                    "replica {} crashes on {}",
+                    call.replica.id,
+                    call.id()
+                ));
+                std::process::exit(1);
+            }
+            call.finish_stream(first, 12, Duration::from_millis(20))
+        }),
+    );
+}
+
+/// What the replicas print.
+#[derive(Default)]
+struct Seen {
+    crashes: Vec<f64>,
+    /// Times at which requests with the part reached replicas.
+    sent: Vec<f64>,
+}
+
+/// Runs one replica after the other at an address.
+fn keep_replica(
+    site: Arc<Site>,
+    number: usize,
+    events: String,
+    seen: Arc<Mutex<Seen>>,
+    done: Arc<AtomicBool>,
+) {
+    let address = site.free_address(100 + number);
+    for start in 0.. {
+        let (born, id) = (unix_ms(), format!("i-{number}-{start}"));
+        let program = std::env::current_exe().expect("the program's path");
+        let child = Command::new(program)
+            .args([
+                "replica",
+                &address.to_string(),
+                &id,
+                &born.to_string(),
+                &events,
+            ])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn();
+        let mut child = child.expect("a replica can be started");
+        let output = child.stdout.take().expect("its output");
+        keep_child(child);
+        let replica = Replica {
+            address,
+            born,
+            id,
+            service: MODEL,
+            slots: 64,
+            zone: ZONE,
+        };
+        let is_up = Arc::new(AtomicBool::new(true));
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            record(&line);
+            if line == "listening" {
+                let (site, replica, is_up) =
+                    (Arc::clone(&site), replica.clone(), Arc::clone(&is_up));
+                thread::spawn(move || {
+                    let mut sequence = 0;
+                    while is_up.load(Ordering::Relaxed) {
+                        sequence += 1;
+                        site.store
+                            .put(&replica.key(), &replica.entry("ready", sequence));
+                        thread::sleep(Duration::from_millis(1_200));
+                    }
+                });
+            }
+            let mut seen = seen.lock().unwrap();
+            if line.contains(" runs t") {
+                seen.sent.push(now());
+            }
+            if line.contains(" crashes ") {
+                seen.crashes.push(now());
+            }
+        }
+        is_up.store(false, Ordering::Relaxed);
+        if done.load(Ordering::Relaxed) {
+            return;
+        }
+        thread::sleep(DOWN);
+        site.store.remove(&replica.key());
+    }
+}
+
+fn stream(id: &str, prompt: &str) -> Attempt {
+    Attempt {
+        body: b"how do I care for my strop".to_vec(),
+        deadline_ms: 12_000,
+        id: id.to_owned(),
+        method: "POST",
+        path: "/guide/2f".to_owned(),
+        more: format!("Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: {prompt}\r\n"),
+    }
+}
+
+/// `first-event`: the replica ends after the first event. `tenth-part`: it ends after the head of the
+/// answer, and the part is the tenth of the prompt.
+pub fn run(words: &[&str]) -> bool {
+    let site = Arc::new(Site::start(DAEMONS));
+    let is_tenth = words.first() == Some(&"tenth-part");
+    let events = if is_tenth { "0" } else { "1" }.to_owned();
+    let parts_before = if is_tenth { 9 } else { 1 };
+    let before: Vec<String> = (0..parts_before)
+        .map(|part| format!("{:x}:80", 0x5c1e + part))
+        .collect();
+    let before = before.join(",");
+    let events = if site.trouble() {
+        events
+    } else {
+        "100".to_owned()
+    };
+    let (seen, done) = (
+        Arc::new(Mutex::new(Seen::default())),
+        Arc::new(AtomicBool::new(false)),
+    );
+    for number in 0..REPLICAS {
+        let (site, events, seen, done) = (
+            Arc::clone(&site),
+            events.clone(),
+            Arc::clone(&seen),
+            Arc::clone(&done),
+        );
+        thread::spawn(move || keep_replica(site, number, events, seen, done));
+    }
+    thread::sleep(Duration::from_secs(3));
+    let mut clients = Vec::new();
+    for (name, per_s) in [("s", 15), ("t", 3)] {
+        let (site, before) = (Arc::clone(&site), before.clone());
+        clients.push(thread::spawn(move || {
+            let pause = Duration::from_secs(1) / per_s;
+            let count = TRAFFIC.as_millis() / pause.as_millis();
+            let mut open = Vec::new();
+            for number in 0..count {
+                let id = format!("{name}{number}");
+                let own = format!("{:x}:250", 0x10_0000 + number * 2 + u128::from(name == "t"));
+                let thing = 0x9000 + number % 12;
+                let prompt = match name {
+                    "t" => format!("{before},{PART},{own}"),
+                    _ => format!("{before},{thing:x}:410,{own}"),
+                };
+                let daemon = site.daemons[number as usize % DAEMONS];
+                let attempt = stream(&id, &prompt);
+                open.push(thread::spawn(move || {
+                    record(&format!("client sends {id} to {daemon}"));
+                    let answer = attempt.send(daemon);
+                    let status = answer.as_ref().map_or(0, |answer| answer.status());
+                    let whole = answer.is_some_and(|answer| answer.whole);
+                    record(&format!("client gets {status} for {id}, whole: {whole}"));
+                }));
+                thread::sleep(pause);
+            }
+            for thread in open {
+                let _ = thread.join();
+            }
+        }));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    done.store(true, Ordering::Relaxed);
+    let reports = site.store.values("crash-reports/").len();
+    let seen = seen.lock().unwrap();
+    tell(&format!(
+        "{} crashes; {reports} crash reports in the store",
+        seen.crashes.len()
+    ));
+    let Some(fifth) = seen.crashes.get(4) else {
+        tell("fewer than five crashes");
+        end_children();
+        return false;
+    };
+    let late = seen
+        .sent
+        .iter()
+        .filter(|at| **at > fifth + CONTACT_S)
+        .count();
+    let late_crashes = seen
+        .crashes
+        .iter()
+        .filter(|at| **at > fifth + CONTACT_S)
+        .count();
+    tell(&format!(
+        "the fifth crash was at {fifth:.3} s; later than {:.3} s, {late} requests with the part reached replicas, where {SENT_MAX} may, and {late_crashes} replicas crashed",
+        fifth + CONTACT_S
+    ));
+    late > SENT_MAX
+}
