--- a/review/harness/case_crash.rs
+++ b/review/harness/case_crash.rs
@@ -20,8 +20,34 @@
     },
 };
 
-const REPLICAS: usize = 8;
-const DAEMONS: usize = 2;
+/// What a case varies.
+struct Plan {
+    daemons: usize,
+    /// Events after which a replica ends on the part.
+    events: u64,
+    /// Parts of the prompt before the one that crashes replicas.
+    parts_before: usize,
+    replicas: usize,
+}
+
+impl Plan {
+    fn read(words: &[&str]) -> Plan {
+        let plan = Plan {
+            daemons: 2,
+            events: 0,
+            parts_before: 1,
+            replicas: 8,
+        };
+        match words {
+            ["first-event"] => Plan { events: 1, ..plan },
+            ["tenth-part"] => Plan {
+                parts_before: 9,
+                ..plan
+            },
+            _ => plan,
+        }
+    }
+}
 
 /// The part that crashes replicas.
 const PART: &str = "dead:300";
@@ -163,6 +189,7 @@
         id: id.to_owned(),
         method: "POST",
         path: "/guide/2f".to_owned(),
+        tenant: 0,
         more: format!("Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: {prompt}\r\n"),
     }
 }
@@ -170,16 +197,14 @@
 /// `first-event`: the replica ends after the first event. `tenth-part`: it ends after the head of the
 /// answer, and the part is the tenth of the prompt.
 pub fn run(words: &[&str]) -> bool {
-    let site = Arc::new(Site::start(DAEMONS));
-    let is_tenth = words.first() == Some(&"tenth-part");
-    let events = if is_tenth { "0" } else { "1" }.to_owned();
-    let parts_before = if is_tenth { 9 } else { 1 };
-    let before: Vec<String> = (0..parts_before)
+    let plan = Arc::new(Plan::read(words));
+    let site = Arc::new(Site::start(plan.daemons));
+    let before: Vec<String> = (0..plan.parts_before)
         .map(|part| format!("{:x}:80", 0x5c1e + part))
         .collect();
     let before = before.join(",");
     let events = if site.trouble() {
-        events
+        plan.events.to_string()
     } else {
         "100".to_owned()
     };
@@ -187,7 +212,7 @@
         Arc::new(Mutex::new(Seen::default())),
         Arc::new(AtomicBool::new(false)),
     );
-    for number in 0..REPLICAS {
+    for number in 0..plan.replicas {
         let (site, events, seen, done) = (
             Arc::clone(&site),
             events.clone(),
@@ -199,12 +224,13 @@
     thread::sleep(Duration::from_secs(3));
     let mut clients = Vec::new();
     for (name, per_s) in [("s", 15), ("t", 3)] {
-        let (site, before) = (Arc::clone(&site), before.clone());
+        let (site, before, plan) = (Arc::clone(&site), before.clone(), Arc::clone(&plan));
         clients.push(thread::spawn(move || {
             let pause = Duration::from_secs(1) / per_s;
             let count = TRAFFIC.as_millis() / pause.as_millis();
             let mut open = Vec::new();
             for number in 0..count {
+                thread::sleep(pause);
                 let id = format!("{name}{number}");
                 let own = format!("{:x}:250", 0x10_0000 + number * 2 + u128::from(name == "t"));
                 let thing = 0x9000 + number % 12;
@@ -212,7 +238,7 @@
                     "t" => format!("{before},{PART},{own}"),
                     _ => format!("{before},{thing:x}:410,{own}"),
                 };
-                let daemon = site.daemons[number as usize % DAEMONS];
+                let daemon = site.daemons[number as usize % plan.daemons];
                 let attempt = stream(&id, &prompt);
                 open.push(thread::spawn(move || {
                     record(&format!("client sends {id} to {daemon}"));
@@ -221,7 +247,6 @@
                     let whole = answer.is_some_and(|answer| answer.whole);
                     record(&format!("client gets {status} for {id}, whole: {whole}"));
                 }));
-                thread::sleep(pause);
             }
             for thread in open {
                 let _ = thread.join();
--- a/review/harness/case_desk.rs
+++ b/review/harness/case_desk.rs
@@ -101,6 +101,7 @@
             id: id.clone(),
             method: "POST",
             path: "/order/2f".to_owned(),
+            tenant: 0,
             more: String::new(),
         };
         record(&format!("client sends {id}"));
--- a/review/harness/case_memory.rs
+++ b/review/harness/case_memory.rs
@@ -152,6 +152,7 @@
             id: format!("g{number}"),
             method: "POST",
             path: format!("/{route}/2f"),
+            tenant: 0,
             more: format!(
                 "Model: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: 5c1e07a2:800,{:x}:410,{:x}:250\r\n",
                 0x9000 + number % 85,
--- a/review/harness/case_notice.rs
+++ b/review/harness/case_notice.rs
@@ -82,6 +82,7 @@
                     id: id.clone(),
                     method: "GET",
                     path: format!("/stock/{}/2f", number % 7),
+                    tenant: 0,
                     more: String::new(),
                 };
                 record(&format!("client sends {id}"));
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -17,12 +17,20 @@
     pub id: String,
     pub method: &'static str,
     pub path: String,
+    pub tenant: usize,
     /// Further header lines, each with its end.
     pub more: String,
 }
 
 pub const HOST: &str = "ficu95.example";
-pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+/// Number of tenants.
+pub const TENANTS: usize = 10;
+
+/// Returns a tenant's API key.
+pub fn key(tenant: usize) -> String {
+    format!("n2ctnfzs989anu6wsj{tenant:02}")
+}
 
 impl Attempt {
     pub fn bytes(&self) -> Vec<u8> {
@@ -33,9 +41,11 @@
             method,
             path,
             more,
+            tenant,
         } = self;
+        let key = key(*tenant);
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nX-Api-Key: {KEY}\r\n{more}Content-Length: {}\r\n\r\n",
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nX-Api-Key: {key}\r\n{more}Content-Length: {}\r\n\r\n",
             body.len()
         );
         let mut bytes = head.into_bytes();
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        client::{HOST, KEY},
+        client::{HOST, TENANTS, key},
         record::{record, tell},
         replica::{Behaviour, Replica},
         store::Store,
@@ -328,8 +328,15 @@
             r#""timeoutMs":800,"latencyTargetMs":120,"priority":2,"maxAttempts":2,"sticky":false"#,
         ),
     ];
+    let tenants: Vec<String> = (0..TENANTS)
+        .map(|tenant| {
+            let key = key(tenant);
+            format!(r#"{{"name":"hule93{tenant}","apiKeys":["{key}"],"priority":1}}"#)
+        })
+        .collect();
+    let tenants = tenants.join(",");
     format!(
-        r#"{{"version":7,"routes":[{}],"services":[{{"name":"{MODEL}","healthPath":"/healthz","maxConns":360,"protocol":"h1","tls":false}},{{"name":"{DESK}","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":7,"routes":[{}],"services":[{{"name":"{MODEL}","healthPath":"/healthz","maxConns":360,"protocol":"h1","tls":false}},{{"name":"{DESK}","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
         routes.join(",")
     )
 }
