Review case 5: a part that turns deadly after a release isn't blocked

Cause: an answer clears a part for two to ten minutes, whatever crashes follow. Done: a script that releases eight replicas; the new ones end on a part that the old ones answered. The harness starts no process any more while it ends; one had been left running by it.

--- a/review/harness/case_crash.rs
+++ b/review/harness/case_crash.rs
@@ -5,7 +5,7 @@
         client::Attempt,
         record::{now, record, tell},
         replica::Replica,
-        site::{MODEL, Site, ZONE, end_children, keep_child, unix_ms},
+        site::{MODEL, Site, ZONE, kill_child, start_child, unix_ms},
     },
     std::{
         io::{BufRead, BufReader},
@@ -28,6 +28,8 @@
     /// Parts of the prompt before the one that crashes replicas.
     parts_before: usize,
     replicas: usize,
+    /// Whether the replicas end on the part only after a release.
+    after_release: bool,
 }
 
 impl Plan {
@@ -37,9 +39,14 @@
             events: 0,
             parts_before: 1,
             replicas: 8,
+            after_release: false,
         };
         match words {
             ["first-event"] => Plan { events: 1, ..plan },
+            ["release"] => Plan {
+                after_release: true,
+                ..plan
+            },
             ["tenth-part"] => Plan {
                 parts_before: 9,
                 ..plan
@@ -52,6 +59,16 @@
 /// The part that crashes replicas.
 const PART: &str = "dead:300";
 
+/// More events than a stream has: a replica that ends after them never ends.
+const SOUND: &str = "100";
+
+/// When the first replica is replaced, and the pause until the next one.
+const RELEASE_AT: Duration = Duration::from_secs(8);
+const RELEASE_GAP: Duration = Duration::from_millis(700);
+
+/// `drainMs` and a little longer, for which a draining replica serves.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 /// Time from a crash until the replica is back.
 const DOWN: Duration = Duration::from_secs(3);
 
@@ -115,19 +132,21 @@
     sent: Vec<f64>,
 }
 
-/// Runs one replica after the other at an address.
+/// Runs one replica after the other at an address; at `release`, the first one drains and leaves.
 fn keep_replica(
     site: Arc<Site>,
     number: usize,
     events: String,
     seen: Arc<Mutex<Seen>>,
     done: Arc<AtomicBool>,
+    release: Option<Duration>,
 ) {
     let address = site.free_address(100 + number);
     for start in 0.. {
         let (born, id) = (unix_ms(), format!("i-{number}-{start}"));
         let program = std::env::current_exe().expect("the program's path");
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        let command = command
             .args([
                 "replica",
                 &address.to_string(),
@@ -136,11 +155,9 @@
                 &events,
             ])
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn();
-        let mut child = child.expect("a replica can be started");
-        let output = child.stdout.take().expect("its output");
-        keep_child(child);
+            .stdout(Stdio::piped());
+        let (pid, output) = start_child(command);
+        let output = output.expect("its output");
         let replica = Replica {
             address,
             born,
@@ -150,6 +167,20 @@
             zone: ZONE,
         };
         let is_up = Arc::new(AtomicBool::new(true));
+        if let Some(at) = release {
+            let (site, replica, is_up) = (Arc::clone(&site), replica.clone(), Arc::clone(&is_up));
+            thread::spawn(move || {
+                thread::sleep(at.saturating_sub(Duration::from_secs_f64(now())));
+                is_up.store(false, Ordering::Relaxed);
+                record(&format!("replica {} drains", replica.id));
+                site.store
+                    .put(&replica.key(), &replica.entry("draining", 99));
+                thread::sleep(DRAIN);
+                site.store.remove(&replica.key());
+                record(&format!("replica {} has left", replica.id));
+                kill_child(pid);
+            });
+        }
         for line in BufReader::new(output).lines().map_while(Result::ok) {
             record(&line);
             if line == "listening" {
@@ -174,7 +205,7 @@
             }
         }
         is_up.store(false, Ordering::Relaxed);
-        if done.load(Ordering::Relaxed) {
+        if done.load(Ordering::Relaxed) || release.is_some() {
             return;
         }
         thread::sleep(DOWN);
@@ -206,12 +237,13 @@
     let events = if site.trouble() {
         plan.events.to_string()
     } else {
-        "100".to_owned()
+        SOUND.to_owned()
     };
     let (seen, done) = (
         Arc::new(Mutex::new(Seen::default())),
         Arc::new(AtomicBool::new(false)),
     );
+    let plan_replicas = plan.replicas;
     for number in 0..plan.replicas {
         let (site, events, seen, done) = (
             Arc::clone(&site),
@@ -219,7 +251,23 @@
             Arc::clone(&seen),
             Arc::clone(&done),
         );
-        thread::spawn(move || keep_replica(site, number, events, seen, done));
+        if !plan.after_release {
+            thread::spawn(move || keep_replica(site, number, events, seen, done, None));
+            continue;
+        }
+        let release = RELEASE_AT + RELEASE_GAP * number as u32;
+        let (old_site, old_seen, old_done) =
+            (Arc::clone(&site), Arc::clone(&seen), Arc::clone(&done));
+        let sound = SOUND.to_owned();
+        thread::spawn(move || {
+            keep_replica(old_site, number, sound, old_seen, old_done, Some(release));
+        });
+        thread::spawn(move || {
+            // The new replica starts first.
+            let start = release.saturating_sub(RELEASE_GAP);
+            thread::sleep(start.saturating_sub(Duration::from_secs_f64(now())));
+            keep_replica(site, number + plan_replicas, events, seen, done, None);
+        });
     }
     thread::sleep(Duration::from_secs(3));
     let mut clients = Vec::new();
@@ -265,7 +313,6 @@
     ));
     let Some(fifth) = seen.crashes.get(4) else {
         tell("fewer than five crashes");
-        end_children();
         return false;
     };
     let late = seen
--- a/review/harness/case_memory.rs
+++ b/review/harness/case_memory.rs
@@ -4,7 +4,7 @@
     crate::{
         client::Attempt,
         record::{now, record, tell},
-        site::{DESK, MODEL, Site, keep_child, kill_child, start_process},
+        site::{DESK, MODEL, Site, kill_child, start_process},
     },
     std::{
         fs,
@@ -71,9 +71,7 @@
             record(&format!("daemon {number} has ended"));
             ends.lock().unwrap()[number] += 1;
             thread::sleep(RESTART);
-            let child = start_process(&site.settings(number));
-            pid = child.id();
-            keep_child(child);
+            pid = start_process(&site.settings(number));
             continue;
         };
         let mut peak = peak.lock().unwrap();
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -11,7 +11,7 @@
         fs::{self, OpenOptions},
         net::{SocketAddr, TcpListener, TcpStream},
         path::{Path, PathBuf},
-        process::{Child, Command, Stdio, exit},
+        process::{Child, ChildStdout, Command, Stdio, exit},
         sync::{
             Mutex,
             atomic::{AtomicU32, Ordering},
@@ -30,8 +30,8 @@
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
-/// Processes that the case started.
-static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+/// Processes that the case started; `None` when it ends and starts no more.
+static CHILDREN: Mutex<Option<Vec<Child>>> = Mutex::new(Some(Vec::new()));
 
 pub struct Site {
     /// Addresses of the daemons' listeners for clients.
@@ -50,22 +50,38 @@
 }
 
 /// Ends the processes that the case started, by their handles.
-pub fn end_children() {
-    for child in CHILDREN.lock().unwrap().iter_mut() {
+fn end_children() {
+    let mut kept = CHILDREN.lock().unwrap();
+    for mut child in kept.take().unwrap_or_default() {
         let _ = child.kill();
         let _ = child.wait();
     }
 }
 
-/// Keeps a process, to end it with the case.
-pub fn keep_child(child: Child) {
-    CHILDREN.lock().unwrap().push(child);
+/// Starts a process that ends with the case; returns its id and its output, if that is piped.
+pub fn start_child(command: &mut Command) -> (u32, Option<ChildStdout>) {
+    let mut kept = CHILDREN.lock().unwrap();
+    let Some(children) = kept.as_mut() else {
+        drop(kept);
+        // The case is ending, and its process with it.
+        loop {
+            thread::park();
+        }
+    };
+    let Ok(mut child) = command.spawn() else {
+        drop(kept);
+        fail("a process can't be started; build the deploy file first");
+    };
+    let started = (child.id(), child.stdout.take());
+    children.push(child);
+    started
 }
 
-/// Ends a process that the case keeps, as the platform does with one over a limit.
+/// Ends a process that the case started, as the platform does with one over a limit.
 pub fn kill_child(pid: u32) {
-    let mut children = CHILDREN.lock().unwrap();
-    if let Some(child) = children.iter_mut().find(|child| child.id() == pid) {
+    let mut kept = CHILDREN.lock().unwrap();
+    let mut children = kept.iter_mut().flatten();
+    if let Some(child) = children.find(|child| child.id() == pid) {
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -216,10 +232,8 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the settings can be written");
         record(&format!("daemon {name} starts at {front}"));
-        let child = start_process(&path);
-        self.pids.push(child.id());
+        self.pids.push(start_process(&path));
         self.daemons.push(front);
-        keep_child(child);
         let end = Instant::now() + Duration::from_secs(10);
         while !is_ready(ready) {
             if Instant::now() > end {
@@ -258,26 +272,23 @@
     }
 }
 
-/// Starts a daemon as the deploy file does.
-pub fn start_process(settings: &Path) -> Child {
+/// Starts a daemon as the deploy file does; returns its process id.
+pub fn start_process(settings: &Path) -> u32 {
     let log = OpenOptions::new()
         .create(true)
         .append(true)
         .open(settings.with_extension("log"));
     let log = log.expect("a log file");
     let errors = log.try_clone().expect("a log file");
-    let child = Command::new("target/release/poplargapd")
+    let mut command = Command::new("target/release/poplargapd");
+    let command = command
         .arg("--platform")
         .env_clear()
         .env("POPLARGAP_BOOT", settings)
         .stdin(Stdio::null())
         .stdout(log)
-        .stderr(errors)
-        .spawn();
-    match child {
-        Ok(child) => child,
-        Err(_) => fail("target/release/poplargapd can't be started; build the deploy file first"),
-    }
+        .stderr(errors);
+    start_child(command).0
 }
 
 fn is_ready(address: SocketAddr) -> bool {
