--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,10 @@
 #!/usr/bin/env bash
 # The tenth part of a prompt crashes each replica that begins to answer.
+#
+# Writes record.txt beside this file. With TROUBLE=0 it does the same without the disruption. Exits
+# with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -uo pipefail
-. "$(dirname "$0")/../case.sh"
-run_case 4 crash tenth-part
+export TROUBLE="${TROUBLE:-1}"
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+. "$here/../case.sh"
+run_case crash "$here/record.txt" tenth-part
--- a/review/case.sh
+++ b/review/case.sh
@@ -1,9 +1,8 @@
-# Runs one case: `run_case FOLDER CASE...`. Each run.sh reads this file.
+# Runs one case: `run_case CASE RECORD ARGUMENT...`. Each run.sh reads this file.
 #
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 run_case() {
-    local folder=$1 code=0
-    shift
+    local code=0
     cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
     if [ ! -x target/review/harness ]; then
         echo "target/review/harness is missing; run review/build.sh first" >&2
@@ -11,10 +10,8 @@
     fi
     REVIEW_FOLDER=$(mktemp -d) || exit 2
     export REVIEW_FOLDER
-    local case=$1
-    shift
     # The harness ends all processes that it starts, also when it is told to end.
-    target/review/harness "$case" "review/$folder/record.txt" "$@" &
+    target/review/harness "$@" &
     local harness=$!
     trap 'touch "$REVIEW_FOLDER/end"; wait "$harness"; rm -rf "$REVIEW_FOLDER"; exit 2' INT TERM
     wait "$harness" || code=$?
