Never pass on a status that claims a request didn't run without proof

Cause: the daemon takes only Not-Executed and 421 as proof that nothing ran, but returned the replica's reply as it came, also if its status (408, 421, 429, 503) makes the caller that promise. Ruled out: a retry of the daemon itself (the order reached one replica for each attempt).

Change: ReplyHead::claims_not_run; such a reply is a failed attempt that may have run, retried where the route allows, else answered with the daemon's own 502 without the replica's signature.

--- a/crates/poplargap-forward/src/call_head.rs
+++ b/crates/poplargap-forward/src/call_head.rs
@@ -67,6 +67,9 @@
 pub struct ReplyHead {
     /// Id of the request that the reply belongs to.
     pub call_id: Option<String>,
+    /// Whether the status tells the caller that the request didn't run, though the replica doesn't
+    /// state it.
+    pub claims_not_run: bool,
     /// Whether the reply has the replica's signature and its body isn't encoded.
     pub is_signed: bool,
     /// Whether the replica is leaving.
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -329,6 +329,12 @@
         };
         let id = &placed.replica.id;
         self.state.connections.put(id, connection, head.keep_alive);
+        if head.claims_not_run {
+            info!(self.state.log, "replica's status claims that the request didn't run; it isn't passed on";
+                "request" => &self.call.received.head.id, "replica" => id.as_ref(),
+                "status" => status.as_u16());
+            return Err((SendOutcome::Failed, None));
+        }
         let whole = RelayReply::Whole { body, parts };
         if status.is_server_error() {
             return Err((SendOutcome::Failed, Some(whole)));
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -47,6 +47,7 @@
             let failure = wire.whole("500 Internal Server Error");
             stream.write_all(failure.as_bytes()).await
         }
+        ReplicaFault::FailAs(status) => stream.write_all(wire.whole(status).as_bytes()).await,
         ReplicaFault::PlainText => {
             let framing = "Content-Type: text/plain\r\nContent-Length: 15\r\n";
             let plain = wire.head("200 OK", framing) + "it went wrong\n\n";
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -16,6 +16,8 @@
     ExtraAnswer,
     /// Runs the request and answers with status 500.
     Fail,
+    /// Runs the request and answers with this signed status line.
+    FailAs(&'static str),
     /// Rejects the request with status 503 without running it.
     Full,
     /// Rejects the request as `Full` does, with this `Retry-After`.
