Count a crash in the middle of an answer as evidence against its prompt

Cause: a broken attempt counted as evidence only without an event, a prompt as sound after two events, and events were added up over the attempts of a request, so that two crashes in turn declared a part sound. Ruled out: reports that the store lacks (none was written), a check of the replica that misses it (it never ran).

Change: evidence is any request whose answer wasn't whole at the crash; only a whole answer clears a prompt. A stream without a length that ends before its first event is a broken one.

--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -136,7 +136,7 @@
     }
 
     /// Returns whether a request may be sent again after `unanswered` of its attempts ended with a
-    /// broken connection before the answer began.
+    /// broken connection before the answer was whole.
     ///
     /// Each retry of a request that crashes replicas costs another one, and all its streams.
     #[must_use]
--- a/crates/poplargap-core/src/forward/crash_report.rs
+++ b/crates/poplargap-core/src/forward/crash_report.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// A request that its replica hadn't begun to answer when it crashed.
+/// A request that its replica hadn't wholly answered when it crashed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct UnansweredCall {
@@ -91,7 +91,7 @@
         Self { calls, crash }
     }
 
-    /// Returns the requests that the replica hadn't begun to answer.
+    /// Returns the requests that the replica hadn't wholly answered.
     #[must_use]
     pub fn calls(&self) -> &[UnansweredCall] {
         &self.calls
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Adds a request whose connection broke before the answer began; returns whether it is the
+    /// Adds a request whose connection broke before the answer was whole; returns whether it is the
     /// first one at this replica, which has to be checked for a crash.
     pub(crate) fn add_suspect(&self, replica: &ReplicaId, call: UnansweredCall) -> bool {
         let mut suspects = self.suspects();
--- a/crates/poplargap-forward/src/crash_check.rs
+++ b/crates/poplargap-forward/src/crash_check.rs
@@ -17,7 +17,7 @@
 /// Timeout of the check; a replica that doesn't respond may be cut off and isn't taken as crashed.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Records a request whose connection broke before its answer began, and checks the replica.
+/// Records a request whose connection broke before its answer was whole, and checks the replica.
 ///
 /// A reset connection or a lost answer alone is no crash: the replica must refuse a new connection,
 /// though it is registered as ready and hasn't said that it is leaving.
@@ -48,7 +48,7 @@
         replica: Arc::clone(&replica.id),
         started_ms: replica.started_ms,
     };
-    info!(state.log, "replica crashed before it answered requests";
+    info!(state.log, "replica crashed before its answers were whole";
         "replica" => replica.id.as_ref(), "started-ms" => replica.started_ms,
         "service" => replica.service.as_ref(), "unanswered" => calls.len());
     let own = state.settings.peers.unwrap_or(state.settings.callers);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -56,7 +56,7 @@
     /// Whether a replica was unreachable.
     met_unreachable: bool,
     pub(crate) state: Arc<FrontState<D>>,
-    /// Attempts whose connection broke before the answer began.
+    /// Attempts whose connection broke before the answer was whole.
     unanswered: u32,
 }
 
@@ -128,7 +128,7 @@
         outcome: SendOutcome,
     ) -> Option<RelayEnd> {
         let now = self.state.clock.now();
-        if outcome == SendOutcome::Broken && self.log.events() == 0 {
+        if outcome == SendOutcome::Broken {
             self.unanswered += 1;
             check_for_crash(&self.state, replica, &self.call);
         }
@@ -157,7 +157,7 @@
         end.map(|answer| RelayEnd::new(answer, reason))
     }
 
-    /// Records that a replica answered the request without crashing.
+    /// Records that a replica wrote its whole answer without crashing.
     pub(crate) fn record_answer(&self) {
         self.state
             .crashes
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -13,7 +13,7 @@
     hyper::{
         Request, Response, Uri, Version,
         body::{Body, Incoming},
-        header::{CONTENT_TYPE, HeaderValue},
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING},
         http::response,
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
@@ -39,6 +39,12 @@
 }
 
 impl<D> OpenReply<D> {
+    /// Returns whether the reply states where its body ends, other than by closing the connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns whether the reply's body is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
         let kind = self.parts.headers.get(CONTENT_TYPE);
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -14,9 +14,6 @@
     },
 };
 
-/// Events of an attempt after which the replica has answered the prompt.
-const EVENTS_OF_ANSWER: u64 = 2;
-
 /// How one replica's stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StreamEnd {
@@ -63,6 +60,7 @@
             StreamEnd::CallerGone => (CallEnd::CallerGone, "caller-gone"),
             StreamEnd::TimedOut => (CallEnd::TimedOut, "route-timeout"),
             StreamEnd::Whole => {
+                relay.record_answer();
                 finish(&relay, reply, &mut cursor, &caller).await;
                 (CallEnd::Answered, "")
             }
@@ -83,6 +81,8 @@
     let deadline = relay.call.received.started_at + route.timeout;
     let mut watch = StreamWatch::new(route, relay.state.clock.now());
     let mut timer = std::pin::pin!(sleep_until(deadline));
+    // Without a length, a stream whose replica crashed before its first event looks whole.
+    let mut has_events = false;
     loop {
         let step = watch.step(relay.state.clock.now(), || relay.may_resume());
         let wait = match step {
@@ -98,7 +98,9 @@
             () = sleep(wait) => continue,
         };
         let chunk = match frame {
-            None if reply.is_event_stream() && !cursor.is_between_events() => {
+            None if reply.is_event_stream()
+                && !(cursor.is_between_events() && (has_events || reply.is_framed())) =>
+            {
                 return StreamEnd::Broken;
             }
             None => return StreamEnd::Whole,
@@ -111,12 +113,9 @@
         };
         let count = cursor.event_count() - known;
         let has_event = count > 0;
+        has_events |= has_event;
         if has_event {
-            let before = relay.log.events();
             relay.log.record_events(count);
-            if before < EVENTS_OF_ANSWER && relay.log.events() >= EVENTS_OF_ANSWER {
-                relay.record_answer();
-            }
         } else if watch.record_bytes(len).is_err() {
             return StreamEnd::Broken;
         }
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -38,6 +38,11 @@
     match fault {
         ReplicaFault::Endless(bytes) => write_endless(stream, state, bytes, wire).await,
         ReplicaFault::CloseUnanswered => Err(io::ErrorKind::ConnectionReset.into()),
+        ReplicaFault::EmptyStream => {
+            let head = wire.head("200 OK", "Content-Type: text/event-stream\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
         ReplicaFault::ExtraAnswer => {
             stream.write_all(whole.as_bytes()).await?;
             sleep(EVENT_PAUSE).await;
@@ -74,7 +79,7 @@
         ReplicaFault::UnframedStream => write_unframed_stream(stream, wire, request, None).await,
         ReplicaFault::Unsigned => stream.write_all(wire.unsigned().as_bytes()).await,
         ReplicaFault::BreakStream(_)
-        | ReplicaFault::CrashOnPart(_)
+        | ReplicaFault::CrashOnPart { .. }
         | ReplicaFault::None
         | ReplicaFault::Full
         | ReplicaFault::FullFor(_)
@@ -152,6 +157,25 @@
     Err(io::ErrorKind::ConnectionAborted.into())
 }
 
+/// Writes the head of a stream and this number of events.
+pub(super) async fn write_begun_stream(
+    stream: &mut TcpStream,
+    wire: &WireAnswer,
+    request: &SeenRequest,
+    events: u64,
+) -> io::Result<()> {
+    let head = wire.head("200 OK", STREAM_FRAMING);
+    stream.write_all(head.as_bytes()).await?;
+    let first = request.last_event() + 1;
+    for number in first..first + events {
+        stream
+            .write_all(WireAnswer::event(number).as_bytes())
+            .await?;
+        sleep(EVENT_PAUSE).await;
+    }
+    Ok(())
+}
+
 /// Writes the events that follow the request's `Last-Event-Id`.
 async fn write_stream(
     stream: &mut TcpStream,
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -7,9 +7,17 @@
     BreakStream(u64),
     /// Runs the request and closes the connection without an answer.
     CloseUnanswered,
-    /// Ends the whole replica when it begins to answer a request whose prompt has this part, not as
-    /// its last one; it starts again a little later. Other requests are answered.
-    CrashOnPart(u64),
+    /// Ends the whole replica when it has written this number of events of an answer to a request
+    /// whose prompt has this part, not as its last one; it starts again a little later. Other
+    /// requests are answered.
+    CrashOnPart {
+        /// Events of the answer before the crash; without any, its head isn't written either.
+        events: u64,
+        /// Hash of the part.
+        part: u64,
+    },
+    /// Sends the head of a stream without a length and closes the connection.
+    EmptyStream,
     /// Sends bytes without end until the connection is closed.
     Endless(EndlessBytes),
     /// Sends the answer twice.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -1,5 +1,9 @@
 use {
-    super::{ReplicaFault, SeenRequest, answer_writer::write_answer, wire_answer::WireAnswer},
+    super::{
+        ReplicaFault, SeenRequest,
+        answer_writer::{write_answer, write_begun_stream},
+        wire_answer::WireAnswer,
+    },
     serde_json::json,
     std::{
         io,
@@ -241,9 +245,12 @@
         state.seen.push(request.clone());
         WireAnswer::new(&request, state.running, is_leaving)
     };
-    if let ReplicaFault::CrashOnPart(part) = fault
+    if let ReplicaFault::CrashOnPart { events, part } = fault
         && request.shares_part(part)
     {
+        if events > 0 {
+            write_begun_stream(stream, &wire, &request, events).await?;
+        }
         let crash = {
             let mut state = lock(state);
             state.crashes += 1;
