Record all parts of an unanswered prompt, not the first eight

Cause: a crash report recorded the first eight parts of a prompt. Ruled out: too few reports (the store had about a hundred) and a search that stops early (it covers all leading parts).

Change: a record holds all leading parts as a sorted slice; the report as a whole is bounded by 16 requests and 2,048 parts, and leaves out the requests with most parts first.

--- a/crates/poplargap-core/src/forward/crash_report.rs
+++ b/crates/poplargap-core/src/forward/crash_report.rs
@@ -2,15 +2,15 @@
     super::{PromptPart, ReplicaId, leading_parts},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, sync::Arc},
+    std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Most requests of one report.
 const CALLS_MAX: usize = 16;
 
-/// Most parts of one request in a report.
-const PARTS_MAX: usize = 8;
+/// Most prompt parts of all requests of one report.
+const PARTS_MAX: usize = 2_048;
 
 /// One end of a replica's process; a restart makes a new one possible.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -37,8 +37,8 @@
 pub struct UnansweredCall {
     /// Hash of the request's id.
     pub call: u64,
-    /// Hashes of the prompt's parts without the last one.
-    pub parts: BTreeSet<u64>,
+    /// Hashes of the prompt's parts without the last one, in ascending order.
+    pub parts: Box<[u64]>,
     /// The caller's workspace.
     pub workspace: Option<Arc<str>>,
 }
@@ -48,10 +48,12 @@
     #[must_use]
     pub fn new(id: &str, prompt: &[PromptPart], workspace: Option<&str>) -> Option<Self> {
         let parts = leading_parts(prompt).iter().take(PARTS_MAX);
-        let parts: BTreeSet<u64> = parts.map(|part| part.hash).collect();
+        let mut parts: Vec<u64> = parts.map(|part| part.hash).collect();
+        parts.sort_unstable();
+        parts.dedup();
         (!parts.is_empty()).then(|| Self {
             call: xxh3_64(id.as_bytes()),
-            parts,
+            parts: parts.into(),
             workspace: workspace.map(Arc::from),
         })
     }
@@ -62,7 +64,9 @@
 pub enum ReportError {
     /// the report has {0} requests; 1 to 16 are allowed
     CallCount(usize),
-    /// a request has {0} prompt parts; 1 to 8 are allowed
+    /// a request has no prompt part
+    NoPart,
+    /// the requests have {0} prompt parts; up to 2,048 are allowed
     PartCount(usize),
 }
 
@@ -84,10 +88,17 @@
 }
 
 impl CrashReport {
-    /// Creates a report; further requests than the first 16 are left out.
+    /// Creates a report; requests that don't fit are left out, those with most parts first.
     #[must_use]
     pub fn new(crash: CrashId, mut calls: Vec<UnansweredCall>) -> Self {
-        calls.truncate(CALLS_MAX);
+        calls.sort_by_key(|call| call.parts.len());
+        let mut parts = 0;
+        let fitting = calls.iter().take(CALLS_MAX).take_while(|call| {
+            parts += call.parts.len();
+            parts <= PARTS_MAX
+        });
+        let count = fitting.count();
+        calls.truncate(count);
         Self { calls, crash }
     }
 
@@ -112,8 +123,12 @@
         if !(1..=CALLS_MAX).contains(&count) {
             return Err(ReportError::CallCount(count));
         }
-        let mut parts = raw.calls.iter().map(|call| call.parts.len());
-        if let Some(count) = parts.find(|count| !(1..=PARTS_MAX).contains(count)) {
+        let parts = raw.calls.iter().map(|call| call.parts.len());
+        if parts.clone().any(|count| count == 0) {
+            return Err(ReportError::NoPart);
+        }
+        let count = parts.sum();
+        if count > PARTS_MAX {
             return Err(ReportError::PartCount(count));
         }
         Ok(Self {
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -251,6 +251,34 @@
     assert!(evidence.may_retry(&prompt(&[GUILTY, OWN]), 0, now()));
 }
 
+// A part after the eighth of a prompt crashed replicas and was in no report.
+#[test]
+fn part_far_back_in_a_long_prompt_is_blocked() {
+    let shared: Vec<u64> = (1..=1_200).collect();
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[shared.as_slice(), &[5_000]].concat()), now());
+    let parts = [shared.as_slice(), &[GUILTY, OWN]].concat();
+    for number in 0..5 {
+        let calls = vec![call(&format!("r{number}"), &parts, "w")];
+        evidence.apply(vec![stored(1, &format!("replica-{number}"), calls)], now());
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn report_of_long_prompts_is_bounded() {
+    let parts: Vec<u64> = (1..=900).collect();
+    let calls = (0..16).map(|number| call(&format!("r{number}"), &parts, "w"));
+    let report = CrashReport::new(crash("a"), calls.collect());
+    assert_eq!(report.calls().len(), 2);
+    let text = serde_json::to_string(&report).expect("a text");
+    let read = serde_json::from_str::<CrashReport>(&text);
+    assert_eq!(read.expect("valid"), report);
+    let longest: Vec<u64> = (1..=5_000).collect();
+    let report = CrashReport::new(crash("a"), vec![call("r1", &longest, "w")]);
+    assert_eq!(report.calls().len(), 1);
+}
+
 #[test]
 fn odd_reports_are_refused() {
     let texts = [
