Count a crash against a part unless as new a replica has answered it

Cause: an answer cleared a part for two to ten minutes, whatever crashed afterwards; the evidence had no order.

Change: answers and notes carry the start time of the newest replica that answered; a crash counts unless the crashed process started no later. Parts that older replicas answered are judged last, and their crashes within 300 ms count once, so that new replicas that crash together block no popular part.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -47,7 +47,7 @@
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
     cold_start::{ColdStart, hold_time},
-    crash_evidence::{CrashEvidence, EvidenceChange},
+    crash_evidence::{CrashEvidence, EvidenceChange, MissingNote},
     crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
--- a/crates/poplargap-core/src/forward/blocked_parts.rs
+++ b/crates/poplargap-core/src/forward/blocked_parts.rs
@@ -16,16 +16,47 @@
 /// Least requests with a part that is blocked.
 const CALLS_TO_BLOCK: usize = 2;
 
+/// Time within which crashes count as one against a part that replicas have answered, in
+/// milliseconds; replicas that crash together crash for another reason.
+const TOGETHER_MS: u64 = 300;
+
 /// What is known of a part besides its crashes.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", rename_all_fields = "kebab-case")]
 pub enum SoundNote {
-    /// A replica answered a request with the part, which therefore isn't blocked.
-    Answered,
+    /// Replicas answered requests with the part.
+    Answered {
+        /// Newest start time of these replicas, in Unix milliseconds.
+        started_ms: u64,
+    },
     /// An operator lifted the block; the part is never blocked.
     Lifted,
 }
 
+impl SoundNote {
+    /// Returns whether a crash doesn't count against the part.
+    ///
+    /// An answer of a replica says nothing about replicas that started later, as after a release.
+    #[must_use]
+    pub fn clears(self, crash: &CrashId) -> bool {
+        match self {
+            Self::Answered { started_ms } => crash.started_ms <= started_ms,
+            Self::Lifted => true,
+        }
+    }
+
+    /// Returns the note that holds more of two: a lift, or the answer of the newer replica.
+    #[must_use]
+    pub fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Answered { started_ms: own }, Self::Answered { started_ms }) => Self::Answered {
+                started_ms: own.max(started_ms),
+            },
+            _ => Self::Lifted,
+        }
+    }
+}
+
 /// The callers whose requests with a blocked part are refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BlockScope {
@@ -76,10 +107,11 @@
 
     /// Decides which parts are blocked.
     ///
-    /// Each crash counts once, however many daemons report it. Parts with a note aren't blocked: a
-    /// part that crashes replicas is never answered, while one that many requests share is among
-    /// the unanswered ones of every crash. Parts with most crashes are judged first; the crashes
-    /// that they explain don't count against parts that were on the same replicas.
+    /// Each crash counts once, however many daemons report it, and not against parts whose note
+    /// clears it: a part that crashes replicas is never answered by them, while one that many
+    /// requests share is among the unanswered ones of every crash. Parts that were never answered
+    /// are judged first, those with most crashes before the others; the crashes that they explain
+    /// don't count against parts that were on the same replicas.
     #[must_use]
     pub fn judge<'a>(
         reports: impl Iterator<Item = &'a CrashReport>,
@@ -89,25 +121,29 @@
         for report in reports {
             for call in report.calls() {
                 for part in &call.parts {
-                    records.entry(*part).or_default().add(report.crash(), call);
+                    let note = notes.get(part);
+                    if note.is_some_and(|note| note.clears(report.crash())) {
+                        continue;
+                    }
+                    let record = records.entry(*part).or_default();
+                    record.was_answered = note.is_some();
+                    record.add(report, call);
                 }
             }
         }
-        records.retain(|part, _| !notes.contains_key(part));
         let mut ranked: Vec<(u64, PartRecord<'a>)> = records.into_iter().collect();
-        ranked.sort_by_key(|(_, record)| Reverse(record.crashes.len()));
+        ranked.sort_by_key(|(_, record)| (record.was_answered, Reverse(record.crashes.len())));
         let mut blocked = Self::default();
         let mut explained: HashSet<&CrashId> = HashSet::default();
-        let mut guilty: Vec<HashSet<&CrashId>> = Vec::new();
+        let mut guilty: Vec<PartRecord<'a>> = Vec::new();
         for (part, record) in ranked {
-            let in_same_calls = guilty.contains(&record.crashes);
-            let unexplained = record.crashes.difference(&explained).count();
-            if !in_same_calls && !record.is_guilty(unexplained) {
+            let in_same_calls = guilty.iter().any(|guilty| record.is_beside(guilty));
+            if !in_same_calls && !record.is_guilty(&explained) {
                 continue;
             }
-            explained.extend(&record.crashes);
+            explained.extend(record.crashes.keys());
             blocked.parts.insert(part, record.blocked());
-            guilty.push(record.crashes);
+            guilty.push(record);
         }
         blocked
     }
@@ -117,26 +153,48 @@
 #[derive(Debug, Default)]
 struct PartRecord<'a> {
     calls: HashMap<u64, HashSet<&'a CrashId>>,
-    crashes: HashSet<&'a CrashId>,
+    /// The crashes with their times in Unix milliseconds.
+    crashes: HashMap<&'a CrashId, u64>,
+    was_answered: bool,
     workspaces: HashSet<Option<&'a Arc<str>>>,
 }
 
 impl<'a> PartRecord<'a> {
-    fn add(&mut self, crash: &'a CrashId, call: &'a UnansweredCall) {
-        self.crashes.insert(crash);
+    fn add(&mut self, report: &'a CrashReport, call: &'a UnansweredCall) {
+        let crash = report.crash();
+        let at_ms = self.crashes.entry(crash).or_insert(report.at_ms());
+        *at_ms = report.at_ms().min(*at_ms);
         self.calls.entry(call.call).or_default().insert(crash);
         self.workspaces.insert(call.workspace.as_ref());
     }
 
-    /// Returns whether the part is guilty of `unexplained` crashes.
-    fn is_guilty(&self, unexplained: usize) -> bool {
+    /// Returns whether the part was in the same crashes as a guilty one and can't be told from it.
+    fn is_beside(&self, guilty: &Self) -> bool {
+        self.was_answered == guilty.was_answered
+            && self.crashes.len() == guilty.crashes.len()
+            && self
+                .crashes
+                .keys()
+                .all(|crash| guilty.crashes.contains_key(crash))
+    }
+
+    /// Returns whether the part is guilty of the crashes that aren't explained.
+    fn is_guilty(&self, explained: &HashSet<&CrashId>) -> bool {
         let in_turn = self.calls.values().any(|crashes| crashes.len() > 1);
         let crashes_min = if in_turn {
             CRASHES_IN_TURN_TO_BLOCK
         } else {
             CRASHES_TO_BLOCK
         };
-        unexplained >= crashes_min && self.calls.len() >= CALLS_TO_BLOCK
+        let crashes = self.crashes.iter();
+        let unexplained = crashes.filter(|(crash, _)| !explained.contains(*crash));
+        let times: Vec<u64> = unexplained.map(|(_, at_ms)| *at_ms).collect();
+        let count = if self.was_answered {
+            count_apart(times)
+        } else {
+            times.len()
+        };
+        count >= crashes_min && self.calls.len() >= CALLS_TO_BLOCK
     }
 
     fn blocked(&self) -> BlockedPart {
@@ -151,3 +209,17 @@
         }
     }
 }
+
+/// Counts times in Unix milliseconds; those that are close together count once.
+fn count_apart(mut times: Vec<u64>) -> usize {
+    times.sort_unstable();
+    let mut count = 0;
+    let mut counted_until = None;
+    for time in times {
+        if counted_until.is_none_or(|until| time > until) {
+            count += 1;
+            counted_until = Some(time.saturating_add(TOGETHER_MS));
+        }
+    }
+    count
+}
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -23,6 +23,12 @@
 /// Attempts of one request that may end with an unanswered crash.
 const UNANSWERED_MAX: u32 = 2;
 
+#[derive(Clone, Copy, Debug)]
+struct StoredNote {
+    note: SoundNote,
+    revision: u64,
+}
+
 #[derive(Debug)]
 struct StoredReport {
     report: CrashReport,
@@ -42,8 +48,8 @@
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     blocked: Arc<BlockedParts>,
-    crashes: HashMap<u64, usize>,
-    notes: HashMap<u64, SoundNote>,
+    crashes: HashMap<u64, PartCrashes>,
+    notes: HashMap<u64, StoredNote>,
     own: HashMap<String, OwnReport>,
     sound: SoundParts,
     stored: HashMap<String, StoredReport>,
@@ -82,7 +88,9 @@
     pub fn apply(&mut self, changes: Vec<EvidenceChange>, now: MonotonicInstant) {
         for change in changes {
             match change {
-                EvidenceChange::Note(part, Some(note)) => drop(self.notes.insert(part, note)),
+                EvidenceChange::Note(part, Some((revision, note))) => {
+                    self.notes.insert(part, StoredNote { note, revision });
+                }
                 EvidenceChange::Note(part, None) => drop(self.notes.remove(&part)),
                 EvidenceChange::Report(key, None) => drop(self.stored.remove(&key)),
                 EvidenceChange::Report(key, Some((revision, report))) => {
@@ -101,23 +109,32 @@
         self.apply(changes, now);
     }
 
-    /// Records that a replica answered a request with this prompt.
-    pub fn record_answer(&mut self, prompt: &[PromptPart], now: MonotonicInstant) {
-        self.sound.record(leading_parts(prompt), now);
+    /// Records that a replica, started at `started_ms`, answered a request with this prompt.
+    pub fn record_answer(&mut self, prompt: &[PromptPart], started_ms: u64, now: MonotonicInstant) {
+        self.sound.record(leading_parts(prompt), started_ms, now);
     }
 
-    /// Returns the parts under suspicion that this daemon has seen in an answer, but that have no
-    /// note in the store.
+    /// Returns the notes that the store lacks on parts under suspicion which this daemon has seen
+    /// in an answer.
     #[must_use]
-    pub fn missing_notes(&self, now: MonotonicInstant) -> Vec<u64> {
-        let suspicious = self.crashes.iter();
+    pub fn missing_notes(&self, now: MonotonicInstant) -> Vec<MissingNote> {
+        let crashes = self.crashes.iter();
+        let suspicious = crashes.filter(|(_, crashes)| crashes.count >= SUSPICIOUS_CRASHES);
         suspicious
-            .filter(|(part, crashes)| {
-                **crashes >= SUSPICIOUS_CRASHES
-                    && !self.notes.contains_key(part)
-                    && self.sound.is_sound(**part, now)
+            .filter_map(|(part, crashes)| {
+                let answered_by = self.sound.answered_by(*part, now)?;
+                let started_ms = answered_by.min(crashes.newest_started_ms);
+                let note = SoundNote::Answered { started_ms };
+                let stored = self.notes.get(part);
+                if stored.is_some_and(|stored| stored.note.merge(note) == stored.note) {
+                    return None;
+                }
+                Some(MissingNote {
+                    note,
+                    part: *part,
+                    replaces: stored.map(|stored| stored.revision),
+                })
             })
-            .map(|(part, _)| *part)
             .collect()
     }
 
@@ -132,7 +149,7 @@
     #[must_use]
     pub fn is_sound(&self, prompt: &[PromptPart], now: MonotonicInstant) -> bool {
         let mut parts = leading_parts(prompt).iter();
-        parts.all(|part| self.notes.contains_key(&part.hash) || self.sound.is_sound(part.hash, now))
+        parts.all(|part| self.note(part.hash, now).is_some())
     }
 
     /// Returns whether a request may be sent again after `unanswered` of its attempts ended with a
@@ -146,12 +163,23 @@
         }
         let mut parts = leading_parts(prompt).iter();
         let is_suspicious = parts.any(|part| {
-            let crashes = self.crashes.get(&part.hash).copied().unwrap_or(0);
-            crashes >= SUSPICIOUS_CRASHES && !self.notes.contains_key(&part.hash)
+            let crashes = self.crashes.get(&part.hash);
+            crashes.is_some_and(|crashes| crashes.uncleared >= SUSPICIOUS_CRASHES)
         });
         unanswered < UNANSWERED_MAX && !is_suspicious
     }
 
+    /// Returns what is known of a part from the store and from this daemon's own answers.
+    fn note(&self, part: u64, now: MonotonicInstant) -> Option<SoundNote> {
+        let stored = self.notes.get(&part).map(|stored| stored.note);
+        let answered_by = self.sound.answered_by(part, now);
+        let own = answered_by.map(|started_ms| SoundNote::Answered { started_ms });
+        match (stored, own) {
+            (Some(stored), Some(own)) => Some(stored.merge(own)),
+            (stored, own) => stored.or(own),
+        }
+    }
+
     fn drop_oldest(&mut self) {
         if self.stored.len() <= STORED_MAX {
             return;
@@ -171,12 +199,13 @@
             .iter()
             .filter(|(key, _)| !self.stored.contains_key(*key));
         let reports: Vec<&CrashReport> = stored.chain(own.map(|(_, own)| &own.report)).collect();
-        self.crashes = count_crashes(&reports);
-        let parts = self.crashes.keys();
-        let answered = parts.filter(|part| self.sound.is_sound(**part, now));
-        let mut notes: HashMap<u64, SoundNote> =
-            answered.map(|part| (*part, SoundNote::Answered)).collect();
-        notes.extend(self.notes.iter().map(|(part, note)| (*part, *note)));
+        let parts = reports.iter().flat_map(|report| report.calls());
+        let parts: HashSet<u64> = parts.flat_map(|call| &call.parts).copied().collect();
+        let notes = parts.into_iter();
+        let notes: HashMap<u64, SoundNote> = notes
+            .filter_map(|part| Some((part, self.note(part, now)?)))
+            .collect();
+        self.crashes = count_crashes(&reports, &notes);
         let blocked = BlockedParts::judge(reports.into_iter(), &notes);
         if *self.blocked != blocked {
             self.blocked = Arc::new(blocked);
@@ -187,14 +216,38 @@
 /// A change of the evidence in the store; without a value, the key is removed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EvidenceChange {
-    /// The note on a part.
-    Note(u64, Option<SoundNote>),
+    /// The note on a part, with the revision of its write.
+    Note(u64, Option<(u64, SoundNote)>),
     /// The report under a key, with the revision of its write.
     Report(String, Option<(u64, CrashReport)>),
 }
 
+/// A note on a part that the store lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MissingNote {
+    /// The note.
+    pub note: SoundNote,
+    /// Hash of the part.
+    pub part: u64,
+    /// Revision of the note that it replaces.
+    pub replaces: Option<u64>,
+}
+
+/// The crashes on record for one part.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartCrashes {
+    count: usize,
+    /// Newest start time of a replica that crashed, in Unix milliseconds.
+    newest_started_ms: u64,
+    /// Crashes that no answer clears.
+    uncleared: usize,
+}
+
 /// Counts the crashes on record for each part.
-fn count_crashes(reports: &[&CrashReport]) -> HashMap<u64, usize> {
+fn count_crashes(
+    reports: &[&CrashReport],
+    notes: &HashMap<u64, SoundNote>,
+) -> HashMap<u64, PartCrashes> {
     let mut crashes: HashMap<u64, HashSet<&CrashId>> = HashMap::default();
     for report in reports {
         let parts = report.calls().iter().flat_map(|call| &call.parts);
@@ -202,8 +255,16 @@
             crashes.entry(*part).or_default().insert(report.crash());
         }
     }
-    let counts = crashes.into_iter();
-    counts
-        .map(|(part, crashes)| (part, crashes.len()))
-        .collect()
+    let counts = crashes.into_iter().map(|(part, crashes)| {
+        let note = notes.get(&part);
+        let is_cleared = |crash: &CrashId| note.is_some_and(|note| note.clears(crash));
+        let started = crashes.iter().map(|crash| crash.started_ms);
+        let counted = PartCrashes {
+            count: crashes.len(),
+            newest_started_ms: started.max().unwrap_or(0),
+            uncleared: crashes.iter().filter(|crash| !is_cleared(crash)).count(),
+        };
+        (part, counted)
+    });
+    counts.collect()
 }
--- a/crates/poplargap-core/src/forward/crash_report.rs
+++ b/crates/poplargap-core/src/forward/crash_report.rs
@@ -76,6 +76,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", try_from = "RawReport")]
 pub struct CrashReport {
+    at_ms: u64,
     calls: Vec<UnansweredCall>,
     crash: CrashId,
 }
@@ -83,14 +84,18 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RawReport {
+    #[serde(default)]
+    at_ms: u64,
     calls: Vec<UnansweredCall>,
     crash: CrashId,
 }
 
 impl CrashReport {
-    /// Creates a report; requests that don't fit are left out, those with most parts first.
+    /// Creates a report of a crash that was seen at `at_ms`, in Unix milliseconds.
+    ///
+    /// Requests that don't fit are left out, those with most parts first.
     #[must_use]
-    pub fn new(crash: CrashId, mut calls: Vec<UnansweredCall>) -> Self {
+    pub fn new(crash: CrashId, at_ms: u64, mut calls: Vec<UnansweredCall>) -> Self {
         calls.sort_by_key(|call| call.parts.len());
         let mut parts = 0;
         let fitting = calls.iter().take(CALLS_MAX).take_while(|call| {
@@ -99,7 +104,17 @@
         });
         let count = fitting.count();
         calls.truncate(count);
-        Self { calls, crash }
+        Self {
+            at_ms,
+            calls,
+            crash,
+        }
+    }
+
+    /// Returns the time at which the daemon saw the crash, in Unix milliseconds.
+    #[must_use]
+    pub fn at_ms(&self) -> u64 {
+        self.at_ms
     }
 
     /// Returns the requests that the replica hadn't wholly answered.
@@ -132,6 +147,7 @@
             return Err(ReportError::PartCount(count));
         }
         Ok(Self {
+            at_ms: raw.at_ms,
             calls: raw.calls,
             crash: raw.crash,
         })
--- a/crates/poplargap-core/src/forward/sound_parts.rs
+++ b/crates/poplargap-core/src/forward/sound_parts.rs
@@ -10,39 +10,55 @@
 /// Most parts that are remembered.
 const PARTS_MAX: usize = 8_192;
 
+/// The answers to requests with one part.
+#[derive(Clone, Copy, Debug)]
+struct AnsweredPart {
+    at: MonotonicInstant,
+    started_ms: u64,
+}
+
 /// Prompt parts that replicas recently answered without crashing.
 #[derive(Debug, Default)]
 pub struct SoundParts {
-    answered: HashMap<u64, MonotonicInstant>,
+    answered: HashMap<u64, AnsweredPart>,
 }
 
 impl SoundParts {
-    /// Records that a replica answered a request with these parts.
-    pub fn record(&mut self, parts: &[PromptPart], now: MonotonicInstant) {
+    /// Records that a replica, started at `started_ms`, answered a request with these parts.
+    pub fn record(&mut self, parts: &[PromptPart], started_ms: u64, now: MonotonicInstant) {
         if self.answered.len() + parts.len() > PARTS_MAX {
             self.make_room(now);
         }
-        let answered = parts.iter().map(|part| (part.hash, now));
-        self.answered.extend(answered);
+        for part in parts {
+            let answered = self.answered.entry(part.hash).or_insert(AnsweredPart {
+                at: now,
+                started_ms,
+            });
+            answered.at = now;
+            answered.started_ms = answered.started_ms.max(started_ms);
+        }
     }
 
-    /// Returns whether a replica recently answered a request with the part.
+    /// Returns the newest start time of the replicas that recently answered a request with the part,
+    /// in Unix milliseconds; `None` if none did.
     #[must_use]
-    pub fn is_sound(&self, part: u64, now: MonotonicInstant) -> bool {
-        let answered = self.answered.get(&part);
-        answered.is_some_and(|at| now.since(*at) < SOUND_TIME)
+    pub fn answered_by(&self, part: u64, now: MonotonicInstant) -> Option<u64> {
+        let answered = self.answered.get(&part)?;
+        (now.since(answered.at) < SOUND_TIME).then_some(answered.started_ms)
     }
 
     /// Drops expired parts, or the older half if too few are expired.
     fn make_room(&mut self, now: MonotonicInstant) {
-        self.answered.retain(|_, at| now.since(*at) < SOUND_TIME);
+        self.answered
+            .retain(|_, answered| now.since(answered.at) < SOUND_TIME);
         if self.answered.len() <= PARTS_MAX / 2 {
             return;
         }
-        let mut times: Vec<MonotonicInstant> = self.answered.values().copied().collect();
+        let answers = self.answered.values();
+        let mut times: Vec<MonotonicInstant> = answers.map(|answered| answered.at).collect();
         let middle = times.len() / 2;
         let (_, median, _) = times.select_nth_unstable(middle);
         let median = *median;
-        self.answered.retain(|_, at| *at > median);
+        self.answered.retain(|_, answered| answered.at > median);
     }
 }
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -15,6 +15,12 @@
 const SECOND: u64 = 2;
 const OWN: u64 = 99;
 
+/// Time of the crashes, in Unix milliseconds.
+const AT_MS: u64 = 1_000_000;
+
+/// The note of an answer by a replica that started when those of the crashes did.
+const ANSWERED: SoundNote = SoundNote::Answered { started_ms: 1 };
+
 fn prompt(parts: &[u64]) -> Vec<PromptPart> {
     let parts = parts.iter();
     parts
@@ -39,7 +45,10 @@
 /// Returns the report of a daemon on a crash, as the store has it.
 fn stored(daemon: u32, replica: &str, calls: Vec<UnansweredCall>) -> EvidenceChange {
     let key = format!("crash-reports/{replica}/{daemon}");
-    EvidenceChange::Report(key, Some((1, CrashReport::new(crash(replica), calls))))
+    EvidenceChange::Report(
+        key,
+        Some((1, CrashReport::new(crash(replica), AT_MS, calls))),
+    )
 }
 
 fn now() -> MonotonicInstant {
@@ -75,10 +84,10 @@
 #[test]
 fn parts_of_sound_requests_beside_the_guilty_one_are_not_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), now());
+    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
     evidence.apply(guilty_evidence(), now());
     evidence.apply(
-        vec![EvidenceChange::Note(SECOND, Some(SoundNote::Answered))],
+        vec![EvidenceChange::Note(SECOND, Some((1, ANSWERED)))],
         now(),
     );
     assert_eq!(blocked(&evidence), [GUILTY]);
@@ -88,7 +97,7 @@
 fn note_that_comes_after_the_crashes_unblocks_a_part() {
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
-    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some(SoundNote::Answered)));
+    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
     evidence.apply(notes.into(), now());
     assert_eq!(blocked(&evidence), [GUILTY]);
 }
@@ -118,7 +127,7 @@
 #[test]
 fn replicas_that_crash_at_once_block_no_part_of_answered_prompts() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), now());
+    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
     let reports = (0..5).map(|number| {
         let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
         stored(number, &format!("replica-{number}"), calls)
@@ -142,7 +151,7 @@
 #[test]
 fn part_of_answered_prompts_is_never_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), now());
+    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
     let reports = (0..12).map(|number| {
         let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
         stored(number, &format!("replica-{number}"), calls)
@@ -150,7 +159,7 @@
     evidence.apply(reports.collect(), now());
     assert!(blocked(&evidence).is_empty());
     let mut noted = CrashEvidence::default();
-    let note = EvidenceChange::Note(FIRST, Some(SoundNote::Answered));
+    let note = EvidenceChange::Note(FIRST, Some((1, ANSWERED)));
     noted.apply(guilty_evidence(), now());
     noted.apply(vec![note], now());
     assert!(!blocked(&noted).contains(&FIRST));
@@ -177,12 +186,83 @@
     assert_eq!(third, Some(GUILTY));
 }
 
+/// Returns the report of a crash of the process that started at `started_ms`.
+fn crash_of(number: u64, started_ms: u64, at_ms: u64, parts: &[u64]) -> EvidenceChange {
+    let crash = CrashId {
+        replica: format!("replica-{number}").into(),
+        started_ms,
+    };
+    let calls = vec![call(&format!("r{number}"), parts, "w")];
+    let report = CrashReport::new(crash, at_ms, calls);
+    EvidenceChange::Report(format!("crash-reports/{number}"), Some((number, report)))
+}
+
+// Replicas answered a part until a release; those after it crashed on it and it was never blocked.
+#[test]
+fn part_that_turns_deadly_after_a_release_is_blocked() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, GUILTY, 5]), 10, now());
+    evidence.apply(
+        vec![EvidenceChange::Note(GUILTY, Some((1, ANSWERED)))],
+        now(),
+    );
+    evidence.record_answer(&prompt(&[FIRST, 6]), 105, now());
+    for number in 0..5 {
+        assert!(blocked(&evidence).is_empty());
+        let at_ms = AT_MS + number * 1_000;
+        let report = crash_of(number, 100 + number, at_ms, &[FIRST, GUILTY, OWN + number]);
+        evidence.apply(vec![report], now());
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn answers_of_replicas_before_a_release_do_not_clear_later_crashes() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..5 {
+        evidence.record_answer(&prompt(&[GUILTY, 5]), 10, now());
+        let at_ms = AT_MS + number * 1_000;
+        evidence.apply(
+            vec![crash_of(number, 100, at_ms, &[GUILTY, OWN + number])],
+            now(),
+        );
+    }
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn new_replicas_that_crash_together_block_no_answered_part() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, 5]), 10, now());
+    let reports =
+        (0..12).map(|number| crash_of(number, 100, AT_MS + number * 20, &[FIRST, OWN + number]));
+    evidence.apply(reports.collect(), now());
+    assert!(blocked(&evidence).is_empty());
+}
+
+#[test]
+fn answer_of_a_new_replica_is_noted_for_the_other_daemons() {
+    let mut evidence = CrashEvidence::default();
+    let old = EvidenceChange::Note(FIRST, Some((7, ANSWERED)));
+    evidence.apply(vec![old], now());
+    evidence.record_answer(&prompt(&[FIRST, 5]), 200, now());
+    let reports = (0..3).map(|number| crash_of(number, 100, AT_MS, &[FIRST, OWN + number]));
+    evidence.apply(reports.collect(), now());
+    let missing = evidence.missing_notes(now());
+    assert_eq!(missing.len(), 1);
+    assert_eq!((missing[0].part, missing[0].replaces), (FIRST, Some(7)));
+    assert_eq!(missing[0].note, SoundNote::Answered { started_ms: 100 });
+    let noted = EvidenceChange::Note(FIRST, Some((8, missing[0].note)));
+    evidence.apply(vec![noted], now());
+    assert!(evidence.missing_notes(now()).is_empty());
+}
+
 #[test]
 fn operator_lifts_a_block() {
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
     evidence.apply(
-        vec![EvidenceChange::Note(GUILTY, Some(SoundNote::Lifted))],
+        vec![EvidenceChange::Note(GUILTY, Some((1, SoundNote::Lifted)))],
         now(),
     );
     assert!(!blocked(&evidence).contains(&GUILTY));
@@ -201,7 +281,11 @@
     let mut evidence = CrashEvidence::default();
     let calls = vec![call("r1", &[GUILTY, OWN], "w")];
     let key = "crash-reports/a/1".to_owned();
-    evidence.record_own(key, CrashReport::new(crash("a"), calls.clone()), now());
+    evidence.record_own(
+        key,
+        CrashReport::new(crash("a"), AT_MS, calls.clone()),
+        now(),
+    );
     evidence.apply(vec![stored(1, "a", calls.clone())], now());
     evidence.apply(vec![stored(1, "b", calls)], now());
     assert!(blocked(&evidence).is_empty());
@@ -216,7 +300,7 @@
     let reports = (0..20_000).map(|number: u64| {
         let part = 1_000 + number;
         let calls = vec![call(&format!("r{number}"), &[part, OWN], "w")];
-        let report = CrashReport::new(crash(&format!("{number}")), calls);
+        let report = CrashReport::new(crash(&format!("{number}")), AT_MS, calls);
         EvidenceChange::Report(format!("{number}"), Some((number, report)))
     });
     for batch in reports.collect::<Vec<_>>().chunks(500) {
@@ -232,7 +316,7 @@
     assert!(evidence.may_retry(&rare, 0, now()));
     assert!(evidence.may_retry(&rare, 1, now()));
     assert!(!evidence.may_retry(&rare, 2, now()));
-    evidence.record_answer(&rare, now());
+    evidence.record_answer(&rare, 1, now());
     assert!(
         evidence.may_retry(&rare, 2, now()),
         "an answered prompt is retried"
@@ -256,7 +340,7 @@
 fn part_far_back_in_a_long_prompt_is_blocked() {
     let shared: Vec<u64> = (1..=1_200).collect();
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[shared.as_slice(), &[5_000]].concat()), now());
+    evidence.record_answer(&prompt(&[shared.as_slice(), &[5_000]].concat()), 1, now());
     let parts = [shared.as_slice(), &[GUILTY, OWN]].concat();
     for number in 0..5 {
         let calls = vec![call(&format!("r{number}"), &parts, "w")];
@@ -269,13 +353,13 @@
 fn report_of_long_prompts_is_bounded() {
     let parts: Vec<u64> = (1..=900).collect();
     let calls = (0..16).map(|number| call(&format!("r{number}"), &parts, "w"));
-    let report = CrashReport::new(crash("a"), calls.collect());
+    let report = CrashReport::new(crash("a"), AT_MS, calls.collect());
     assert_eq!(report.calls().len(), 2);
     let text = serde_json::to_string(&report).expect("a text");
     let read = serde_json::from_str::<CrashReport>(&text);
     assert_eq!(read.expect("valid"), report);
     let longest: Vec<u64> = (1..=5_000).collect();
-    let report = CrashReport::new(crash("a"), vec![call("r1", &longest, "w")]);
+    let report = CrashReport::new(crash("a"), AT_MS, vec![call("r1", &longest, "w")]);
     assert_eq!(report.calls().len(), 1);
 }
 
@@ -291,7 +375,7 @@
     for text in texts {
         assert!(serde_json::from_str::<CrashReport>(text).is_err(), "{text}");
     }
-    let report = CrashReport::new(crash("a"), vec![call("r1", &[GUILTY, OWN], "w")]);
+    let report = CrashReport::new(crash("a"), AT_MS, vec![call("r1", &[GUILTY, OWN], "w")]);
     let text = serde_json::to_string(&report).expect("a text");
     assert_eq!(
         serde_json::from_str::<CrashReport>(&text).expect("valid"),
@@ -314,7 +398,7 @@
             let daemon = u32::try_from(number % 7).expect("a small number");
             stored(daemon, &format!("replica-{number}"), vec![call(&id, &parts, "w")])
         }).collect();
-        let notes = (1..=5).map(|part| EvidenceChange::Note(part, Some(SoundNote::Answered)));
+        let notes = (1..=5).map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
         let mut all: Vec<EvidenceChange> = reports.into_iter().chain(notes).collect();
         let mut evidence = CrashEvidence::default();
         evidence.apply(all.clone(), now());
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -5,8 +5,8 @@
     poplargap_core::{
         collections::HashMap,
         forward::{
-            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, PromptPart,
-            ReplicaId, UnansweredCall,
+            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, MissingNote,
+            PromptPart, ReplicaId, UnansweredCall,
         },
     },
     slog::{Logger, info, warn},
@@ -83,11 +83,11 @@
         self.evidence().may_retry(prompt, unanswered, now)
     }
 
-    /// Records that a replica answered a request with this prompt.
-    pub(crate) fn record_answer(&self, prompt: &[PromptPart]) {
+    /// Records that a replica, started at `started_ms`, answered a request with this prompt.
+    pub(crate) fn record_answer(&self, prompt: &[PromptPart], started_ms: u64) {
         if !prompt.is_empty() {
             let now = self.clock.now();
-            self.evidence().record_answer(prompt, now);
+            self.evidence().record_answer(prompt, started_ms, now);
         }
     }
 
@@ -138,8 +138,8 @@
         self.update(|evidence| evidence.replace(changes, now));
     }
 
-    /// Returns the parts on which the store lacks a note that a replica answered them.
-    pub(crate) fn missing_notes(&self) -> Vec<u64> {
+    /// Returns the notes that the store lacks on parts that replicas answered.
+    pub(crate) fn missing_notes(&self) -> Vec<MissingNote> {
         let now = self.clock.now();
         self.evidence().missing_notes(now)
     }
--- a/crates/poplargap-forward/src/crash_check.rs
+++ b/crates/poplargap-forward/src/crash_check.rs
@@ -4,7 +4,11 @@
     crate::{call_stage::AdmittedCall, crash_board::CRASHES_PREFIX, front_state::FrontState},
     poplargap_core::forward::{CrashId, CrashReport, ReplicaEntry, UnansweredCall},
     slog::info,
-    std::{io::ErrorKind, sync::Arc, time::Duration},
+    std::{
+        io::ErrorKind,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     tokio::{
         net::TcpStream,
         time::{sleep, timeout},
@@ -53,9 +57,8 @@
         "service" => replica.service.as_ref(), "unanswered" => calls.len());
     let own = state.settings.peers.unwrap_or(state.settings.callers);
     let key = format!("{CRASHES_PREFIX}{}/{own}", crash.name());
-    state
-        .crashes
-        .record_crash(key, CrashReport::new(crash, calls));
+    let report = CrashReport::new(crash, unix_ms(), calls);
+    state.crashes.record_crash(key, report);
 }
 
 /// Returns whether nothing listens at the replica's address.
@@ -69,3 +72,10 @@
         ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
     )
 }
+
+/// Returns the time of day in Unix milliseconds.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- a/crates/poplargap-forward/src/crash_reporter.rs
+++ b/crates/poplargap-forward/src/crash_reporter.rs
@@ -5,8 +5,8 @@
         crash_board::{CrashBoard, KeyedReport, SOUND_PREFIX},
         front_metrics::FrontMetrics,
     },
-    poplargap_core::forward::{EvidenceChange, SoundNote},
-    poplargap_store::{KeyValueStore, LeaseId, StoreError, SwapOutcome, SwapWrite},
+    poplargap_core::forward::{EvidenceChange, MissingNote},
+    poplargap_store::{KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite},
     rand::Rng,
     slog::{Logger, info, warn},
     std::{collections::VecDeque, sync::Arc, time::Duration},
@@ -49,6 +49,8 @@
 /// A key that has to be written.
 #[derive(Debug)]
 struct PendingWrite {
+    /// Revision of the value that is replaced; the write is dropped if the key has another one.
+    expected: Option<StoreRevision>,
     key: String,
     since: Instant,
     value: String,
@@ -108,16 +110,22 @@
         }
         sleep(random_pause(Duration::ZERO, NOTE_SPREAD)).await;
         let missing = self.board.missing_notes().into_iter().take(NOTES_MAX);
-        for part in missing {
+        for missing in missing {
+            let MissingNote {
+                note,
+                part,
+                replaces,
+            } = missing;
             info!(self.log, "prompt part was answered, though replicas crashed beside it";
-                "part" => format!("{part:x}"));
-            pending.extend(pending_note(part));
-            let note = EvidenceChange::Note(part, Some(SoundNote::Answered));
-            self.board.apply(vec![note]);
+                "part" => format!("{part:x}"), "note" => ?note);
+            pending.extend(pending_note(&missing));
+            let revision = replaces.unwrap_or(0);
+            let change = EvidenceChange::Note(part, Some((revision, note)));
+            self.board.apply(vec![change]);
         }
     }
 
-    /// Writes a key unless it is there already.
+    /// Writes a key unless it has been written since.
     async fn write(
         &self,
         pending: &PendingWrite,
@@ -133,7 +141,7 @@
             }
         };
         let write = SwapWrite {
-            expected: None,
+            expected: pending.expected,
             key: pending.key.clone(),
             lease: Some(id),
             value: Some(pending.value.clone()),
@@ -170,17 +178,19 @@
 
 fn pending_report(report: &KeyedReport) -> Option<PendingWrite> {
     Some(PendingWrite {
+        expected: None,
         key: report.key.clone(),
         since: Instant::now(),
         value: serde_json::to_string(&report.report).ok()?,
     })
 }
 
-fn pending_note(part: u64) -> Option<PendingWrite> {
+fn pending_note(missing: &MissingNote) -> Option<PendingWrite> {
     Some(PendingWrite {
-        key: format!("{SOUND_PREFIX}{part:x}"),
+        expected: missing.replaces.map(StoreRevision),
+        key: format!("{SOUND_PREFIX}{:x}", missing.part),
         since: Instant::now(),
-        value: serde_json::to_string(&SoundNote::Answered).ok()?,
+        value: serde_json::to_string(&missing.note).ok()?,
     })
 }
 
--- a/crates/poplargap-forward/src/feed/evidence_feed.rs
+++ b/crates/poplargap-forward/src/feed/evidence_feed.rs
@@ -47,7 +47,11 @@
     ) -> Option<EvidenceChange> {
         if let Some(part) = key.strip_prefix(SOUND_PREFIX) {
             let part = u64::from_str_radix(part, 16).ok()?;
-            return Some(EvidenceChange::Note(part, self.decode(key, value)));
+            let note = self.decode(key, value);
+            return Some(EvidenceChange::Note(
+                part,
+                note.map(|note| (revision.0, note)),
+            ));
         }
         key.starts_with(CRASHES_PREFIX).then(|| {
             let report = self.decode(key, value);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -108,7 +108,7 @@
                 Ok(reply) => {
                     if matches!(&reply, RelayReply::Whole { parts, .. } if parts.status.is_success())
                     {
-                        self.record_answer();
+                        self.record_answer(&replica);
                     }
                     self.record_success(&replica);
                     return Ok(reply);
@@ -158,10 +158,9 @@
     }
 
     /// Records that a replica wrote its whole answer without crashing.
-    pub(crate) fn record_answer(&self) {
-        self.state
-            .crashes
-            .record_answer(&self.call.received.head.prompt);
+    pub(crate) fn record_answer(&self, replica: &ReplicaEntry) {
+        let prompt = &self.call.received.head.prompt;
+        self.state.crashes.record_answer(prompt, replica.started_ms);
     }
 
     /// Resumes a stream of which the caller has got a part; the error is the reason if that isn't
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -60,7 +60,7 @@
             StreamEnd::CallerGone => (CallEnd::CallerGone, "caller-gone"),
             StreamEnd::TimedOut => (CallEnd::TimedOut, "route-timeout"),
             StreamEnd::Whole => {
-                relay.record_answer();
+                relay.record_answer(&reply.placed.replica);
                 finish(&relay, reply, &mut cursor, &caller).await;
                 (CallEnd::Answered, "")
             }
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -23,6 +23,9 @@
 /// Time from a replica's crash until it accepts connections again.
 const CRASH_TIME: Duration = Duration::from_millis(300);
 
+/// Time between the start of a replica and that of the one that replaces it, in milliseconds.
+const RELEASE_MS: u64 = 100_000;
+
 /// What a replica counts, and how it behaves.
 #[derive(Debug, Default)]
 pub(super) struct ReplicaState {
@@ -36,6 +39,7 @@
     id: String,
     is_leaving: bool,
     refused: u64,
+    released: u64,
     running: u32,
     seen: Vec<SeenRequest>,
 }
@@ -84,7 +88,7 @@
         let value = json!({
             "service": self.service, "address": self.address, "zone": "ne1", "version": "v1",
             "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": 1,
-            "born": 1 + self.crashes(),
+            "born": 1 + self.crashes() + lock(&self.state).released,
         });
         (format!("servers/{id}"), value.to_string())
     }
@@ -94,6 +98,11 @@
         id.clone_into(&mut lock(&self.state).id);
     }
 
+    /// Registers the replica with a later start time from now on, as after a release.
+    pub fn release(&self) {
+        lock(&self.state).released += RELEASE_MS;
+    }
+
     /// Sets whether the replica says in its answers that it is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         lock(&self.state).is_leaving = is_leaving;
