Copy the pieces of a body, and bound the memory of all bodies

Cause: the reader kept each piece as a slice of the buffer into which it was read, some kilobytes for a byte; it bounded bytes, not memory, and nothing bounded all bodies together. Ruled out: a leak (the memory is freed with the request), the log (it is bounded).

--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -101,6 +101,7 @@
         };
         let state = Arc::new(FrontState {
             tracker: Mutex::new(ReplicaTracker::default()),
+            bodies: Arc::default(),
             budgets: Mutex::new(HashMap::default()),
             clock,
             close: CloseSignal::new(),
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        close_signal::CloseSignal, connection_pool::ConnectionPool, crash_board::CrashBoard,
-        front_metrics::FrontMetrics, front_settings::FrontSettings, process_clock::ProcessClock,
+        body_budget::BodyBudget, close_signal::CloseSignal, connection_pool::ConnectionPool,
+        crash_board::CrashBoard, front_metrics::FrontMetrics, front_settings::FrontSettings,
+        process_clock::ProcessClock,
     },
     poplargap_core::{
         collections::HashMap,
@@ -23,6 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct FrontState<D> {
     pub(crate) tracker: Mutex<ReplicaTracker>,
+    pub(crate) bodies: Arc<BodyBudget>,
     pub(crate) budgets: Mutex<HashMap<Arc<str>, ServiceBudget>>,
     pub(crate) clock: ProcessClock,
     pub(crate) close: CloseSignal,
--- a/crates/poplargap-forward/src/identify.rs
+++ b/crates/poplargap-forward/src/identify.rs
@@ -6,6 +6,7 @@
         body_read::{BodyError, read_body},
         call_stage::ReceivedCall,
         front_state::FrontState,
+        local_answer::OVERLOADED_RETRY_AFTER,
     },
     hyper::{Request, body::Incoming},
     slog::info,
@@ -41,7 +42,8 @@
         .routes()
         .map_or_else(Default::default, |routes| *routes.limits())
         .body_bytes_max;
-    let body = match read_body(body, bytes_max, started_at + time).await {
+    let end = started_at + time;
+    let body = match read_body(body, bytes_max, end, &state.bodies).await {
         Ok(body) => body,
         Err(error) => return Err(unread(state, &head, &error)),
     };
@@ -67,6 +69,9 @@
     info!(state.log, "request's body can't be read"; "request" => &head.id, "reason" => %error);
     let answer = match error {
         BodyError::Broken(_) => LocalAnswer::Malformed,
+        BodyError::NoRoom => LocalAnswer::Refused {
+            retry_after: OVERLOADED_RETRY_AFTER,
+        },
         BodyError::TooLong => LocalAnswer::BodyTooLarge,
         BodyError::TooSlow => LocalAnswer::BodyTimeout,
     };
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod accept;
 mod admit;
+mod body_budget;
 mod body_read;
 mod call_head;
 mod call_log;
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -323,8 +323,15 @@
             parts,
             placed,
         } = reply;
-        let Ok(body) = read_body(body, WHOLE_BYTES_MAX, self.body_deadline()).await else {
-            return Err((SendOutcome::Broken, None));
+        let end = self.body_deadline();
+        let body = match read_body(body, WHOLE_BYTES_MAX, end, &self.state.bodies).await {
+            Ok(body) => body,
+            Err(error) => {
+                info!(self.state.log, "reply's body can't be read";
+                    "request" => &self.call.received.head.id,
+                    "replica" => placed.replica.id.as_ref(), "reason" => %error);
+                return Err((SendOutcome::Broken, None));
+            }
         };
         let id = &placed.replica.id;
         self.state.connections.put(id, connection, head.keep_alive);
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -4,6 +4,7 @@
     crate::{
         WireDialect, call_log::CallEnd, relay::CallRelay, relay_body::RelayChunk, send::OpenReply,
     },
+    bytes::Bytes,
     http_body_util::BodyExt,
     poplargap_core::forward::{EventCursor, RepeatRule, SendOutcome, StallStep, StreamWatch},
     slog::info,
@@ -122,6 +123,8 @@
         let Some(events) = events else {
             continue;
         };
+        // A slice would hold the whole buffer into which it was read until the caller has it.
+        let events = Bytes::copy_from_slice(&events);
         let sent = tokio::select! {
             sent = caller.send(RelayChunk::Bytes(events)) => sent.is_ok(),
             () = timer.as_mut() => return StreamEnd::TimedOut,
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -20,6 +20,9 @@
 /// Pause between two writes of endless bytes.
 const ENDLESS_PAUSE: Duration = Duration::from_millis(2);
 
+/// Pause between two writes of bytes that trickle.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(1);
+
 /// Header lines of an event stream.
 const STREAM_FRAMING: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 
@@ -106,7 +109,7 @@
     let head = wire.head("200 OK", STREAM_FRAMING);
     let start = bytes.start(&head, &wire.whole("200 OK"), &WireAnswer::event(1));
     lock(state).endless_open += 1;
-    let written = repeat(stream, state, &start, bytes.repeated()).await;
+    let written = repeat(stream, state, &start, bytes).await;
     lock(state).endless_open -= 1;
     written
 }
@@ -115,10 +118,15 @@
     stream: &mut TcpStream,
     state: &Mutex<ReplicaState>,
     start: &str,
-    repeated: &str,
+    bytes: EndlessBytes,
 ) -> io::Result<()> {
     stream.write_all(start.as_bytes()).await?;
-    let block = repeated.repeat(ENDLESS_REPEATS);
+    let (repeats, pause) = if bytes == EndlessBytes::TrickledFailure {
+        (1, TRICKLE_PAUSE)
+    } else {
+        (ENDLESS_REPEATS, ENDLESS_PAUSE)
+    };
+    let block = bytes.repeated().repeat(repeats);
     let mut answer = [0; 1];
     loop {
         // The reader sends nothing, so a read ends only when it closes the connection.
@@ -127,7 +135,7 @@
                 read?;
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            () = sleep(ENDLESS_PAUSE) => {}
+            () = sleep(pause) => {}
         }
         stream.write_all(block.as_bytes()).await?;
         lock(state).endless_bytes += block.len();
--- a/crates/poplargap-testbed/src/replica/endless_bytes.rs
+++ b/crates/poplargap-testbed/src/replica/endless_bytes.rs
@@ -24,6 +24,8 @@
     StatusLine,
     /// Trailers after the last chunk.
     Trailers,
+    /// The body of a failure with status 500, a byte at a time.
+    TrickledFailure,
     /// An event stream whose connection stays open, but that sends nothing.
     Silence,
 }
@@ -47,6 +49,7 @@
             Self::Rubbish | Self::Silence => format!("{head}{event}"),
             Self::StatusLine => "HTTP/1.1 200 ".to_owned(),
             Self::Trailers => format!("{head}0\r\n"),
+            Self::TrickledFailure => head.replace("200 OK", "500 Internal Server Error"),
         }
     }
 
@@ -62,6 +65,7 @@
             Self::Headers | Self::Trailers => "X-More: more\r\n",
             Self::InterimResponses => "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
             Self::Silence => "",
+            Self::TrickledFailure => "1\r\nx\r\n",
         }
     }
 }
