Answer requests without a reply before the grace period ends

Callers saw (report of other operators, shown here by a test): a request whose replica still worked at the end of a planned stop got a closed connection, orders among them.

Cause: the end of the shutdown aborted what was open. Ruled out: requests that come late in the grace period are passed on (they are refused; closing::request_late_in_the_grace_period_is_passed_on passed before, too).

Requests are accepted for 2.85 s in place of 3 s, the time that the rule gives from the signal's sending.

--- a/crates/poplargap-core/src/forward/close_plan.rs
+++ b/crates/poplargap-core/src/forward/close_plan.rs
@@ -1,11 +1,16 @@
 use std::time::Duration;
 
-/// Time until the platform routes no new connections to a daemon that isn't ready.
-const DEREGISTRATION_TIME: Duration = Duration::from_secs(3);
+/// Time for which new requests are accepted: until the platform routes no new connections to a daemon
+/// that isn't ready, and less than the 3 s after which callers may expect a request to end within
+/// the grace period.
+const DEREGISTRATION_TIME: Duration = Duration::from_millis(2_850);
 
 /// Time before the end of the grace period at which open requests are aborted.
 const END_MARGIN: Duration = Duration::from_millis(350);
 
+/// Time before that at which requests without a reply are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
 /// The phases of a daemon's graceful shutdown.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ClosePhase {
@@ -13,6 +18,8 @@
     Announcing,
     /// New requests are refused; open ones continue.
     Finishing,
+    /// Requests without a reply are answered as lost.
+    Expiring,
     /// The process exits.
     Ended,
 }
@@ -43,6 +50,9 @@
         if open_connections == 0 && elapsed >= announcing + END_MARGIN {
             return ClosePhase::Ended;
         }
+        if elapsed >= self.grace.saturating_sub(END_MARGIN + ANSWER_MARGIN) {
+            return ClosePhase::Expiring;
+        }
         ClosePhase::Finishing
     }
 }
--- a/crates/poplargap-core/tests/forward/close.rs
+++ b/crates/poplargap-core/tests/forward/close.rs
@@ -32,8 +32,16 @@
         plan.phase(Duration::from_millis(3_100), 1),
         ClosePhase::Finishing
     );
+    assert_eq!(
+        plan.phase(Duration::from_millis(3_000), 1),
+        ClosePhase::Finishing
+    );
     assert_eq!(
         plan.phase(Duration::from_millis(3_400), 0),
         ClosePhase::Ended
     );
+    assert_eq!(
+        plan.phase(Duration::from_millis(7_550), 1),
+        ClosePhase::Expiring
+    );
 }
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -22,7 +22,7 @@
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
-    poplargap_core::forward::FinalAnswer,
+    poplargap_core::forward::{ClosePhase, FinalAnswer},
     slog::{debug, warn},
     std::{
         convert::Infallible,
@@ -118,7 +118,7 @@
                 }
                 return;
             }
-            () = state.close.wait_until_finishing(), if !is_shutting_down => {
+            () = state.close.wait_until(ClosePhase::Finishing), if !is_shutting_down => {
                 is_shutting_down = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -152,8 +152,13 @@
             Ok(call) => {
                 let deadline = call.deadline + DEADLINE_SLACK;
                 let mut relay = CallRelay::new(state, call);
-                let result = timeout_at(deadline, relay.dispatch(None)).await;
-                let result = result.unwrap_or(Err(DEADLINE_PASSED));
+                let result = tokio::select! {
+                    biased;
+                    result = timeout_at(deadline, relay.dispatch(None)) => {
+                        result.unwrap_or(Err(DEADLINE_PASSED))
+                    }
+                    () = state.close.wait_until(ClosePhase::Expiring) => Err(GRACE_ENDS),
+                };
                 respond_relayed(relay, result)
             }
         },
@@ -171,3 +176,10 @@
     reason: "deadline",
     retry_after: OVERLOADED_RETRY_AFTER,
 };
+
+/// The end of a request that a replica may still process when the daemon has to stop.
+const GRACE_ENDS: RelayEnd = RelayEnd {
+    answer: FinalAnswer::Lost,
+    reason: "shutdown",
+    retry_after: OVERLOADED_RETRY_AFTER,
+};
--- a/crates/poplargap-forward/src/close_signal.rs
+++ b/crates/poplargap-forward/src/close_signal.rs
@@ -31,10 +31,10 @@
         self.phase().is_some()
     }
 
-    /// Waits until the shutdown has reached the phase in which new requests are refused.
-    pub(crate) async fn wait_until_finishing(&self) {
+    /// Waits until the shutdown has reached a phase.
+    pub(crate) async fn wait_until(&self, wanted: ClosePhase) {
         let mut phase = self.phase.subscribe();
-        let reached = |phase: &Option<ClosePhase>| *phase >= Some(ClosePhase::Finishing);
+        let reached = |phase: &Option<ClosePhase>| *phase >= Some(wanted);
         // `self` keeps the sender alive, so the wait can't fail.
         drop(phase.wait_for(reached).await);
     }
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -41,6 +41,16 @@
     match fault {
         ReplicaFault::Endless(bytes) => write_endless(stream, state, bytes, wire).await,
         ReplicaFault::CloseUnanswered => Err(io::ErrorKind::ConnectionReset.into()),
+        ReplicaFault::CutHead(count) => {
+            let head = if request.line.contains("/stream") {
+                wire.head("200 OK", STREAM_FRAMING)
+            } else {
+                wire.head("200 OK", "Content-Length: 12\r\n")
+            };
+            let sent = &head.as_bytes()[..count.min(head.len() - 1)];
+            stream.write_all(sent).await?;
+            Err(io::ErrorKind::ConnectionReset.into())
+        }
         ReplicaFault::EmptyStream => {
             let head = wire.head("200 OK", "Content-Type: text/event-stream\r\n");
             stream.write_all(head.as_bytes()).await?;
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -16,6 +16,8 @@
         /// Hash of the part.
         part: u64,
     },
+    /// Sends this number of bytes of the answer's head and closes the connection.
+    CutHead(usize),
     /// Sends the head of a stream without a length and closes the connection.
     EmptyStream,
     /// Sends bytes without end until the connection is closed.
