Recognise a request that returns, and stop sending it after three crashes

Cause: a report named the prompt's parts without the last, which alone identifies a request that returns; a request without a prompt left no record at all.

Change: RequestIdentity, the hash of the last part, or of method, target and body where there is no prompt, beside the shared parts. It goes through the same evidence: three crashes that no answer of as new a replica clears block it, for the workspace that sent it. Sound sessions that sat on the same replicas stay free, since their crashes are explained by the guilty one.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -31,6 +31,7 @@
 mod replica_load;
 mod replica_registry;
 mod replica_tracker;
+mod request_identity;
 mod route_entry;
 mod route_table;
 mod send_outcome;
@@ -63,6 +64,7 @@
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     replica_tracker::{HealthChange, ReplicaTracker},
+    request_identity::{RequestContent, RequestIdentity},
     route_entry::{RepeatRule, RouteEntry, ServiceEntry, ServiceShare, WorkspaceEntry},
     route_table::{AccessRefusal, RouteGrant, RouteTable},
     send_outcome::SendOutcome,
--- a/crates/poplargap-core/src/forward/blocked_parts.rs
+++ b/crates/poplargap-core/src/forward/blocked_parts.rs
@@ -1,11 +1,12 @@
 use {
-    super::{CrashId, CrashReport, PromptPart, UnansweredCall, leading_parts},
+    super::{CrashId, CrashReport, RequestIdentity, UnansweredCall},
     crate::collections::{HashMap, HashSet},
     serde::{Deserialize, Serialize},
     std::{cmp::Reverse, collections::BTreeMap, sync::Arc},
 };
 
-/// Crashes after which a part is blocked if one request with it crashed two replicas in turn.
+/// Crashes after which a request is blocked, and a part if one request with it crashed two replicas in
+/// turn.
 ///
 /// Replicas that crash at the same moment for another reason aren't crashed by one request in turn.
 const CRASHES_IN_TURN_TO_BLOCK: usize = 3;
@@ -66,43 +67,43 @@
     Workspace(Option<Arc<str>>),
 }
 
-/// A prompt part that crashes replicas.
+/// A prompt part, or a whole request, that crashes replicas.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BlockedPart {
     /// Number of crashes on record.
     pub crashes: usize,
+    /// Whether it is a request, recognised by itself, in place of a part.
+    pub is_request: bool,
     /// The callers that are refused.
     pub scope: BlockScope,
 }
 
-/// The prompt parts whose requests aren't sent to replicas.
+/// The prompt parts and the requests that aren't sent to replicas.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct BlockedParts {
     parts: BTreeMap<u64, BlockedPart>,
 }
 
 impl BlockedParts {
-    /// Returns the blocked parts by hash.
+    /// Returns the blocked parts and requests by hash.
     #[must_use]
     pub fn parts(&self) -> &BTreeMap<u64, BlockedPart> {
         &self.parts
     }
 
-    /// Returns the hash of the part for which a caller's request is refused, if any.
+    /// Returns the hash for which a caller's request is refused, if any.
     #[must_use]
-    pub fn find(&self, prompt: &[PromptPart], workspace: Option<&str>) -> Option<u64> {
+    pub fn find(&self, identity: &RequestIdentity, workspace: Option<&str>) -> Option<u64> {
         if self.parts.is_empty() {
             return None;
         }
-        let refuses = |part: &&PromptPart| {
-            let blocked = self.parts.get(&part.hash);
+        identity.hashes().find(|hash| {
+            let blocked = self.parts.get(hash);
             blocked.is_some_and(|blocked| match &blocked.scope {
                 BlockScope::All => true,
                 BlockScope::Workspace(only) => only.as_deref() == workspace,
             })
-        };
-        let mut parts = leading_parts(prompt).iter();
-        parts.find(refuses).map(|part| part.hash)
+        })
     }
 
     /// Decides which parts are blocked.
@@ -120,13 +121,14 @@
         let mut records: BTreeMap<u64, PartRecord<'a>> = BTreeMap::new();
         for report in reports {
             for call in report.calls() {
-                for part in &call.parts {
-                    let note = notes.get(part);
+                for part in call.hashes() {
+                    let note = notes.get(&part);
                     if note.is_some_and(|note| note.clears(report.crash())) {
                         continue;
                     }
-                    let record = records.entry(*part).or_default();
+                    let record = records.entry(part).or_default();
                     record.was_answered = note.is_some();
+                    record.is_own = call.own == Some(part);
                     record.add(report, call);
                 }
             }
@@ -155,6 +157,8 @@
     calls: HashMap<u64, HashSet<&'a CrashId>>,
     /// The crashes with their times in Unix milliseconds.
     crashes: HashMap<&'a CrashId, u64>,
+    /// Whether it is the hash of a request, not of a part that requests share.
+    is_own: bool,
     was_answered: bool,
     workspaces: HashSet<Option<&'a Arc<str>>>,
 }
@@ -181,7 +185,7 @@
     /// Returns whether the part is guilty of the crashes that aren't explained.
     fn is_guilty(&self, explained: &HashSet<&CrashId>) -> bool {
         let in_turn = self.calls.values().any(|crashes| crashes.len() > 1);
-        let crashes_min = if in_turn {
+        let crashes_min = if in_turn || self.is_own {
             CRASHES_IN_TURN_TO_BLOCK
         } else {
             CRASHES_TO_BLOCK
@@ -205,6 +209,7 @@
         };
         BlockedPart {
             crashes: self.crashes.len(),
+            is_request: self.is_own,
             scope,
         }
     }
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -1,5 +1,7 @@
 use {
-    super::{BlockedParts, CrashId, CrashReport, PromptPart, SoundNote, SoundParts, leading_parts},
+    super::{
+        BlockedParts, CrashId, CrashReport, RequestIdentity, SoundNote, SoundParts, UnansweredCall,
+    },
     crate::{
         collections::{HashMap, HashSet},
         instant::MonotonicInstant,
@@ -109,9 +111,14 @@
         self.apply(changes, now);
     }
 
-    /// Records that a replica, started at `started_ms`, answered a request with this prompt.
-    pub fn record_answer(&mut self, prompt: &[PromptPart], started_ms: u64, now: MonotonicInstant) {
-        self.sound.record(leading_parts(prompt), started_ms, now);
+    /// Records that a replica, started at `started_ms`, answered a request.
+    pub fn record_answer(
+        &mut self,
+        identity: &RequestIdentity,
+        started_ms: u64,
+        now: MonotonicInstant,
+    ) {
+        self.sound.record(identity, started_ms, now);
     }
 
     /// Returns the notes that the store lacks on parts under suspicion which this daemon has seen
@@ -145,11 +152,11 @@
         self.stored.len() + own.filter(|key| !self.stored.contains_key(*key)).count()
     }
 
-    /// Returns whether a request's parts are all known from answers.
+    /// Returns whether a request and its parts are all known from answers.
     #[must_use]
-    pub fn is_sound(&self, prompt: &[PromptPart], now: MonotonicInstant) -> bool {
-        let mut parts = leading_parts(prompt).iter();
-        parts.all(|part| self.note(part.hash, now).is_some())
+    pub fn is_sound(&self, identity: &RequestIdentity, now: MonotonicInstant) -> bool {
+        let mut hashes = identity.hashes();
+        hashes.all(|hash| self.note(hash, now).is_some())
     }
 
     /// Returns whether a request may be sent again after `unanswered` of its attempts ended with a
@@ -157,13 +164,18 @@
     ///
     /// Each retry of a request that crashes replicas costs another one, and all its streams.
     #[must_use]
-    pub fn may_retry(&self, prompt: &[PromptPart], unanswered: u32, now: MonotonicInstant) -> bool {
-        if unanswered == 0 || self.is_sound(prompt, now) {
+    pub fn may_retry(
+        &self,
+        identity: &RequestIdentity,
+        unanswered: u32,
+        now: MonotonicInstant,
+    ) -> bool {
+        if unanswered == 0 || self.is_sound(identity, now) {
             return true;
         }
-        let mut parts = leading_parts(prompt).iter();
-        let is_suspicious = parts.any(|part| {
-            let crashes = self.crashes.get(&part.hash);
+        let mut hashes = identity.hashes();
+        let is_suspicious = hashes.any(|hash| {
+            let crashes = self.crashes.get(&hash);
             crashes.is_some_and(|crashes| crashes.uncleared >= SUSPICIOUS_CRASHES)
         });
         unanswered < UNANSWERED_MAX && !is_suspicious
@@ -200,7 +212,7 @@
             .filter(|(key, _)| !self.stored.contains_key(*key));
         let reports: Vec<&CrashReport> = stored.chain(own.map(|(_, own)| &own.report)).collect();
         let parts = reports.iter().flat_map(|report| report.calls());
-        let parts: HashSet<u64> = parts.flat_map(|call| &call.parts).copied().collect();
+        let parts: HashSet<u64> = parts.flat_map(UnansweredCall::hashes).collect();
         let notes = parts.into_iter();
         let notes: HashMap<u64, SoundNote> = notes
             .filter_map(|part| Some((part, self.note(part, now)?)))
@@ -250,9 +262,9 @@
 ) -> HashMap<u64, PartCrashes> {
     let mut crashes: HashMap<u64, HashSet<&CrashId>> = HashMap::default();
     for report in reports {
-        let parts = report.calls().iter().flat_map(|call| &call.parts);
+        let parts = report.calls().iter().flat_map(UnansweredCall::hashes);
         for part in parts {
-            crashes.entry(*part).or_default().insert(report.crash());
+            crashes.entry(part).or_default().insert(report.crash());
         }
     }
     let counts = crashes.into_iter().map(|(part, crashes)| {
--- a/crates/poplargap-core/src/forward/crash_report.rs
+++ b/crates/poplargap-core/src/forward/crash_report.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PromptPart, ReplicaId, leading_parts},
+    super::{ReplicaId, RequestIdentity},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -37,6 +37,9 @@
 pub struct UnansweredCall {
     /// Hash of the request's id.
     pub call: u64,
+    /// Hash of the request itself.
+    #[serde(default)]
+    pub own: Option<u64>,
     /// Hashes of the prompt's parts without the last one, in ascending order.
     pub parts: Box<[u64]>,
     /// The caller's workspace.
@@ -44,18 +47,21 @@
 }
 
 impl UnansweredCall {
-    /// Returns the record of a request; `None` if its prompt has no part that others may have.
+    /// Returns the record of the request `id`.
     #[must_use]
-    pub fn new(id: &str, prompt: &[PromptPart], workspace: Option<&str>) -> Option<Self> {
-        let parts = leading_parts(prompt).iter().take(PARTS_MAX);
-        let mut parts: Vec<u64> = parts.map(|part| part.hash).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        (!parts.is_empty()).then(|| Self {
+    pub fn new(id: &str, identity: &RequestIdentity, workspace: Option<&str>) -> Self {
+        let parts = identity.parts().iter().take(PARTS_MAX);
+        Self {
             call: xxh3_64(id.as_bytes()),
-            parts: parts.into(),
+            own: Some(identity.own()),
+            parts: parts.copied().collect(),
             workspace: workspace.map(Arc::from),
-        })
+        }
+    }
+
+    /// Returns the hashes of the parts and of the request itself.
+    pub fn hashes(&self) -> impl Iterator<Item = u64> {
+        self.parts.iter().copied().chain(self.own)
     }
 }
 
@@ -64,8 +70,8 @@
 pub enum ReportError {
     /// the report has {0} requests; 1 to 16 are allowed
     CallCount(usize),
-    /// a request has no prompt part
-    NoPart,
+    /// a request has neither a hash of its own nor a prompt part
+    NoHash,
     /// the requests have {0} prompt parts; up to 2,048 are allowed
     PartCount(usize),
 }
@@ -138,10 +144,10 @@
         if !(1..=CALLS_MAX).contains(&count) {
             return Err(ReportError::CallCount(count));
         }
-        let parts = raw.calls.iter().map(|call| call.parts.len());
-        if parts.clone().any(|count| count == 0) {
-            return Err(ReportError::NoPart);
+        if raw.calls.iter().any(|call| call.hashes().next().is_none()) {
+            return Err(ReportError::NoHash);
         }
+        let parts = raw.calls.iter().map(|call| call.parts.len());
         let count = parts.sum();
         if count > PARTS_MAX {
             return Err(ReportError::PartCount(count));
--- a/crates/poplargap-core/src/forward/sound_parts.rs
+++ b/crates/poplargap-core/src/forward/sound_parts.rs
@@ -1,5 +1,5 @@
 use {
-    super::PromptPart,
+    super::RequestIdentity,
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::time::Duration,
 };
@@ -17,20 +17,20 @@
     started_ms: u64,
 }
 
-/// Prompt parts that replicas recently answered without crashing.
+/// Prompt parts and requests that replicas recently answered without crashing.
 #[derive(Debug, Default)]
 pub struct SoundParts {
     answered: HashMap<u64, AnsweredPart>,
 }
 
 impl SoundParts {
-    /// Records that a replica, started at `started_ms`, answered a request with these parts.
-    pub fn record(&mut self, parts: &[PromptPart], started_ms: u64, now: MonotonicInstant) {
-        if self.answered.len() + parts.len() > PARTS_MAX {
+    /// Records that a replica, started at `started_ms`, answered a request.
+    pub fn record(&mut self, identity: &RequestIdentity, started_ms: u64, now: MonotonicInstant) {
+        if self.answered.len() + identity.parts().len() >= PARTS_MAX {
             self.make_room(now);
         }
-        for part in parts {
-            let answered = self.answered.entry(part.hash).or_insert(AnsweredPart {
+        for hash in identity.hashes() {
+            let answered = self.answered.entry(hash).or_insert(AnsweredPart {
                 at: now,
                 started_ms,
             });
--- a/crates/poplargap-core/tests/forward/close.rs
+++ b/crates/poplargap-core/tests/forward/close.rs
@@ -32,10 +32,7 @@
         plan.phase(Duration::from_millis(3_100), 1),
         ClosePhase::Finishing
     );
-    assert_eq!(
-        plan.phase(Duration::from_secs(3), 1),
-        ClosePhase::Finishing
-    );
+    assert_eq!(plan.phase(Duration::from_secs(3), 1), ClosePhase::Finishing);
     assert_eq!(
         plan.phase(Duration::from_millis(3_400), 0),
         ClosePhase::Ended
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -1,8 +1,8 @@
 use {
     poplargap_core::{
         forward::{
-            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, PromptPart, SoundNote,
-            UnansweredCall,
+            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, PromptPart,
+            RequestContent, RequestIdentity, SoundNote, UnansweredCall,
         },
         instant::MonotonicInstant,
     },
@@ -15,24 +15,40 @@
 const SECOND: u64 = 2;
 const OWN: u64 = 99;
 
+const CONTENT: RequestContent<'_> = RequestContent {
+    body: b"two valves",
+    method: "POST",
+    target: "/once/",
+};
+
 /// Time of the crashes, in Unix milliseconds.
 const AT_MS: u64 = 1_000_000;
 
 /// The note of an answer by a replica that started when those of the crashes did.
 const ANSWERED: SoundNote = SoundNote::Answered { started_ms: 1 };
 
-fn prompt(parts: &[u64]) -> Vec<PromptPart> {
-    let parts = parts.iter();
-    parts
+fn prompt(parts: &[u64]) -> RequestIdentity {
+    let parts: Vec<PromptPart> = parts
+        .iter()
         .map(|hash| PromptPart {
             hash: *hash,
             tokens: 100,
         })
-        .collect()
+        .collect();
+    RequestIdentity::new(&parts, CONTENT)
 }
 
+/// Returns the record of a request whose last part is replaced by one that no other request has.
 fn call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
-    UnansweredCall::new(id, &prompt(parts), Some(workspace)).expect("the prompt has shared parts")
+    let own = id
+        .bytes()
+        .fold(7_000, |own: u64, byte| own * 256 + u64::from(byte));
+    let (_, shared) = parts.split_last().expect("there are parts");
+    same_call(id, &[shared, &[own]].concat(), workspace)
+}
+
+fn same_call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
+    UnansweredCall::new(id, &prompt(parts), Some(workspace))
 }
 
 fn crash(replica: &str) -> CrashId {
@@ -335,6 +351,59 @@
     assert!(evidence.may_retry(&prompt(&[GUILTY, OWN]), 0, now()));
 }
 
+// One request came back under new ids and crashed replicas, three and more.
+#[test]
+fn request_that_returns_after_three_crashes_is_blocked() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    let parts = [FIRST, OWN];
+    for (id, replica) in [("r1", "a"), ("r1", "b"), ("r2", "c")] {
+        assert!(blocked(&evidence).is_empty());
+        let calls = vec![
+            same_call(id, &parts, "w"),
+            call(&format!("s{replica}"), &parts, "w"),
+        ];
+        evidence.apply(vec![stored(1, replica, calls)], now());
+    }
+    let again = prompt(&parts);
+    assert_eq!(blocked(&evidence), [again.own()]);
+    assert!(evidence.blocked().find(&again, Some("w")).is_some());
+    assert!(evidence.blocked().find(&again, Some("v")).is_none());
+    let sound = prompt(&[FIRST, 6]);
+    assert!(evidence.blocked().find(&sound, Some("w")).is_none());
+}
+
+#[test]
+fn request_without_a_prompt_is_recognised_by_its_content() {
+    let order = RequestIdentity::new(&[], CONTENT);
+    assert_eq!(order, RequestIdentity::new(&[], CONTENT));
+    let body = b"three valves";
+    let other = RequestIdentity::new(&[], RequestContent { body, ..CONTENT });
+    assert_ne!(order.own(), other.own());
+    let mut evidence = CrashEvidence::default();
+    for (id, replica) in [("r1", "a"), ("r2", "b"), ("r3", "c")] {
+        let calls = vec![UnansweredCall::new(id, &order, Some("w"))];
+        evidence.apply(vec![stored(1, replica, calls)], now());
+    }
+    assert_eq!(blocked(&evidence), [order.own()]);
+    assert!(evidence.blocked().find(&other, Some("w")).is_none());
+}
+
+// A sound session sat on replicas that ended under another request.
+#[test]
+fn session_beside_three_crashes_of_another_request_is_not_blocked() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    for (number, replica) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let mut calls = vec![same_call(&format!("r{number}"), &[FIRST, OWN], "w")];
+        if number < 3 {
+            calls.push(same_call(&format!("s{number}"), &[FIRST, 50], "w"));
+        }
+        evidence.apply(vec![stored(1, replica, calls)], now());
+    }
+    assert_eq!(blocked(&evidence), [prompt(&[FIRST, OWN]).own()]);
+}
+
 // A part after the eighth of a prompt crashed replicas and was in no report.
 #[test]
 fn part_far_back_in_a_long_prompt_is_blocked() {
--- a/crates/poplargap-forward/src/admit.rs
+++ b/crates/poplargap-forward/src/admit.rs
@@ -7,7 +7,9 @@
         front_state::FrontState,
         local_answer::NOT_READY_RETRY_AFTER,
     },
-    poplargap_core::forward::{AccessRefusal, ClosePhase, placement_key},
+    poplargap_core::forward::{
+        AccessRefusal, ClosePhase, RequestContent, RequestIdentity, placement_key,
+    },
     slog::info,
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64,
@@ -68,10 +70,20 @@
     let wait = head.deadline.map_or(grant.route.timeout, |deadline| {
         deadline.min(grant.route.timeout)
     });
+    let content = RequestContent {
+        body: &received.body,
+        method: received.method.as_str(),
+        target: received
+            .target
+            .path_and_query()
+            .map_or("", |target| target.as_str()),
+    };
+    let identity = RequestIdentity::new(&head.prompt, content);
     Ok(AdmittedCall {
         deadline: received.started_at + wait,
         received,
         grant,
+        identity,
         placement_key,
         routes_version: routes.version(),
         service,
--- a/crates/poplargap-forward/src/call_stage.rs
+++ b/crates/poplargap-forward/src/call_stage.rs
@@ -4,7 +4,9 @@
     crate::CallHead,
     bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
-    poplargap_core::forward::{PlacedBy, PromptSource, ReplicaId, ReportSource, RouteGrant},
+    poplargap_core::forward::{
+        PlacedBy, PromptSource, ReplicaId, ReportSource, RequestIdentity, RouteGrant,
+    },
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -27,6 +29,7 @@
     /// Latest time for the caller's final answer.
     pub(crate) deadline: Instant,
     pub(crate) grant: RouteGrant,
+    pub(crate) identity: RequestIdentity,
     /// Key of the prompt's shared parts, if prompts are cached and there are any.
     pub(crate) placement_key: Option<u64>,
     pub(crate) routes_version: u64,
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -6,7 +6,7 @@
         collections::HashMap,
         forward::{
             BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, MissingNote,
-            PromptPart, ReplicaId, UnansweredCall,
+            ReplicaId, RequestIdentity, UnansweredCall,
         },
     },
     slog::{Logger, info, warn},
@@ -65,30 +65,25 @@
         (board, receiver)
     }
 
-    /// Returns the part for which a caller's request must not be sent to a replica, if any.
-    pub(crate) fn blocking_part(
+    /// Returns the hash for which a caller's request must not be sent to a replica, if any.
+    pub(crate) fn blocking_hash(
         &self,
-        prompt: &[PromptPart],
+        identity: &RequestIdentity,
         workspace: Option<&str>,
     ) -> Option<u64> {
-        if prompt.is_empty() {
-            return None;
-        }
-        self.evidence().blocked().find(prompt, workspace)
+        self.evidence().blocked().find(identity, workspace)
     }
 
     /// Returns whether a request may be sent again after `unanswered` unanswered attempts.
-    pub(crate) fn may_retry(&self, prompt: &[PromptPart], unanswered: u32) -> bool {
+    pub(crate) fn may_retry(&self, identity: &RequestIdentity, unanswered: u32) -> bool {
         let now = self.clock.now();
-        self.evidence().may_retry(prompt, unanswered, now)
+        self.evidence().may_retry(identity, unanswered, now)
     }
 
-    /// Records that a replica, started at `started_ms`, answered a request with this prompt.
-    pub(crate) fn record_answer(&self, prompt: &[PromptPart], started_ms: u64) {
-        if !prompt.is_empty() {
-            let now = self.clock.now();
-            self.evidence().record_answer(prompt, started_ms, now);
-        }
+    /// Records that a replica, started at `started_ms`, answered a request.
+    pub(crate) fn record_answer(&self, identity: &RequestIdentity, started_ms: u64) {
+        let now = self.clock.now();
+        self.evidence().record_answer(identity, started_ms, now);
     }
 
     /// Adds a request whose connection broke before the answer was whole; returns whether it is the
@@ -178,12 +173,17 @@
                 BlockScope::Workspace(Some(workspace)) => workspace,
                 BlockScope::Workspace(None) => "callers without a key",
             };
-            warn!(self.log, "prompt part crashes replicas; its requests are refused";
+            let message = if blocked.is_request {
+                "request crashes replicas; it is refused"
+            } else {
+                "prompt part crashes replicas; its requests are refused"
+            };
+            warn!(self.log, "{}", message;
                 "part" => format!("{part:x}"), "crashes" => blocked.crashes, "workspaces" => scope);
         }
         let released = before.parts().keys();
         for part in released.filter(|part| !after.parts().contains_key(part)) {
-            info!(self.log, "prompt part is no longer blocked"; "part" => format!("{part:x}"));
+            info!(self.log, "prompt part or request is no longer blocked"; "part" => format!("{part:x}"));
         }
     }
 
--- a/crates/poplargap-forward/src/crash_check.rs
+++ b/crates/poplargap-forward/src/crash_check.rs
@@ -31,9 +31,7 @@
     call: &AdmittedCall,
 ) {
     let head = &call.received.head;
-    let Some(unanswered) = UnansweredCall::new(&head.id, &head.prompt, call.workspace()) else {
-        return;
-    };
+    let unanswered = UnansweredCall::new(&head.id, &call.identity, call.workspace());
     if state.crashes.add_suspect(&replica.id, unanswered) {
         tokio::spawn(check(Arc::clone(state), replica.clone()));
     }
--- a/crates/poplargap-forward/src/crash_reporter.rs
+++ b/crates/poplargap-forward/src/crash_reporter.rs
@@ -116,7 +116,7 @@
                 part,
                 replaces,
             } = missing;
-            info!(self.log, "prompt part was answered, though replicas crashed beside it";
+            info!(self.log, "prompt part or request was answered, though replicas crashed beside it";
                 "part" => format!("{part:x}"), "note" => ?note);
             pending.extend(pending_note(&missing));
             let revision = replaces.unwrap_or(0);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -86,8 +86,8 @@
         last_event: Option<u64>,
     ) -> Result<RelayReply<D>, RelayEnd> {
         loop {
-            if let Some(part) = self.blocking_part() {
-                return Err(self.refuse_part(part));
+            if let Some(hash) = self.blocking_hash() {
+                return Err(self.refuse_blocked(hash));
             }
             let Some((placed, placement)) = place(
                 &self.state,
@@ -159,8 +159,10 @@
 
     /// Records that a replica wrote its whole answer without crashing.
     pub(crate) fn record_answer(&self, replica: &ReplicaEntry) {
-        let prompt = &self.call.received.head.prompt;
-        self.state.crashes.record_answer(prompt, replica.started_ms);
+        let identity = &self.call.identity;
+        self.state
+            .crashes
+            .record_answer(identity, replica.started_ms);
     }
 
     /// Resumes a stream of which the caller has got a part; the error is the reason if that isn't
@@ -190,16 +192,17 @@
         }
     }
 
-    fn blocking_part(&self) -> Option<u64> {
-        let prompt = &self.call.received.head.prompt;
+    fn blocking_hash(&self) -> Option<u64> {
         let workspace = self.call.workspace();
-        self.state.crashes.blocking_part(prompt, workspace)
+        self.state
+            .crashes
+            .blocking_hash(&self.call.identity, workspace)
     }
 
-    /// Ends a request with a part that crashes replicas.
-    fn refuse_part(&self, part: u64) -> RelayEnd {
-        info!(self.state.log, "request isn't sent, since a part of its prompt crashes replicas";
-            "request" => &self.call.received.head.id, "part" => format!("{part:x}"),
+    /// Ends a request that crashes replicas, by itself or by a part of its prompt.
+    fn refuse_blocked(&self, hash: u64) -> RelayEnd {
+        info!(self.state.log, "request isn't sent, since it or a part of its prompt crashes replicas";
+            "request" => &self.call.received.head.id, "part" => format!("{hash:x}"),
             "possible-runs" => self.history.possible_runs);
         RelayEnd::blocked(self.unanswered_end())
     }
@@ -210,8 +213,8 @@
         step: NextStep,
         cause: &'static str,
     ) -> (Option<FinalAnswer>, &'static str) {
-        let prompt = &self.call.received.head.prompt;
-        let may_retry = self.state.crashes.may_retry(prompt, self.unanswered);
+        let identity = &self.call.identity;
+        let may_retry = self.state.crashes.may_retry(identity, self.unanswered);
         if matches!(step, NextStep::Retry { .. }) && !may_retry {
             return (Some(self.unanswered_end()), "may-crash-replicas");
         }
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -93,6 +93,7 @@
         ReplicaFault::Unsigned => stream.write_all(wire.unsigned().as_bytes()).await,
         ReplicaFault::BreakStream(_)
         | ReplicaFault::CrashOnPart { .. }
+        | ReplicaFault::CrashOnText(_)
         | ReplicaFault::None
         | ReplicaFault::Full
         | ReplicaFault::FullFor(_)
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -16,6 +16,9 @@
         /// Hash of the part.
         part: u64,
     },
+    /// Ends the whole replica when it begins to answer a request with this text at the end of its
+    /// prompt or in its body; it starts again a little later. Other requests are answered.
+    CrashOnText(&'static str),
     /// Sends this number of bytes of the answer's head and closes the connection.
     CutHead(usize),
     /// Sends the head of a stream without a length and closes the connection.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -254,9 +254,12 @@
         state.seen.push(request.clone());
         WireAnswer::new(&request, state.running, is_leaving)
     };
-    if let ReplicaFault::CrashOnPart { events, part } = fault
-        && request.shares_part(part)
-    {
+    let crash_after = match fault {
+        ReplicaFault::CrashOnPart { events, part } if request.shares_part(part) => Some(events),
+        ReplicaFault::CrashOnText(text) if request.ends_with(text) => Some(0),
+        _ => None,
+    };
+    if let Some(events) = crash_after {
         if events > 0 {
             write_begun_stream(stream, &wire, &request, events).await?;
         }
--- a/crates/poplargap-testbed/src/replica/seen_request.rs
+++ b/crates/poplargap-testbed/src/replica/seen_request.rs
@@ -43,6 +43,13 @@
         parts.any(|(part, _)| part.trim() == name)
     }
 
+    /// Returns whether the prompt or the body ends with this text.
+    #[must_use]
+    pub fn ends_with(&self, text: &str) -> bool {
+        let prompt = self.header("prefix-hash").unwrap_or("");
+        prompt.ends_with(text) || self.body.ends_with(text.as_bytes())
+    }
+
     /// Reads one request; `None` when the connection is closed or the request is malformed or too
     /// long.
     pub(super) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
