Send crash reports to the peers, so that they count while the store is silent

Change: PeerMessage::Crashes. A daemon sends its own report in three rounds of datagrams to a sample of the fleet, and passes on once what another saw and it didn't have, so that it reaches all of a large fleet. Reports are merged by the key that they have in the store, count once, and are taken only of registered replicas as seen by known daemons. At most 64 wait, 3,000 bytes go in a message; longer ones are left to the store.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -18,6 +18,7 @@
 mod feed_state;
 mod load_bound;
 mod peer_view;
+mod pending_crashes;
 mod pending_leaving;
 mod pending_reports;
 mod prompt_order;
@@ -53,6 +54,7 @@
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     peer_view::{PeerEntry, PeerView},
+    pending_crashes::{PeerCrash, PendingCrashes},
     pending_leaving::{LeavingReplica, PendingLeaving},
     pending_reports::{LoadDigest, PeerReport, PendingReports},
     prompt_part::{PromptPart, leading_parts, placement_key, shared_tokens},
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -12,11 +12,11 @@
 /// Most reports from the store that are kept; the oldest are dropped.
 const STORED_MAX: usize = 1_024;
 
-/// Most reports of the daemon itself that are kept; the oldest are dropped.
-const OWN_MAX: usize = 256;
+/// Most reports of the daemon itself and of its peers that are kept; the oldest are dropped.
+const DIRECT_MAX: usize = 256;
 
-/// Time for which a report of the daemon itself is kept.
-const OWN_TIME: Duration = Duration::from_mins(10);
+/// Time for which a report that didn't come from the store is kept.
+const DIRECT_TIME: Duration = Duration::from_mins(10);
 
 /// Crashes of a part from which an answer to a request with it is noted in the store, and a request
 /// with it isn't sent again after a crash.
@@ -38,7 +38,7 @@
 }
 
 #[derive(Debug)]
-struct OwnReport {
+struct DirectReport {
     at: MonotonicInstant,
     report: CrashReport,
 }
@@ -46,13 +46,14 @@
 /// The crashes of replicas with unanswered requests, and what is known of the parts of prompts.
 ///
 /// The reports of all daemons come from the store, so that each daemon blocks the same parts, also
-/// one that has just started.
+/// one that has just started. Those that peers send directly count while the store lacks them, as
+/// when it doesn't respond.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     blocked: Arc<BlockedParts>,
     crashes: HashMap<u64, PartCrashes>,
     notes: HashMap<u64, StoredNote>,
-    own: HashMap<String, OwnReport>,
+    direct: HashMap<String, DirectReport>,
     sound: SoundParts,
     stored: HashMap<String, StoredReport>,
 }
@@ -64,24 +65,34 @@
         &self.blocked
     }
 
-    /// Adds a report that the daemon made itself, whether or not the store has it already.
-    pub fn record_own(&mut self, key: String, report: CrashReport, now: MonotonicInstant) {
+    /// Adds a report of the daemon itself or of a peer; returns `false` if it is on record already.
+    pub fn record_direct(
+        &mut self,
+        key: String,
+        report: CrashReport,
+        now: MonotonicInstant,
+    ) -> bool {
         self.expire(now);
-        if self.own.len() >= OWN_MAX {
-            let oldest = self.own.iter().min_by_key(|(_, own)| own.at);
+        if self.stored.contains_key(&key) || self.direct.contains_key(&key) {
+            return false;
+        }
+        if self.direct.len() >= DIRECT_MAX {
+            let oldest = self.direct.iter().min_by_key(|(_, direct)| direct.at);
             if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-                self.own.remove(&key);
+                self.direct.remove(&key);
             }
         }
-        self.own.insert(key, OwnReport { at: now, report });
+        self.direct.insert(key, DirectReport { at: now, report });
         self.update(now);
+        true
     }
 
-    /// Drops the daemon's own reports that are too old.
+    /// Drops the reports of the daemon itself and of its peers that are too old.
     pub fn expire(&mut self, now: MonotonicInstant) {
-        let before = self.own.len();
-        self.own.retain(|_, own| now.since(own.at) < OWN_TIME);
-        if self.own.len() < before {
+        let before = self.direct.len();
+        self.direct
+            .retain(|_, direct| now.since(direct.at) < DIRECT_TIME);
+        if self.direct.len() < before {
             self.update(now);
         }
     }
@@ -148,8 +159,8 @@
     /// Returns the number of reports on record.
     #[must_use]
     pub fn report_count(&self) -> usize {
-        let own = self.own.keys();
-        self.stored.len() + own.filter(|key| !self.stored.contains_key(*key)).count()
+        let direct = self.direct.keys();
+        self.stored.len() + direct.filter(|key| !self.stored.contains_key(*key)).count()
     }
 
     /// Returns whether a request and its parts are all known from answers.
@@ -206,11 +217,13 @@
     /// Judges the parts anew; answers that this daemon saw count before the store has their note.
     fn update(&mut self, now: MonotonicInstant) {
         let stored = self.stored.values().map(|stored| &stored.report);
-        let own = self
-            .own
+        let direct = self
+            .direct
             .iter()
             .filter(|(key, _)| !self.stored.contains_key(*key));
-        let reports: Vec<&CrashReport> = stored.chain(own.map(|(_, own)| &own.report)).collect();
+        let reports: Vec<&CrashReport> = stored
+            .chain(direct.map(|(_, direct)| &direct.report))
+            .collect();
         let parts = reports.iter().flat_map(|report| report.calls());
         let parts: HashSet<u64> = parts.flat_map(UnansweredCall::hashes).collect();
         let notes = parts.into_iter();
--- a/crates/poplargap-core/src/forward/crash_report.rs
+++ b/crates/poplargap-core/src/forward/crash_report.rs
@@ -12,6 +12,15 @@
 /// Most prompt parts of all requests of one report.
 const PARTS_MAX: usize = 2_048;
 
+/// Most bytes of an encoded number.
+const NUMBER_BYTES: usize = 10;
+
+/// Most bytes of an encoded report without the replica's id and the requests.
+const REPORT_BYTES: usize = 5 * NUMBER_BYTES;
+
+/// Most bytes of an encoded request without the workspace's name and the parts.
+const CALL_BYTES: usize = 5 * NUMBER_BYTES;
+
 /// One end of a replica's process; a restart makes a new one possible.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -59,6 +68,11 @@
         }
     }
 
+    fn encoded_len_max(&self) -> usize {
+        let workspace = self.workspace.as_ref().map_or(0, |name| name.len());
+        CALL_BYTES + workspace + self.parts.len() * NUMBER_BYTES
+    }
+
     /// Returns the hashes of the parts and of the request itself.
     pub fn hashes(&self) -> impl Iterator<Item = u64> {
         self.parts.iter().copied().chain(self.own)
@@ -123,6 +137,22 @@
         self.at_ms
     }
 
+    /// Returns the report without the requests that exceed `bytes_max` when it is encoded.
+    #[must_use]
+    pub fn trimmed(mut self, bytes_max: usize) -> Self {
+        while self.encoded_len_max() > bytes_max && !self.calls.is_empty() {
+            self.calls.pop();
+        }
+        self
+    }
+
+    /// Returns the most bytes that the report takes when it is encoded.
+    #[must_use]
+    pub fn encoded_len_max(&self) -> usize {
+        let calls = self.calls.iter().map(UnansweredCall::encoded_len_max);
+        REPORT_BYTES + self.crash.replica.len() + calls.sum::<usize>()
+    }
+
     /// Returns the requests that the replica hadn't wholly answered.
     #[must_use]
     pub fn calls(&self) -> &[UnansweredCall] {
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -297,10 +297,11 @@
     let mut evidence = CrashEvidence::default();
     let calls = vec![call("r1", &[GUILTY, OWN], "w")];
     let key = "crash-reports/a/1".to_owned();
-    evidence.record_own(
-        key,
-        CrashReport::new(crash("a"), AT_MS, calls.clone()),
-        now(),
+    let report = CrashReport::new(crash("a"), AT_MS, calls.clone());
+    assert!(evidence.record_direct(key.clone(), report.clone(), now()));
+    assert!(
+        !evidence.record_direct(key, report, now()),
+        "it is on record"
     );
     evidence.apply(vec![stored(1, "a", calls.clone())], now());
     evidence.apply(vec![stored(1, "b", calls)], now());
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -6,11 +6,14 @@
         collections::HashMap,
         forward::{
             BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, MissingNote,
-            ReplicaId, RequestIdentity, UnansweredCall,
+            PeerCrash, PendingCrashes, ReplicaId, RequestIdentity, UnansweredCall,
         },
     },
     slog::{Logger, info, warn},
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
     tokio::sync::{Notify, mpsc},
 };
 
@@ -41,6 +44,7 @@
     evidence: Mutex<CrashEvidence>,
     log: Logger,
     metrics: FrontMetrics,
+    pending: Mutex<PendingCrashes>,
     reports: mpsc::Sender<KeyedReport>,
     suspects: Mutex<HashMap<ReplicaId, Vec<UnansweredCall>>>,
 }
@@ -59,6 +63,7 @@
             evidence: Mutex::default(),
             log,
             metrics,
+            pending: Mutex::default(),
             reports,
             suspects: Mutex::default(),
         };
@@ -102,17 +107,40 @@
         self.suspects().remove(replica).unwrap_or_default()
     }
 
-    /// Records a crash that this daemon saw and queues its report for the store.
-    pub(crate) fn record_crash(&self, key: String, report: CrashReport) {
-        let now = self.clock.now();
-        let own = report.clone();
-        self.update(|evidence| evidence.record_own(key.clone(), own, now));
+    /// Records a crash that this daemon, at the address `own`, saw, and queues its report for the
+    /// store and for the peers.
+    pub(crate) fn record_crash(&self, own: SocketAddr, report: CrashReport) {
+        let key = report_key(&report, own);
+        self.record_direct(&key, &report);
+        let crash = PeerCrash {
+            report: report.clone(),
+            seen_by: own,
+        };
+        self.pending().record_own(key.clone(), crash);
         if self.reports.try_send(KeyedReport { key, report }).is_err() {
             self.metrics.record_crash_report("dropped");
             warn!(self.log, "crash report dropped because too many wait");
         }
     }
 
+    /// Records a crash that another daemon saw, and queues its report for further peers if it is new.
+    pub(crate) fn record_peer_crash(&self, crash: PeerCrash) {
+        let key = report_key(&crash.report, crash.seen_by);
+        if !self.record_direct(&key, &crash.report) {
+            return;
+        }
+        self.metrics.record_crash_report("from-peer");
+        info!(self.log, "crash report of a peer"; "key" => &key,
+            "replica" => crash.report.crash().replica.as_ref(),
+            "requests" => crash.report.calls().len());
+        self.pending().record_forwarded(key, crash);
+    }
+
+    /// Returns the crash reports for one round of messages to the peers.
+    pub(crate) fn take_pending(&self) -> Vec<PeerCrash> {
+        self.pending().take()
+    }
+
     /// Drops what is too old.
     pub(crate) fn expire(&self) {
         let now = self.clock.now();
@@ -149,18 +177,26 @@
         self.changed.notified().await;
     }
 
-    fn update(&self, change: impl FnOnce(&mut CrashEvidence)) {
-        let (before, after) = {
+    /// Adds a report; returns whether it is new.
+    fn record_direct(&self, key: &str, report: &CrashReport) -> bool {
+        let now = self.clock.now();
+        let (key, report) = (key.to_owned(), report.clone());
+        self.update(|evidence| evidence.record_direct(key, report, now))
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut CrashEvidence) -> T) -> T {
+        let (before, result, after) = {
             let mut evidence = self.evidence();
             let before = Arc::clone(evidence.blocked());
-            change(&mut evidence);
-            (before, Arc::clone(evidence.blocked()))
+            let result = change(&mut evidence);
+            (before, result, Arc::clone(evidence.blocked()))
         };
         if before != after {
             self.log_change(&before, &after);
             self.metrics.set_blocked_parts(after.parts().len());
         }
         self.changed.notify_one();
+        result
     }
 
     fn log_change(&self, before: &BlockedParts, after: &BlockedParts) {
@@ -191,7 +227,16 @@
         self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn pending(&self) -> MutexGuard<'_, PendingCrashes> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn suspects(&self) -> MutexGuard<'_, HashMap<ReplicaId, Vec<UnansweredCall>>> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the key of a daemon's report in the store.
+fn report_key(report: &CrashReport, seen_by: SocketAddr) -> String {
+    format!("{CRASHES_PREFIX}{}/{seen_by}", report.crash().name())
+}
--- a/crates/poplargap-forward/src/crash_check.rs
+++ b/crates/poplargap-forward/src/crash_check.rs
@@ -1,7 +1,7 @@
 //! Checks whether a replica whose connection broke has crashed.
 
 use {
-    crate::{call_stage::AdmittedCall, crash_board::CRASHES_PREFIX, front_state::FrontState},
+    crate::{call_stage::AdmittedCall, front_state::FrontState},
     poplargap_core::forward::{CrashId, CrashReport, ReplicaEntry, UnansweredCall},
     slog::info,
     std::{
@@ -54,9 +54,8 @@
         "replica" => replica.id.as_ref(), "started-ms" => replica.started_ms,
         "service" => replica.service.as_ref(), "unanswered" => calls.len());
     let own = state.settings.peers.unwrap_or(state.settings.callers);
-    let key = format!("{CRASHES_PREFIX}{}/{own}", crash.name());
     let report = CrashReport::new(crash, unix_ms(), calls);
-    state.crashes.record_crash(key, report);
+    state.crashes.record_crash(own, report);
 }
 
 /// Returns whether nothing listens at the replica's address.
--- a/crates/poplargap-forward/src/peers/exchange.rs
+++ b/crates/poplargap-forward/src/peers/exchange.rs
@@ -2,7 +2,7 @@
     super::{MessageError, PeerMessage},
     crate::front_state::FrontState,
     poplargap_core::{
-        forward::{LeavingReplica, LoadDigest, PeerReport, PeerView},
+        forward::{LeavingReplica, LoadDigest, PeerCrash, PeerReport, PeerView},
         instant::MonotonicInstant,
     },
     rand::Rng,
@@ -71,6 +71,10 @@
         if !leaving.is_empty() {
             send_message(&state, &socket, &view, &PeerMessage::Leaving(leaving));
         }
+        let crashes = state.crashes.take_pending();
+        if !crashes.is_empty() {
+            send_message(&state, &socket, &view, &PeerMessage::Crashes(crashes));
+        }
     }
 }
 
@@ -128,6 +132,10 @@
                 state.metrics.record_peer_message("heard");
                 apply_leaving(state, &leaving);
             }
+            Ok(PeerMessage::Crashes(crashes)) => {
+                state.metrics.record_peer_message("heard");
+                apply_crashes(state, view, crashes);
+            }
             Err(reason) => {
                 state.metrics.record_peer_message("refused");
                 refused.record(from, reason);
@@ -174,6 +182,17 @@
     }
 }
 
+/// Records the crashes of registered replicas that known daemons saw.
+fn apply_crashes<D>(state: &FrontState<D>, view: &PeerView, crashes: Vec<PeerCrash>) {
+    let replicas = Arc::clone(&state.replicas.borrow());
+    for crash in crashes {
+        let is_known = replicas.replica(&crash.report.crash().replica).is_some();
+        if is_known && view.is_known(&crash.seen_by) {
+            state.crashes.record_peer_crash(crash);
+        }
+    }
+}
+
 /// Returns the time at which a report that is received at `now` was made.
 fn report_time(peer_report: &PeerReport, now: MonotonicInstant) -> MonotonicInstant {
     now - Duration::from_millis(peer_report.age_ms.into())
--- a/crates/poplargap-forward/src/peers/peer_message.rs
+++ b/crates/poplargap-forward/src/peers/peer_message.rs
@@ -1,6 +1,6 @@
 use {
     displaydoc::Display,
-    poplargap_core::forward::{LeavingReplica, LoadDigest},
+    poplargap_core::forward::{LeavingReplica, LoadDigest, PeerCrash},
     serde::{Deserialize, Serialize},
 };
 
@@ -23,6 +23,8 @@
     Loads(LoadDigest),
     /// Replicas that are leaving.
     Leaving(Vec<LeavingReplica>),
+    /// Crashes of replicas.
+    Crashes(Vec<PeerCrash>),
 }
 
 impl PeerMessage {
--- a/crates/poplargap-forward/tests/peers.rs
+++ b/crates/poplargap-forward/tests/peers.rs
@@ -1,7 +1,10 @@
 //! Tests of the messages between daemons and of their announcements.
 
 use {
-    poplargap_core::forward::{LoadDigest, LoadReport, PeerEntry, PeerReport, PrefixReplica},
+    poplargap_core::forward::{
+        CrashId, CrashReport, LoadDigest, LoadReport, PeerCrash, PeerEntry, PeerReport,
+        PendingCrashes, PrefixReplica, PromptPart, RequestContent, RequestIdentity, UnansweredCall,
+    },
     poplargap_forward::{PEERS_PREFIX, PeerMessage, announce},
     poplargap_store::{
         KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
@@ -209,11 +212,54 @@
     assert_eq!(PeerMessage::read(&bytes), Ok(message));
 }
 
+#[test]
+fn crash_reports_fit_into_datagrams_and_all_are_sent() {
+    let mut pending = PendingCrashes::default();
+    for number in 0..40_u64 {
+        let prompt = (0..number * 20).map(|part| PromptPart {
+            hash: u64::MAX - part,
+            tokens: 100,
+        });
+        let prompt: Vec<PromptPart> = prompt.collect();
+        let content = RequestContent {
+            body: &number.to_be_bytes(),
+            method: "POST",
+            target: "/once/",
+        };
+        let identity = RequestIdentity::new(&prompt, content);
+        let calls = (0..3).map(|call| {
+            UnansweredCall::new(&format!("r{number}-{call}"), &identity, Some("ty-bach"))
+        });
+        let crash = CrashId {
+            replica: format!("i-{number:08x}").into(),
+            started_ms: u64::MAX,
+        };
+        let report = CrashReport::new(crash, u64::MAX, calls.collect());
+        let seen_by = entry().address;
+        pending.record_own(number.to_string(), PeerCrash { report, seen_by });
+    }
+    let mut sent = 0;
+    loop {
+        let crashes = pending.take();
+        if crashes.is_empty() {
+            break;
+        }
+        sent += crashes.len();
+        let message = PeerMessage::Crashes(crashes);
+        let bytes = message.write().expect("the message can be encoded");
+        assert!(bytes.len() <= 3_200, "{} bytes", bytes.len());
+        assert_eq!(PeerMessage::read(&bytes), Ok(message));
+    }
+    // Of the prompts, those of more than 290 parts are left to the store.
+    assert_eq!(sent, 15 * 3);
+}
+
 proptest! {
     #[test]
     fn any_datagram_is_decoded_or_refused(bytes in vec(any::<u8>(), 0..2_000)) {
         if let Ok(message) = PeerMessage::read(&bytes) {
             let entries = match &message {
+                PeerMessage::Crashes(crashes) => crashes.len(),
                 PeerMessage::Leaving(leaving) => leaving.len(),
                 PeerMessage::Loads(digest) => digest.reports.len() + digest.prefix_replicas.len(),
             };
