Keep what a replica said about new requests while its registration lapses

Cause: the tracker dropped a replica's state as soon as the registration was missing, and a refusal was kept for a minute at most. Ruled out: a restart of the replica (its start time stayed).

--- a/crates/poplargap-core/src/forward/replica_intake.rs
+++ b/crates/poplargap-core/src/forward/replica_intake.rs
@@ -1,7 +1,10 @@
 use {crate::instant::MonotonicInstant, std::time::Duration};
 
 /// Longest time for which a replica's refusal is kept, whatever time the replica gives.
-const REFUSAL_MAX: Duration = Duration::from_mins(1);
+const REFUSAL_MAX: Duration = Duration::from_mins(10);
+
+/// Time for which a leaving replica is remembered while it isn't registered.
+const LEAVING_MAX: Duration = Duration::from_mins(10);
 
 /// Part of the drain time in which a leaving replica may serve a service that has no other one.
 const LAST_RESORT_SHARE: f64 = 0.5;
@@ -47,6 +50,13 @@
         time
     }
 
+    /// Returns whether what the replica said still matters if it is registered again.
+    #[must_use]
+    pub fn is_in_force(&self, now: MonotonicInstant) -> bool {
+        let is_leaving = |since| now.since(since) < LEAVING_MAX;
+        self.refuses_until > now || self.leaving_since.is_some_and(is_leaving)
+    }
+
     /// Returns the intake of the same replica after a restart, which ends its leaving.
     #[must_use]
     pub fn restarted(self) -> Self {
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -289,10 +289,13 @@
         }
     }
 
-    /// Removes expired cached prompts, and the replicas that have no open requests and for which
-    /// `keep` returns `false`.
+    /// Removes expired cached prompts, and the replicas that have no open requests, for which `keep`
+    /// returns `false` and whose statements about new requests have ended.
+    ///
+    /// A registration may lapse while the replica lives, and come back.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool, now: MonotonicInstant) {
         self.cached_replicas.expire(now);
-        self.loads.retain(|id, load| load.in_flight > 0 || keep(id));
+        self.loads
+            .retain(|id, load| load.in_flight > 0 || keep(id) || load.intake.is_in_force(now));
     }
 }
