Play random schedules over the evidence of crashes

Five daemons share crash reports through a store that comes and goes and datagrams of which three in ten are lost, beside herd crashes, releases and sound requests on every crashing replica.

--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod close;
 mod cold_start;
 mod crash_evidence;
+mod crash_schedules;
 mod events;
 mod intake;
 mod prompt_source;
