--- a/crates/poplargap-core/tests/forward/crash_schedules.rs
+++ b/crates/poplargap-core/tests/forward/crash_schedules.rs
@@ -163,11 +163,11 @@
             record.late += 1;
         }
         record.crashes.push(self.now_ms);
-        self.crash(replica, Some((daemon, identity)));
+        self.crash(replica, Some((daemon, &identity)));
     }
 
     /// Crashes a replica on which each daemon has a sound request.
-    fn crash(&mut self, replica: usize, deadly: Option<(usize, RequestIdentity)>) {
+    fn crash(&mut self, replica: usize, deadly: Option<(usize, &RequestIdentity)>) {
         let id = CrashId {
             replica: format!("i-{replica}").into(),
             started_ms: self.started_ms[replica],
@@ -178,8 +178,8 @@
             let sound = identity(&[COMMON, 10_000 + self.requests]);
             let name = format!("r{}", self.requests);
             let mut calls = vec![UnansweredCall::new(&name, &sound, Some("w"))];
-            if let Some((from, identity)) = &deadly
-                && *from == daemon
+            if let Some((from, identity)) = deadly
+                && from == daemon
             {
                 let name = format!("d{}", self.requests);
                 calls.push(UnansweredCall::new(&name, identity, Some("w")));
