--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -1,8 +1,9 @@
 use {
+    crate::{CONTENT, identity},
     poplargap_core::{
         forward::{
-            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, PromptPart,
-            RequestContent, RequestIdentity, SoundNote, UnansweredCall,
+            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestContent,
+            RequestIdentity, SoundNote, UnansweredCall,
         },
         instant::MonotonicInstant,
     },
@@ -10,36 +11,19 @@
     std::time::Duration,
 };
 
-const GUILTY: u64 = 0xdead;
-const FIRST: u64 = 1;
+pub(super) const GUILTY: u64 = 0xdead;
+pub(super) const FIRST: u64 = 1;
 const SECOND: u64 = 2;
-const OWN: u64 = 99;
-
-const CONTENT: RequestContent<'_> = RequestContent {
-    body: b"two valves",
-    method: "POST",
-    target: "/once/",
-};
+pub(super) const OWN: u64 = 99;
 
 /// Time of the crashes, in Unix milliseconds.
-const AT_MS: u64 = 1_000_000;
+pub(super) const AT_MS: u64 = 1_000_000;
 
 /// The note of an answer by a replica that started when those of the crashes did.
-const ANSWERED: SoundNote = SoundNote::Answered { started_ms: 1 };
-
-fn prompt(parts: &[u64]) -> RequestIdentity {
-    let parts: Vec<PromptPart> = parts
-        .iter()
-        .map(|hash| PromptPart {
-            hash: *hash,
-            tokens: 100,
-        })
-        .collect();
-    RequestIdentity::new(&parts, CONTENT)
-}
+pub(super) const ANSWERED: SoundNote = SoundNote::Answered { started_ms: 1 };
 
 /// Returns the record of a request whose last part is replaced by one that no other request has.
-fn call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
+pub(super) fn call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
     let own = id
         .bytes()
         .fold(7_000, |own: u64, byte| own * 256 + u64::from(byte));
@@ -48,7 +32,7 @@
 }
 
 fn same_call(id: &str, parts: &[u64], workspace: &str) -> UnansweredCall {
-    UnansweredCall::new(id, &prompt(parts), Some(workspace))
+    UnansweredCall::new(id, &identity(parts), Some(workspace))
 }
 
 fn crash(replica: &str) -> CrashId {
@@ -67,7 +51,7 @@
     )
 }
 
-fn now() -> MonotonicInstant {
+pub(super) fn now() -> MonotonicInstant {
     MonotonicInstant::from_start(Duration::from_mins(1))
 }
 
@@ -82,7 +66,7 @@
     ]
 }
 
-fn blocked(evidence: &CrashEvidence) -> Vec<u64> {
+pub(super) fn blocked(evidence: &CrashEvidence) -> Vec<u64> {
     evidence.blocked().parts().keys().copied().collect()
 }
 
@@ -91,16 +75,18 @@
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
     assert!(blocked(&evidence).contains(&GUILTY));
-    let found = evidence.blocked().find(&prompt(&[7, GUILTY, 8]), Some("w"));
+    let found = evidence
+        .blocked()
+        .find(&identity(&[7, GUILTY, 8]), Some("w"));
     assert_eq!(found, Some(GUILTY));
-    let last = evidence.blocked().find(&prompt(&[7, GUILTY]), Some("w"));
+    let last = evidence.blocked().find(&identity(&[7, GUILTY]), Some("w"));
     assert_eq!(last, None, "a request's own part is never blocked");
 }
 
 #[test]
 fn parts_of_sound_requests_beside_the_guilty_one_are_not_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     evidence.apply(guilty_evidence(), now());
     evidence.apply(
         vec![EvidenceChange::Note(SECOND, Some((1, ANSWERED)))],
@@ -143,7 +129,7 @@
 #[test]
 fn replicas_that_crash_at_once_block_no_part_of_answered_prompts() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     let reports = (0..5).map(|number| {
         let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
         stored(number, &format!("replica-{number}"), calls)
@@ -167,7 +153,7 @@
 #[test]
 fn part_of_answered_prompts_is_never_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     let reports = (0..12).map(|number| {
         let calls = vec![call(&format!("r{number}"), &[FIRST, OWN], "w")];
         stored(number, &format!("replica-{number}"), calls)
@@ -187,7 +173,7 @@
     evidence.apply(guilty_evidence(), now());
     let scope = &evidence.blocked().parts()[&FIRST].scope;
     assert_eq!(*scope, BlockScope::Workspace(Some("w".into())));
-    let other = evidence.blocked().find(&prompt(&[FIRST, OWN]), Some("v"));
+    let other = evidence.blocked().find(&identity(&[FIRST, OWN]), Some("v"));
     assert_eq!(other, None);
 }
 
@@ -198,81 +184,12 @@
     let calls = vec![call("r3", &[GUILTY, OWN], "v")];
     evidence.apply(vec![stored(3, "d", calls)], now());
     assert_eq!(evidence.blocked().parts()[&GUILTY].scope, BlockScope::All);
-    let third = evidence.blocked().find(&prompt(&[GUILTY, OWN]), Some("u"));
+    let third = evidence
+        .blocked()
+        .find(&identity(&[GUILTY, OWN]), Some("u"));
     assert_eq!(third, Some(GUILTY));
 }
 
-/// Returns the report of a crash of the process that started at `started_ms`.
-fn crash_of(number: u64, started_ms: u64, at_ms: u64, parts: &[u64]) -> EvidenceChange {
-    let crash = CrashId {
-        replica: format!("replica-{number}").into(),
-        started_ms,
-    };
-    let calls = vec![call(&format!("r{number}"), parts, "w")];
-    let report = CrashReport::new(crash, at_ms, calls);
-    EvidenceChange::Report(format!("crash-reports/{number}"), Some((number, report)))
-}
-
-// Replicas answered a part until a release; those after it crashed on it and it was never blocked.
-#[test]
-fn part_that_turns_deadly_after_a_release_is_blocked() {
-    let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, GUILTY, 5]), 10, now());
-    evidence.apply(
-        vec![EvidenceChange::Note(GUILTY, Some((1, ANSWERED)))],
-        now(),
-    );
-    evidence.record_answer(&prompt(&[FIRST, 6]), 105, now());
-    for number in 0..5 {
-        assert!(blocked(&evidence).is_empty());
-        let at_ms = AT_MS + number * 1_000;
-        let report = crash_of(number, 100 + number, at_ms, &[FIRST, GUILTY, OWN + number]);
-        evidence.apply(vec![report], now());
-    }
-    assert_eq!(blocked(&evidence), [GUILTY]);
-}
-
-#[test]
-fn answers_of_replicas_before_a_release_do_not_clear_later_crashes() {
-    let mut evidence = CrashEvidence::default();
-    for number in 0..5 {
-        evidence.record_answer(&prompt(&[GUILTY, 5]), 10, now());
-        let at_ms = AT_MS + number * 1_000;
-        evidence.apply(
-            vec![crash_of(number, 100, at_ms, &[GUILTY, OWN + number])],
-            now(),
-        );
-    }
-    assert_eq!(blocked(&evidence), [GUILTY]);
-}
-
-#[test]
-fn new_replicas_that_crash_together_block_no_answered_part() {
-    let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 10, now());
-    let reports =
-        (0..12).map(|number| crash_of(number, 100, AT_MS + number * 20, &[FIRST, OWN + number]));
-    evidence.apply(reports.collect(), now());
-    assert!(blocked(&evidence).is_empty());
-}
-
-#[test]
-fn answer_of_a_new_replica_is_noted_for_the_other_daemons() {
-    let mut evidence = CrashEvidence::default();
-    let old = EvidenceChange::Note(FIRST, Some((7, ANSWERED)));
-    evidence.apply(vec![old], now());
-    evidence.record_answer(&prompt(&[FIRST, 5]), 200, now());
-    let reports = (0..3).map(|number| crash_of(number, 100, AT_MS, &[FIRST, OWN + number]));
-    evidence.apply(reports.collect(), now());
-    let missing = evidence.missing_notes(now());
-    assert_eq!(missing.len(), 1);
-    assert_eq!((missing[0].part, missing[0].replaces), (FIRST, Some(7)));
-    assert_eq!(missing[0].note, SoundNote::Answered { started_ms: 100 });
-    let noted = EvidenceChange::Note(FIRST, Some((8, missing[0].note)));
-    evidence.apply(vec![noted], now());
-    assert!(evidence.missing_notes(now()).is_empty());
-}
-
 #[test]
 fn operator_lifts_a_block() {
     let mut evidence = CrashEvidence::default();
@@ -329,7 +246,7 @@
 #[test]
 fn request_that_crashed_two_replicas_is_not_sent_again() {
     let mut evidence = CrashEvidence::default();
-    let rare = prompt(&[GUILTY, OWN]);
+    let rare = identity(&[GUILTY, OWN]);
     assert!(evidence.may_retry(&rare, 0, now()));
     assert!(evidence.may_retry(&rare, 1, now()));
     assert!(!evidence.may_retry(&rare, 2, now()));
@@ -348,15 +265,15 @@
         vec![stored(1, "a", calls.clone()), stored(1, "b", calls)],
         now(),
     );
-    assert!(!evidence.may_retry(&prompt(&[GUILTY, OWN]), 1, now()));
-    assert!(evidence.may_retry(&prompt(&[GUILTY, OWN]), 0, now()));
+    assert!(!evidence.may_retry(&identity(&[GUILTY, OWN]), 1, now()));
+    assert!(evidence.may_retry(&identity(&[GUILTY, OWN]), 0, now()));
 }
 
 // One request came back under new ids and crashed replicas, three and more.
 #[test]
 fn request_that_returns_after_three_crashes_is_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     let parts = [FIRST, OWN];
     for (id, replica) in [("r1", "a"), ("r1", "b"), ("r2", "c")] {
         assert!(blocked(&evidence).is_empty());
@@ -366,11 +283,11 @@
         ];
         evidence.apply(vec![stored(1, replica, calls)], now());
     }
-    let again = prompt(&parts);
+    let again = identity(&parts);
     assert_eq!(blocked(&evidence), [again.own()]);
     assert!(evidence.blocked().find(&again, Some("w")).is_some());
     assert!(evidence.blocked().find(&again, Some("v")).is_none());
-    let sound = prompt(&[FIRST, 6]);
+    let sound = identity(&[FIRST, 6]);
     assert!(evidence.blocked().find(&sound, Some("w")).is_none());
 }
 
@@ -394,7 +311,7 @@
 #[test]
 fn session_beside_three_crashes_of_another_request_is_not_blocked() {
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[FIRST, 5]), 1, now());
+    evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     for (number, replica) in ["a", "b", "c", "d"].into_iter().enumerate() {
         let mut calls = vec![same_call(&format!("r{number}"), &[FIRST, OWN], "w")];
         if number < 3 {
@@ -402,7 +319,7 @@
         }
         evidence.apply(vec![stored(1, replica, calls)], now());
     }
-    assert_eq!(blocked(&evidence), [prompt(&[FIRST, OWN]).own()]);
+    assert_eq!(blocked(&evidence), [identity(&[FIRST, OWN]).own()]);
 }
 
 // A part after the eighth of a prompt crashed replicas and was in no report.
@@ -410,7 +327,7 @@
 fn part_far_back_in_a_long_prompt_is_blocked() {
     let shared: Vec<u64> = (1..=1_200).collect();
     let mut evidence = CrashEvidence::default();
-    evidence.record_answer(&prompt(&[shared.as_slice(), &[5_000]].concat()), 1, now());
+    evidence.record_answer(&identity(&[shared.as_slice(), &[5_000]].concat()), 1, now());
     let parts = [shared.as_slice(), &[GUILTY, OWN]].concat();
     for number in 0..5 {
         let calls = vec![call(&format!("r{number}"), &parts, "w")];
--- a/crates/poplargap-core/tests/forward/crash_schedules.rs
+++ b/crates/poplargap-core/tests/forward/crash_schedules.rs
@@ -1,10 +1,10 @@
 //! Random schedules of daemons that share crash reports through a store and datagrams.
 
 use {
-    crate::at,
+    crate::{at, identity},
     poplargap_core::forward::{
-        CrashEvidence, CrashId, CrashReport, EvidenceChange, PromptPart, RequestContent,
-        RequestIdentity, SoundNote, UnansweredCall,
+        CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestIdentity, SoundNote,
+        UnansweredCall,
     },
     proptest::prelude::*,
     std::collections::BTreeMap,
@@ -32,12 +32,6 @@
 const CRASHES: usize = 5;
 const SENT_MAX: usize = 3;
 
-const CONTENT: RequestContent<'_> = RequestContent {
-    body: b"",
-    method: "POST",
-    target: "/stream/",
-};
-
 /// One thing that happens in a step.
 #[derive(Clone, Debug)]
 enum Event {
@@ -268,17 +262,6 @@
     }
 }
 
-fn identity(parts: &[u64]) -> RequestIdentity {
-    let parts: Vec<PromptPart> = parts
-        .iter()
-        .map(|hash| PromptPart {
-            hash: *hash,
-            tokens: 100,
-        })
-        .collect();
-    RequestIdentity::new(&parts, CONTENT)
-}
-
 /// Returns the number of schedules to play: that in `PROPTEST_CASES`, or few.
 fn schedules() -> ProptestConfig {
     let cases = std::env::var("PROPTEST_CASES");
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod close;
 mod cold_start;
 mod crash_evidence;
+mod crash_order;
 mod crash_schedules;
 mod events;
 mod intake;
@@ -19,7 +20,7 @@
 
 use {
     poplargap_core::{
-        forward::{ReplicaEntry, ReplicaState},
+        forward::{PromptPart, ReplicaEntry, ReplicaState, RequestContent, RequestIdentity},
         instant::MonotonicInstant,
     },
     std::{sync::Arc, time::Duration},
@@ -49,3 +50,22 @@
         .map(|number| Arc::new(replica(number, if number % 2 == 0 { "ne1" } else { "ne2" })))
         .collect()
 }
+
+/// What the requests of tests without a prompt are recognised by.
+const CONTENT: RequestContent<'_> = RequestContent {
+    body: b"two valves",
+    method: "POST",
+    target: "/once/",
+};
+
+/// Returns the identity of a request whose prompt has these parts.
+fn identity(parts: &[u64]) -> RequestIdentity {
+    let parts: Vec<PromptPart> = parts
+        .iter()
+        .map(|hash| PromptPart {
+            hash: *hash,
+            tokens: 100,
+        })
+        .collect();
+    RequestIdentity::new(&parts, CONTENT)
+}
