Keep the retry of sound requests when replicas crash together

Callers of sound streams on replicas that crashed together lost the resumption at another replica: two crashes that no answer of as new a replica cleared made a popular part suspicious, though together they count once for a block.

Change: the suspicion counts crashes as the block does. The notes' texts have a test, and a test moves from crash_evidence to crash_order unchanged.

--- a/crates/poplargap-core/src/forward/blocked_parts.rs
+++ b/crates/poplargap-core/src/forward/blocked_parts.rs
@@ -193,11 +193,7 @@
         let crashes = self.crashes.iter();
         let unexplained = crashes.filter(|(crash, _)| !explained.contains(*crash));
         let times: Vec<u64> = unexplained.map(|(_, at_ms)| *at_ms).collect();
-        let count = if self.was_answered {
-            count_apart(times)
-        } else {
-            times.len()
-        };
+        let count = count_crash_times(times, self.was_answered);
         count >= crashes_min && self.calls.len() >= CALLS_TO_BLOCK
     }
 
@@ -215,8 +211,13 @@
     }
 }
 
-/// Counts times in Unix milliseconds; those that are close together count once.
-fn count_apart(mut times: Vec<u64>) -> usize {
+/// Counts crashes by their times in Unix milliseconds.
+///
+/// Those that come together count once against a part that replicas have answered.
+pub(super) fn count_crash_times(mut times: Vec<u64>, was_answered: bool) -> usize {
+    if !was_answered {
+        return times.len();
+    }
     times.sort_unstable();
     let mut count = 0;
     let mut counted_until = None;
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         BlockedParts, CrashId, CrashReport, RequestIdentity, SoundNote, SoundParts, UnansweredCall,
+        blocked_parts::count_crash_times,
     },
     crate::{
         collections::{HashMap, HashSet},
@@ -264,7 +265,7 @@
     count: usize,
     /// Newest start time of a replica that crashed, in Unix milliseconds.
     newest_started_ms: u64,
-    /// Crashes that no answer clears.
+    /// Crashes that no answer clears, as they count towards a block.
     uncleared: usize,
 }
 
@@ -273,21 +274,24 @@
     reports: &[&CrashReport],
     notes: &HashMap<u64, SoundNote>,
 ) -> HashMap<u64, PartCrashes> {
-    let mut crashes: HashMap<u64, HashSet<&CrashId>> = HashMap::default();
+    let mut crashes: HashMap<u64, HashMap<&CrashId, u64>> = HashMap::default();
     for report in reports {
         let parts = report.calls().iter().flat_map(UnansweredCall::hashes);
         for part in parts {
-            crashes.entry(part).or_default().insert(report.crash());
+            let times = crashes.entry(part).or_default();
+            times.entry(report.crash()).or_insert(report.at_ms());
         }
     }
     let counts = crashes.into_iter().map(|(part, crashes)| {
         let note = notes.get(&part);
         let is_cleared = |crash: &CrashId| note.is_some_and(|note| note.clears(crash));
-        let started = crashes.iter().map(|crash| crash.started_ms);
+        let started = crashes.keys().map(|crash| crash.started_ms);
+        let uncleared = crashes.iter().filter(|(crash, _)| !is_cleared(crash));
+        let times = uncleared.map(|(_, at_ms)| *at_ms).collect();
         let counted = PartCrashes {
             count: crashes.len(),
             newest_started_ms: started.max().unwrap_or(0),
-            uncleared: crashes.iter().filter(|crash| !is_cleared(crash)).count(),
+            uncleared: count_crash_times(times, note.is_some()),
         };
         (part, counted)
     });
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -13,7 +13,7 @@
 
 pub(super) const GUILTY: u64 = 0xdead;
 pub(super) const FIRST: u64 = 1;
-const SECOND: u64 = 2;
+pub(super) const SECOND: u64 = 2;
 pub(super) const OWN: u64 = 99;
 
 /// Time of the crashes, in Unix milliseconds.
@@ -57,7 +57,7 @@
 
 /// Returns the evidence of a request that crashed two replicas in turn and of one that crashed a
 /// third; all parts but the guilty one are in sound requests, too.
-fn guilty_evidence() -> Vec<EvidenceChange> {
+pub(super) fn guilty_evidence() -> Vec<EvidenceChange> {
     let parts = [FIRST, SECOND, GUILTY, OWN];
     vec![
         stored(1, "a", vec![call("r1", &parts, "w")]),
@@ -95,15 +95,6 @@
     assert_eq!(blocked(&evidence), [GUILTY]);
 }
 
-#[test]
-fn note_that_comes_after_the_crashes_unblocks_a_part() {
-    let mut evidence = CrashEvidence::default();
-    evidence.apply(guilty_evidence(), now());
-    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
-    evidence.apply(notes.into(), now());
-    assert_eq!(blocked(&evidence), [GUILTY]);
-}
-
 #[test]
 fn crash_counts_once_however_many_daemons_report_it() {
     let mut evidence = CrashEvidence::default();
--- a/crates/poplargap-core/tests/forward/crash_order.rs
+++ b/crates/poplargap-core/tests/forward/crash_order.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        crash_evidence::{ANSWERED, AT_MS, FIRST, GUILTY, OWN, blocked, call, now},
+        crash_evidence::{
+            ANSWERED, AT_MS, FIRST, GUILTY, OWN, SECOND, blocked, call, guilty_evidence, now,
+        },
         identity,
     },
     poplargap_core::forward::{CrashEvidence, CrashId, CrashReport, EvidenceChange, SoundNote},
@@ -78,3 +80,41 @@
     evidence.apply(vec![noted], now());
     assert!(evidence.missing_notes(now()).is_empty());
 }
+
+#[test]
+fn note_that_comes_after_the_crashes_unblocks_a_part() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
+    evidence.apply(notes.into(), now());
+    assert_eq!(blocked(&evidence), [GUILTY]);
+}
+
+#[test]
+fn notes_have_the_texts_that_operators_and_daemons_write() {
+    let texts = [
+        (
+            SoundNote::Answered { started_ms: 7 },
+            r#"{"answered":{"started-ms":7}}"#,
+        ),
+        (SoundNote::Lifted, r#""lifted""#),
+    ];
+    for (note, text) in texts {
+        assert_eq!(serde_json::to_string(&note).expect("a text"), text);
+        assert_eq!(
+            serde_json::from_str::<SoundNote>(text).expect("valid"),
+            note
+        );
+    }
+}
+
+// Replicas crashed together, and no sound stream on them was resumed at another one.
+#[test]
+fn replicas_that_crash_together_cost_sound_requests_their_retry() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(&identity(&[FIRST, 5]), 10, now());
+    let reports =
+        (0..6).map(|number| crash_of(number, 100, AT_MS + number * 20, &[FIRST, OWN + number]));
+    evidence.apply(reports.collect(), now());
+    assert!(evidence.may_retry(&identity(&[FIRST, 6]), 1, now()));
+}
