Empty data centres on request, spare cold replicas, and keep requests in their homes

Cause: no code read the operators' requests to evacuate a data centre, the time for which a replica registers to be cold, the rate that a service's cold replicas bear, or the regions of routes and workspaces.

Ruled out: a lease in the store for each cold replica (two writes for each of 500 replicas that return together), counts in replies (only health answers say whether a replica is cold), a part of the rate for each daemon (390 parts of 11 requests a second are none).

Change: evacuations come with the feed that exists, as a further key prefix of the same watch. The load moves within a fifth of the limit, the same prompts at all daemons. Three daemons by rendezvous hashing send to a cold replica, a third of its rate each, and give it a short prompt every half second. Homes of route and workspace filter the data centres. Nothing changes where no entry asks for it.

Tests: core forward 115, platform front 86 passed, of which the new ones fail without the change.

--- a/crates/poplargap-core/benches/choice.rs
+++ b/crates/poplargap-core/benches/choice.rs
@@ -4,8 +4,8 @@
     criterion::{BenchmarkId, Criterion, criterion_group, criterion_main},
     poplargap_core::{
         forward::{
-            ChoiceRequest, LoadReport, ReplicaEntry, ReplicaRegistry, ReplicaState, ReplicaTracker,
-            SourceRequest, choose_replica, choose_source,
+            ChoiceRequest, ColdLimit, LoadReport, PlaceFilter, ReplicaEntry, ReplicaRegistry,
+            ReplicaState, ReplicaTracker, SourceRequest, choose_replica, choose_source,
         },
         instant::MonotonicInstant,
     },
@@ -18,6 +18,7 @@
 fn replica(number: usize) -> ReplicaEntry {
     ReplicaEntry {
         address: ([127, 0, 0, 1], 9_000).into(),
+        cold_until: None,
         data_centre: format!("dc-{}", number % 6).into(),
         id: format!("replica-{number:010x}").into(),
         service: "model".into(),
@@ -46,11 +47,14 @@
         let replicas = view.replicas("model");
         tracker.record_cached(7, &replicas[size / 2], now);
         let request = ChoiceRequest {
+            cold: ColdLimit::default(),
+            daemons: 390,
             data_centre: "dc-1",
             drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(7),
             now,
+            places: PlaceFilter::default(),
             prefers_local: false,
             request_hash: 3,
             shared_tokens: 5_000,
@@ -63,6 +67,7 @@
                     chosen: &choice.replica,
                     key: 7,
                     now,
+                    places: PlaceFilter::default(),
                     view: &view,
                 };
                 choose_source(&tracker, &request)
--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -11,9 +11,11 @@
 mod choice_rule;
 mod client_limits;
 mod close_plan;
+mod cold_gate;
 mod cold_start;
 mod crash_evidence;
 mod crash_report;
+mod evacuation;
 mod event_cursor;
 mod feed_state;
 mod load_bound;
@@ -21,6 +23,7 @@
 mod pending_crashes;
 mod pending_leaving;
 mod pending_reports;
+mod place_filter;
 mod prompt_order;
 mod prompt_part;
 mod prompt_rates;
@@ -48,15 +51,18 @@
     choice_rule::{ChoiceRequest, PlacedBy, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
     close_plan::{ClosePhase, ClosePlan},
+    cold_gate::{ColdGate, ColdLimit, FleetPlace},
     cold_start::{ColdStart, hold_time},
     crash_evidence::{CrashEvidence, EvidenceChange, MissingNote},
     crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
+    evacuation::{EvacuationChange, EvacuationView},
     event_cursor::{CursorError, EventCursor},
     feed_state::FeedState,
     peer_view::{PeerEntry, PeerView},
     pending_crashes::{PeerCrash, PendingCrashes},
     pending_leaving::{LeavingReplica, PendingLeaving},
     pending_reports::{LoadDigest, PeerReport, PendingReports},
+    place_filter::{PlaceFilter, RegionTable},
     prompt_part::{PromptPart, leading_parts, placement_key, shared_tokens},
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
--- a/crates/poplargap-core/src/forward/choice_candidate.rs
+++ b/crates/poplargap-core/src/forward/choice_candidate.rs
@@ -12,6 +12,8 @@
     pub(super) has_prefix: bool,
     /// Weight of the replica's load report in the estimate, from 0 to 1.
     pub(super) confidence: f64,
+    /// Whether it bears few requests yet.
+    pub(super) is_cold: bool,
     /// Whether it takes new requests.
     pub(super) intake: IntakeState,
     /// Whether it is ejected or in an unreachable data centre.
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        IntakeState, ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
+        ColdGate, ColdLimit, IntakeState, PlaceFilter, ReplicaEntry, ReplicaId, ReplicaLoad,
+        ReplicaTracker,
         cached_replicas::CachedReplica,
         choice_candidate::Candidate,
         load_bound::LoadBound,
@@ -17,9 +18,16 @@
 /// Requests that are added to the load of a replica, times its failure ratio.
 const FAILURE_COST_REQUESTS: f64 = 8.0;
 
+/// Most shared tokens of a prompt that a cold replica gets to load its prompts.
+const WARM_UP_TOKENS_MAX: u64 = 4_096;
+
 /// A request for which a replica is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
+    /// The limits of the service's cold replicas.
+    pub cold: ColdLimit,
+    /// Number of the fleet's daemons.
+    pub daemons: usize,
     /// The daemon's data centre.
     pub data_centre: &'a str,
     /// Time for which a leaving replica serves.
@@ -30,6 +38,8 @@
     pub key: Option<u64>,
     /// The current time.
     pub now: MonotonicInstant,
+    /// The data centres that the request may use.
+    pub places: PlaceFilter<'a>,
     /// Whether replicas of the daemon's data centre are preferred, as after one was unreachable.
     pub prefers_local: bool,
     /// Tokens of the prompt's shared parts.
@@ -38,6 +48,23 @@
     pub request_hash: u64,
 }
 
+impl ChoiceRequest<'_> {
+    /// Returns whether a replica bears few requests yet.
+    #[must_use]
+    pub fn is_cold(&self, replica: &ReplicaEntry) -> bool {
+        self.cold.is_set() && (self.has_returned(replica) || ColdGate::is_cold(replica, self.now))
+    }
+
+    /// Returns whether the replica's data centre was evacuated a short time ago; its replicas may be
+    /// cold before their registrations say so.
+    fn has_returned(&self, replica: &ReplicaEntry) -> bool {
+        let (centre, time) = (&replica.data_centre, self.cold.return_caution);
+        self.places
+            .evacuations
+            .is_some_and(|evacuations| evacuations.has_returned_within(centre, time, self.now))
+    }
+}
+
 /// The criterion by which a replica was chosen.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
@@ -47,6 +74,8 @@
     Cache,
     /// The replica has the lowest load.
     Load,
+    /// The replica is cold and has to load the prompts that it will serve.
+    WarmUp,
     /// The replica comes first in the prompt's rendezvous order.
     Order,
 }
@@ -54,6 +83,8 @@
 /// The chosen replica and why it was chosen.
 #[derive(Clone, Debug)]
 pub struct ReplicaChoice {
+    /// Whether the replica is cold.
+    pub is_cold: bool,
     /// Estimated mean of the replicas' requests.
     pub mean: f64,
     /// The criterion that decided.
@@ -82,7 +113,10 @@
 ) -> Option<ReplicaChoice> {
     let all = candidates(replicas, tracker, request);
     let mean = mean_requests(&all);
-    let eligible = eligible(&all, request);
+    let eligible = eligible(&all, tracker, request);
+    if let Some(chosen) = due_for_warm_up(&eligible, tracker, request) {
+        return Some(choice_of(chosen, PlacedBy::WarmUp, None, mean));
+    }
     let by_prompt = request.key.and_then(|key| {
         let bound = LoadBound::at(mean_confidence(&all));
         let bound = bound.requests(mean, request.shared_tokens);
@@ -103,13 +137,46 @@
         Some(_) => PlacedBy::Order,
         None => PlacedBy::Load,
     };
-    Some(ReplicaChoice {
+    Some(choice_of(chosen, placed_by, rank, mean))
+}
+
+fn choice_of(
+    chosen: &Candidate<'_>,
+    placed_by: PlacedBy,
+    rank: Option<usize>,
+    mean: f64,
+) -> ReplicaChoice {
+    ReplicaChoice {
+        is_cold: chosen.is_cold,
         mean,
         placed_by,
         rank,
         replica: Arc::clone(chosen.entry),
         requests: chosen.requests,
-    })
+    }
+}
+
+/// Returns the cold replica that has waited longest for a request to load its prompts, if the request
+/// is short.
+///
+/// A long prompt would wait while the replica prefills all of it.
+fn due_for_warm_up<'a, 'b>(
+    eligible: &'b [Candidate<'a>],
+    tracker: &ReplicaTracker,
+    request: &ChoiceRequest<'_>,
+) -> Option<&'b Candidate<'a>> {
+    if request.shared_tokens > WARM_UP_TOKENS_MAX {
+        return None;
+    }
+    let cold = eligible.iter().filter(|candidate| candidate.is_cold);
+    let due = cold.filter_map(|candidate| {
+        let idle = tracker
+            .cold_gate()
+            .due_since(&candidate.entry.id, request.now)?;
+        Some((idle, candidate))
+    });
+    due.max_by_key(|(idle, _)| *idle)
+        .map(|(_, candidate)| candidate)
 }
 
 /// Estimates the requests at each replica.
@@ -149,9 +216,14 @@
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
             has_prefix: has_prefix(entry),
             confidence: load.map_or(0.0, |load| load.report_weight(now)),
-            intake: load.map_or(IntakeState::Open, |load| {
-                load.intake_state(entry, request.drain, now)
-            }),
+            intake: if request.places.allows(&entry.data_centre, now) {
+                load.map_or(IntakeState::Open, |load| {
+                    load.intake_state(entry, request.drain, now)
+                })
+            } else {
+                IntakeState::Closed
+            },
+            is_cold: request.is_cold(entry),
             is_unavailable: load.is_some_and(|load| load.is_ejected(now))
                 || centres.contains(&entry.data_centre.as_ref()),
             requests: estimate(load),
@@ -173,8 +245,13 @@
 /// Returns the replicas that weren't tried and take requests, without the unavailable ones unless
 /// all are.
 ///
-/// Leaving replicas are used only while no other one takes requests. If the request prefers its own data centre, replicas elsewhere are used only if it has none.
-fn eligible<'a>(all: &[Candidate<'a>], request: &ChoiceRequest<'_>) -> Vec<Candidate<'a>> {
+/// Leaving replicas are used only while no other one takes requests. If the request prefers its own
+/// data centre, replicas elsewhere are used only if it has none.
+fn eligible<'a>(
+    all: &[Candidate<'a>],
+    tracker: &ReplicaTracker,
+    request: &ChoiceRequest<'_>,
+) -> Vec<Candidate<'a>> {
     let untried: Vec<Candidate<'a>> = all
         .iter()
         .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
@@ -189,7 +266,7 @@
     let untried = if open.is_empty() {
         in_state(IntakeState::LastResort)
     } else {
-        open
+        bearable(open, tracker, request)
     };
     let healthy: Vec<Candidate<'a>> = untried
         .iter()
@@ -204,6 +281,33 @@
     }
 }
 
+/// Returns the candidates without the cold replicas to which this daemon may not send now.
+///
+/// A service all of whose replicas are cold gets its requests at random ones of them, each daemon
+/// sending its part of what they bear together.
+fn bearable<'a>(
+    open: Vec<Candidate<'a>>,
+    tracker: &ReplicaTracker,
+    request: &ChoiceRequest<'_>,
+) -> Vec<Candidate<'a>> {
+    let cold_count = open.iter().filter(|candidate| candidate.is_cold).count();
+    if cold_count == 0 {
+        return open;
+    }
+    let (limit, gate, now) = (request.cold, tracker.cold_gate(), request.now);
+    if cold_count < open.len() {
+        let mut bearable = open;
+        bearable
+            .retain(|candidate| !candidate.is_cold || gate.allows(&candidate.entry.id, limit, now));
+        return bearable;
+    }
+    if !gate.allows_spread(limit, cold_count, request.daemons, now) {
+        return Vec::new();
+    }
+    let index = request.request_hash % cold_count as u64;
+    vec![open[index as usize]]
+}
+
 /// Returns the candidates in a data centre, or all candidates if it has none.
 fn local_or_all<'a>(candidates: Vec<Candidate<'a>>, data_centre: &str) -> Vec<Candidate<'a>> {
     let local: Vec<Candidate<'a>> = candidates
--- a/crates/poplargap-core/src/forward/peer_view.rs
+++ b/crates/poplargap-core/src/forward/peer_view.rs
@@ -63,6 +63,11 @@
             .map(|(address, _)| *address)
     }
 
+    /// Returns the addresses of all other daemons.
+    pub fn all(&self) -> impl Iterator<Item = SocketAddr> {
+        self.data_centres.keys().copied()
+    }
+
     /// Returns the number of other daemons.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/poplargap-core/src/forward/prompt_source.rs
+++ b/crates/poplargap-core/src/forward/prompt_source.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        ReplicaEntry, ReplicaTracker, ReplicaView, cached_replicas::CachedReplica, rendezvous,
+        PlaceFilter, ReplicaEntry, ReplicaTracker, ReplicaView, cached_replicas::CachedReplica,
+        rendezvous,
     },
     crate::instant::MonotonicInstant,
     std::sync::Arc,
@@ -16,6 +17,8 @@
     pub key: u64,
     /// The current time.
     pub now: MonotonicInstant,
+    /// The data centres that the request may use.
+    pub places: PlaceFilter<'a>,
     /// The registered replicas of all services.
     pub view: &'a ReplicaView,
 }
@@ -118,5 +121,7 @@
     request: &SourceRequest<'_>,
     replica: &ReplicaEntry,
 ) -> bool {
-    replica.id != request.chosen.id && !tracker.is_doubtful(replica)
+    replica.id != request.chosen.id
+        && request.places.allows(&replica.data_centre, request.now)
+        && !tracker.is_doubtful(replica)
 }
--- a/crates/poplargap-core/src/forward/replica_entry.rs
+++ b/crates/poplargap-core/src/forward/replica_entry.rs
@@ -1,4 +1,5 @@
 use {
+    crate::instant::MonotonicInstant,
     displaydoc::Display,
     std::{net::SocketAddr, sync::Arc},
 };
@@ -56,6 +57,8 @@
 pub struct ReplicaEntry {
     /// Address at which the replica listens.
     pub address: SocketAddr,
+    /// Time until which the replica is cold, as it registered last; `None` if it isn't.
+    pub cold_until: Option<MonotonicInstant>,
     /// Start time in Unix milliseconds; 0 if the replica doesn't register it.
     pub started_ms: u64,
     /// The replica's data centre.
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -51,6 +51,14 @@
         self.ids.get(id)
     }
 
+    /// Returns the number of replicas in a data centre.
+    #[must_use]
+    pub fn count_in(&self, centre: &str) -> usize {
+        let all = self.all();
+        all.filter(|replica| replica.data_centre.as_ref() == centre)
+            .count()
+    }
+
     /// Returns the replicas of all services.
     pub fn all(&self) -> impl Iterator<Item = &Arc<ReplicaEntry>> {
         self.services.values().flatten()
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        CachedReplicas, CentreHealth, IntakeState, LeavingReplica, LoadDigest, LoadReport,
-        PendingLeaving, PendingReports, PromptRates, ReplicaEntry, ReplicaId, ReplicaLoad,
-        ReportSource, SendOutcome, cached_replicas::CachedReplica,
+        CachedReplicas, CentreHealth, ColdGate, IntakeState, LeavingReplica, LoadDigest,
+        LoadReport, PendingLeaving, PendingReports, PromptRates, ReplicaEntry, ReplicaId,
+        ReplicaLoad, ReportSource, SendOutcome, cached_replicas::CachedReplica,
     },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
@@ -36,6 +36,7 @@
 pub struct ReplicaTracker {
     centres: HashMap<Arc<str>, CentreHealth>,
     cached_replicas: CachedReplicas,
+    cold_gate: ColdGate,
     loads: HashMap<ReplicaId, ReplicaLoad>,
     pending_leaving: PendingLeaving,
     pending_reports: PendingReports,
@@ -49,6 +50,17 @@
         self.loads.get(id)
     }
 
+    /// Returns the limits of this daemon's requests to cold replicas.
+    #[must_use]
+    pub fn cold_gate(&self) -> &ColdGate {
+        &self.cold_gate
+    }
+
+    /// Returns the limits of this daemon's requests to cold replicas, to record requests.
+    pub fn cold_gate_mut(&mut self) -> &mut ColdGate {
+        &mut self.cold_gate
+    }
+
     /// Counts a request for the prompt `key`.
     pub fn record_prompt(&mut self, key: u64, now: MonotonicInstant) {
         self.prompts.record(key, now);
@@ -295,6 +307,7 @@
     /// A registration may lapse while the replica lives, and come back.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool, now: MonotonicInstant) {
         self.cached_replicas.expire(now);
+        self.cold_gate.expire(now);
         self.loads
             .retain(|id, load| load.in_flight > 0 || keep(id) || load.intake.is_in_force(now));
     }
--- a/crates/poplargap-core/src/forward/route_entry.rs
+++ b/crates/poplargap-core/src/forward/route_entry.rs
@@ -39,6 +39,8 @@
     pub caches_prompts: bool,
     /// Longest pause between two events of a stream; zero if none is set.
     pub gap_target: Duration,
+    /// Regions that the route's requests may use; empty if they may use all.
+    pub homes: Vec<Arc<str>>,
     /// Host name in lower case, without a port.
     pub host: String,
     /// Whether requests need no API key.
@@ -90,8 +92,11 @@
 }
 
 /// A service that routes forward to.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
+    /// Requests a second that a cold replica bears from all daemons together; zero if cold replicas
+    /// bear any load.
+    pub cold_per_second: f64,
     /// Most connections that one replica accepts from all daemons together.
     pub connections_max: u32,
     /// The service's name.
@@ -101,6 +106,8 @@
 /// A workspace and its callers' API keys.
 #[derive(Clone, Eq, PartialEq)]
 pub struct WorkspaceEntry {
+    /// Regions that the workspace's requests may use; empty if they may use all.
+    pub homes: Vec<Arc<str>>,
     /// The API keys.
     pub keys: Vec<String>,
     /// The workspace's name.
@@ -112,6 +119,7 @@
 impl Debug for WorkspaceEntry {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.debug_struct("WorkspaceEntry")
+            .field("homes", &self.homes)
             .field("keys", &self.keys.len())
             .field("name", &self.name)
             .field("priority", &self.priority)
--- a/crates/poplargap-core/tests/forward/cached_replicas.rs
+++ b/crates/poplargap-core/tests/forward/cached_replicas.rs
@@ -1,8 +1,8 @@
 use {
     crate::{at, replicas},
     poplargap_core::forward::{
-        CachedReplicas, ChoiceRequest, LoadReport, PlacedBy, ReplicaEntry, ReplicaTracker,
-        choose_replica,
+        CachedReplicas, ChoiceRequest, ColdLimit, LoadReport, PlaceFilter, PlacedBy, ReplicaEntry,
+        ReplicaTracker, choose_replica,
     },
     std::{sync::Arc, time::Duration},
 };
@@ -11,11 +11,14 @@
 
 fn request(ms: u64) -> ChoiceRequest<'static> {
     ChoiceRequest {
+        cold: ColdLimit::default(),
+        daemons: 6,
         data_centre: "ne1",
         drain: Duration::from_secs(2),
         excluded: &[],
         key: Some(KEY),
         now: at(ms),
+        places: PlaceFilter::default(),
         prefers_local: false,
         shared_tokens: 10_512,
         request_hash: 1,
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -2,7 +2,8 @@
     crate::{at, replicas},
     poplargap_core::{
         forward::{
-            ChoiceRequest, LoadReport, ReplicaEntry, ReplicaTracker, SendOutcome, choose_replica,
+            ChoiceRequest, ColdLimit, LoadReport, PlaceFilter, ReplicaEntry, ReplicaTracker,
+            SendOutcome, choose_replica,
         },
         instant::MonotonicInstant,
     },
@@ -15,11 +16,14 @@
 
 fn request(key: Option<u64>, shared_tokens: u64, now: MonotonicInstant) -> ChoiceRequest<'static> {
     ChoiceRequest {
+        cold: ColdLimit::default(),
+        daemons: 6,
         data_centre: "ne1",
         drain: Duration::from_secs(2),
         excluded: &[],
         key,
         now,
+        places: PlaceFilter::default(),
         prefers_local: false,
         shared_tokens,
         request_hash: 1,
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -5,12 +5,14 @@
 mod cached_replicas;
 mod choice;
 mod close;
+mod cold_gate;
 mod cold_start;
 mod crash_evidence;
 mod crash_order;
 mod crash_schedules;
 mod events;
 mod intake;
+mod places;
 mod prompt_source;
 mod readers;
 mod registry;
@@ -35,6 +37,7 @@
 fn replica(number: usize, data_centre: &str) -> ReplicaEntry {
     ReplicaEntry {
         address: ([127, 0, 0, 1], 9_000).into(),
+        cold_until: None,
         started_ms: 1,
         data_centre: data_centre.into(),
         id: format!("replica-{number}").into(),
--- a/crates/poplargap-core/tests/forward/prompt_source.rs
+++ b/crates/poplargap-core/tests/forward/prompt_source.rs
@@ -1,8 +1,8 @@
 use {
     crate::{at, replica},
     poplargap_core::forward::{
-        PromptSource, ReplicaEntry, ReplicaRegistry, ReplicaState, ReplicaTracker, SendOutcome,
-        SourceBasis, SourceRequest, choose_source,
+        PlaceFilter, PromptSource, ReplicaEntry, ReplicaRegistry, ReplicaState, ReplicaTracker,
+        SendOutcome, SourceBasis, SourceRequest, choose_source,
     },
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -31,6 +31,7 @@
         chosen,
         key: KEY,
         now: at(10),
+        places: PlaceFilter::default(),
         view: &view,
     };
     choose_source(tracker, &request)
--- a/crates/poplargap-core/tests/forward/routes.rs
+++ b/crates/poplargap-core/tests/forward/routes.rs
@@ -10,6 +10,7 @@
     RouteEntry {
         caches_prompts: false,
         gap_target: Duration::ZERO,
+        homes: Vec::new(),
         host: "shop.example".to_owned(),
         is_public,
         is_stream: false,
@@ -40,6 +41,7 @@
         route("open", "/open/", true),
     ];
     let workspace = WorkspaceEntry {
+        homes: Vec::new(),
         keys: vec!["key-1".to_owned()],
         name: "ty-bach".into(),
         priority: None,
@@ -110,6 +112,7 @@
 #[test]
 fn keys_do_not_show_in_debug_output() {
     let workspace = WorkspaceEntry {
+        homes: Vec::new(),
         keys: vec!["secret-key".to_owned()],
         name: "ty-bach".into(),
         priority: None,
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -1,8 +1,8 @@
 use {
     crate::{at, replicas},
     poplargap_core::forward::{
-        ChoiceRequest, LoadReport, PeerEntry, PeerView, PendingReports, ReplicaEntry, ReplicaLoad,
-        ReplicaTracker, ReportSource, choose_replica,
+        ChoiceRequest, ColdLimit, LoadReport, PeerEntry, PeerView, PendingReports, PlaceFilter,
+        ReplicaEntry, ReplicaLoad, ReplicaTracker, ReportSource, choose_replica,
     },
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -127,11 +127,14 @@
         let now = at(ms);
         let tracker = &mut self.trackers[daemon];
         let request = ChoiceRequest {
+            cold: ColdLimit::default(),
+            daemons: 6,
             data_centre: centre(daemon),
             drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(key),
             now,
+            places: PlaceFilter::default(),
             prefers_local: false,
             shared_tokens: if key.is_multiple_of(3) {
                 LONG_PROMPT_TOKENS
--- a/crates/poplargap-forward/src/admit.rs
+++ b/crates/poplargap-forward/src/admit.rs
@@ -79,7 +79,9 @@
             .map_or("", |target| target.as_str()),
     };
     let identity = RequestIdentity::new(&head.prompt, content);
+    let cold = routes.service(&service);
     Ok(AdmittedCall {
+        cold_per_second: cold.map_or(0.0, |entry| entry.cold_per_second),
         deadline: received.started_at + wait,
         received,
         grant,
--- a/crates/poplargap-forward/src/call_stage.rs
+++ b/crates/poplargap-forward/src/call_stage.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct AdmittedCall {
     pub(crate) received: ReceivedCall,
+    /// Requests a second that a cold replica of the service bears; zero if it bears any load.
+    pub(crate) cold_per_second: f64,
     /// Latest time for the caller's final answer.
     pub(crate) deadline: Instant,
     pub(crate) grant: RouteGrant,
--- a/crates/poplargap-forward/src/dialect.rs
+++ b/crates/poplargap-forward/src/dialect.rs
@@ -7,7 +7,10 @@
         HeaderMap,
         http::{request, response},
     },
-    poplargap_core::forward::{ReplicaEntry, RouteTable},
+    poplargap_core::{
+        forward::{ReplicaEntry, RouteTable},
+        instant::MonotonicInstant,
+    },
 };
 
 /// Why a stored value can't be decoded.
@@ -52,6 +55,9 @@
     /// Returns the key prefix of the replicas' registrations.
     fn replicas_prefix(&self) -> &str;
 
+    /// Returns the key prefix of the operators' requests to evacuate a data centre, whose name follows.
+    fn evacuations_prefix(&self) -> &str;
+
     /// Decodes the routes.
     ///
     /// # Errors
@@ -59,10 +65,15 @@
     /// Returns an error if the value isn't a valid configuration.
     fn read_routes(&self, value: &str) -> Result<RouteTable, DecodeError>;
 
-    /// Decodes a replica's registration.
+    /// Decodes a replica's registration, which was read at `now`.
     ///
     /// # Errors
     ///
     /// Returns an error if the value isn't a valid registration.
-    fn read_replica(&self, id: &str, value: &str) -> Result<ReplicaEntry, DecodeError>;
+    fn read_replica(
+        &self,
+        id: &str,
+        value: &str,
+        now: MonotonicInstant,
+    ) -> Result<ReplicaEntry, DecodeError>;
 }
--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -4,6 +4,7 @@
 mod change_request;
 mod change_server;
 mod change_share;
+mod evacuation_feed;
 mod evidence_feed;
 mod feed_context;
 mod omitted_values;
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -92,7 +92,8 @@
     }
 
     fn decode(&self, id: &str, value: &str) -> Option<ReplicaEntry> {
-        match self.context.dialect.read_replica(id, value) {
+        let now = self.context.clock.now();
+        match self.context.dialect.read_replica(id, value, now) {
             Ok(entry) => Some(entry),
             Err(error) => {
                 info!(self.context.log, "replica's registration can't be read";
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         FeedContext,
+        evacuation_feed::EvacuationFeed,
         evidence_feed::EvidenceFeed,
         peers_feed::PeersFeed,
         replicas_feed::ReplicasFeed,
@@ -13,9 +14,9 @@
         crash_board::{CRASHES_PREFIX, CrashBoard, SOUND_PREFIX},
         peers::PEERS_PREFIX,
     },
-    poplargap_core::forward::{PeerView, ReplicaView, RouteTable},
+    poplargap_core::forward::{EvacuationView, PeerView, ReplicaView, RouteTable},
     poplargap_store::KeyValueStore,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -23,6 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct FeedViews {
     pub(crate) crashes: Arc<CrashBoard>,
+    pub(crate) evacuations: watch::Sender<Arc<EvacuationView>>,
     pub(crate) peers: watch::Sender<Arc<PeerView>>,
     pub(crate) replicas: watch::Sender<Arc<ReplicaView>>,
     pub(crate) routes: watch::Sender<Option<Arc<RouteTable>>>,
@@ -35,11 +37,13 @@
 pub(crate) async fn follow_store<F: FeedDialect, S: KeyValueStore>(
     context: FeedContext<F, S>,
     views: FeedViews,
+    evacuation_limit: Duration,
     sharing: Option<FeedSharing>,
 ) {
     let mut prefixes = vec![
         context.dialect.routes_key(),
         context.dialect.replicas_prefix(),
+        context.dialect.evacuations_prefix(),
         CRASHES_PREFIX,
         SOUND_PREFIX,
     ];
@@ -47,6 +51,12 @@
     let own_peer = sharing.as_ref().map(|sharing| sharing.own);
     let mut follower = StoreFollower::new(context.clone(), &prefixes, sharing);
     let evidence = EvidenceFeed::new(context.clone(), views.crashes);
+    let evacuations = EvacuationFeed::new(
+        context.clone(),
+        evacuation_limit,
+        views.replicas.subscribe(),
+        views.evacuations,
+    );
     let routes = RoutesFeed::new(context.clone(), views.routes);
     let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
     let mut replicas = ReplicasFeed::new(context, views.replicas);
@@ -63,6 +73,7 @@
                     if let Some(peers) = &mut peers {
                         peers.apply(&update);
                     }
+                    evacuations.apply(&update);
                     evidence.apply(&update);
                     // Requests that are held for the routes need the replicas, too.
                     routes.apply(&update);
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -20,6 +20,7 @@
     calls: IntCounterVec,
     connections: IntCounterVec,
     crash_reports: IntCounterVec,
+    evacuated: IntGauge,
     first_byte: HistogramVec,
     notices: IntCounterVec,
     peer_messages: IntCounterVec,
@@ -53,6 +54,11 @@
             "Prompt parts whose requests are refused because they crash replicas",
         )?;
         registry.register(Box::new(blocked_parts.clone()))?;
+        let evacuated = IntGauge::new(
+            "poplargap_evacuated_data_centres",
+            "Data centres whose replicas get no new requests",
+        )?;
+        registry.register(Box::new(evacuated.clone()))?;
         Ok(Self {
             attempts: counter(
                 "poplargap_attempts_total",
@@ -75,6 +81,7 @@
                 "Writes of crash reports and notes on prompt parts to the store by their outcome",
                 &["outcome"],
             )?,
+            evacuated,
             first_byte: histogram(
                 "poplargap_first_byte_seconds",
                 "Time from a request to the head of its answer, by workspace",
@@ -147,6 +154,10 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn set_evacuated(&self, count: usize) {
+        self.evacuated.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_notice(&self, notice: &str) {
         self.notices.with_label_values(&[notice]).inc();
     }
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -85,8 +85,10 @@
         let (routes_sender, routes) = watch::channel(None);
         let (replicas_sender, replicas) = watch::channel(Arc::new(ReplicaView::default()));
         let (peers_sender, peers) = watch::channel(Arc::new(PeerView::default()));
+        let (evacuations_sender, evacuations) = watch::channel(Arc::default());
         let views = FeedViews {
             crashes: Arc::clone(&crashes),
+            evacuations: evacuations_sender,
             peers: peers_sender,
             replicas: replicas_sender,
             routes: routes_sender,
@@ -108,10 +110,12 @@
             connections: ConnectionPool::new(clock, log.clone()),
             crashes: Arc::clone(&crashes),
             dialect,
+            evacuations,
             held: 0.into(),
             open_connections: 0.into(),
             log: log.clone(),
             metrics,
+            peers: peers.clone(),
             replicas,
             routes,
             settings,
@@ -153,7 +157,8 @@
             reports,
             store: feed.store.clone(),
         }));
-        tasks.spawn(follow_store(feed, views, sharing));
+        let evacuation = state.settings.places.evacuation;
+        tasks.spawn(follow_store(feed, views, evacuation, sharing));
         tasks.spawn(serve_ready(Arc::clone(&state), ready));
         tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
         tasks.spawn(accept(Arc::clone(&state), callers));
--- a/crates/poplargap-forward/src/front_settings.rs
+++ b/crates/poplargap-forward/src/front_settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a front proxy.
 
-use std::{net::SocketAddr, time::Duration};
+use {
+    poplargap_core::forward::RegionTable,
+    std::{net::SocketAddr, time::Duration},
+};
 
 /// Settings of the retry budget of each service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,6 +40,17 @@
     pub watch_wait: Duration,
 }
 
+/// The data centres, and how fast they are emptied and filled.
+#[derive(Clone, Debug, Default)]
+pub struct PlaceSettings {
+    /// Time in which an evacuation must take effect.
+    pub evacuation: Duration,
+    /// Region of each data centre.
+    pub regions: RegionTable,
+    /// Time after the end of an evacuation in which replicas register whether they are cold.
+    pub return_caution: Duration,
+}
+
 /// Settings of a front proxy.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -54,6 +68,8 @@
     pub metrics: SocketAddr,
     /// Address for messages of peer daemons; `None` to exchange none.
     pub peers: Option<SocketAddr>,
+    /// The data centres.
+    pub places: PlaceSettings,
     /// Address of the listener for the platform's readiness probe.
     pub ready: SocketAddr,
     /// Settings of the retry budgets.
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -8,7 +8,10 @@
     },
     poplargap_core::{
         collections::HashMap,
-        forward::{ReplicaEntry, ReplicaTracker, ReplicaView, RouteTable, ServiceBudget},
+        forward::{
+            EvacuationView, PeerView, ReplicaEntry, ReplicaTracker, ReplicaView, RouteTable,
+            ServiceBudget,
+        },
     },
     slog::Logger,
     std::{
@@ -31,11 +34,13 @@
     pub(crate) connections: ConnectionPool,
     pub(crate) crashes: Arc<CrashBoard>,
     pub(crate) dialect: D,
+    pub(crate) evacuations: watch::Receiver<Arc<EvacuationView>>,
     /// Number of requests that wait for the first routes.
     pub(crate) held: AtomicUsize,
     pub(crate) open_connections: AtomicUsize,
     pub(crate) log: Logger,
     pub(crate) metrics: FrontMetrics,
+    pub(crate) peers: watch::Receiver<Arc<PeerView>>,
     pub(crate) replicas: watch::Receiver<Arc<ReplicaView>>,
     pub(crate) routes: watch::Receiver<Option<Arc<RouteTable>>>,
     pub(crate) settings: FrontSettings,
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -44,7 +44,9 @@
     dialect::{DecodeError, FeedDialect, WireDialect},
     feed::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
     front_proxy::{FrontError, FrontProxy},
-    front_settings::{FeedSettings, FrontSettings, RetrySettings, SharedFeedSettings},
+    front_settings::{
+        FeedSettings, FrontSettings, PlaceSettings, RetrySettings, SharedFeedSettings,
+    },
     local_answer::LocalAnswer,
     peers::{LeasedEntry, MessageError, PEERS_PREFIX, PeerMessage, announce},
     process_clock::ProcessClock,
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -6,8 +6,8 @@
         front_state::{FrontState, PlacedCall},
     },
     poplargap_core::forward::{
-        ChoiceRequest, ReplicaId, ReplicaLoad, SourceRequest, choose_replica, choose_source,
-        shared_tokens,
+        ChoiceRequest, ColdLimit, FleetPlace, PlaceFilter, ReplicaEntry, ReplicaId, ReplicaLoad,
+        ReplicaTracker, SourceRequest, choose_replica, choose_source, shared_tokens,
     },
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64,
@@ -23,15 +23,33 @@
     prefers_local: bool,
 ) -> Option<(PlacedCall<D>, PlacementRecord)> {
     let now = state.clock.now();
+    let request_hash = xxh3_64(call.received.head.id.as_bytes());
+    let evacuations = Arc::clone(&state.evacuations.borrow());
+    let workspace = call.grant.workspace.as_ref();
+    let places = PlaceFilter {
+        evacuations: Some(&evacuations),
+        point: call.placement_key.unwrap_or(request_hash),
+        regions: Some(&state.settings.places.regions),
+        route_homes: &call.grant.route.homes,
+        workspace_homes: workspace.map_or(&[], |workspace| &workspace.homes),
+    };
+    let cold = ColdLimit {
+        per_second: call.cold_per_second,
+        return_caution: state.settings.places.return_caution,
+    };
+    let peers = Arc::clone(&state.peers.borrow());
     let request = ChoiceRequest {
+        cold,
+        daemons: peers.len() + 1,
         data_centre: &state.settings.data_centre,
         drain: state.settings.drain,
         excluded,
         key: call.placement_key,
         now,
+        places,
         prefers_local,
         shared_tokens: shared_tokens(&call.received.head.prompt),
-        request_hash: xxh3_64(call.received.head.id.as_bytes()),
+        request_hash,
     };
     let view = Arc::clone(&state.replicas.borrow());
     let replicas = view.replicas(&call.service);
@@ -40,12 +58,24 @@
         if let Some(key) = call.placement_key {
             tracker.record_prompt(key, now);
         }
+        if cold.is_set() {
+            let fleet = FleetPlace {
+                own: state.settings.peers.unwrap_or(state.settings.callers),
+                data_centre: &state.settings.data_centre,
+                peers: &peers,
+            };
+            refresh_cold(&mut tracker, replicas, &request, &fleet);
+        }
         let choice = choose_replica(replicas, &tracker, &request)?;
+        if choice.is_cold {
+            tracker.cold_gate_mut().record(&choice.replica.id, now);
+        }
         let source = call.placement_key.and_then(|key| {
             let request = SourceRequest {
                 chosen: &choice.replica,
                 key,
                 now,
+                places,
                 view: &view,
             };
             choose_source(&tracker, &request)
@@ -75,3 +105,16 @@
     });
     Some((PlacedCall::new(state, choice.replica, source), placement))
 }
+
+/// Determines to which of the cold replicas this daemon sends.
+fn refresh_cold(
+    tracker: &mut ReplicaTracker,
+    replicas: &[Arc<ReplicaEntry>],
+    request: &ChoiceRequest<'_>,
+    fleet: &FleetPlace<'_>,
+) {
+    let gate = tracker.cold_gate_mut();
+    for replica in replicas.iter().filter(|replica| request.is_cold(replica)) {
+        gate.refresh(replica, fleet, request.now);
+    }
+}
