Let requests wait for room, and place them by expected time, where replicas state their pace

Cause: requests without a prompt went to the replica with the fewest requests in the last reports, all daemons to the same one for a digest's time, and the pace that replicas of shared machines state was dropped.

The work's mean as an estimate follows the queue and made a full service seem slow.

Change: the choice is a random one by expected time (slots, queue, pace, distance). Each daemon sends the share of its requests that the replicas bear: their rate, which follows the queues slowly, over the demand that daemons tell each other. What is late or beyond the share waits in its daemon, the most urgent first, and is refused with a time when it has waited for a part of its own. While requests wait, reports are exchanged every 50 ms. Nothing of it is in force where no replica states a pace.

--- a/crates/poplargap-core/benches/choice.rs
+++ b/crates/poplargap-core/benches/choice.rs
@@ -39,6 +39,7 @@
             let report = LoadReport {
                 running: (number % 9) as u32,
                 waiting: 0,
+                ..LoadReport::default()
             };
             tracker.record_peer_report(&replica, report, now);
             registry.put(replica);
--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -6,6 +6,7 @@
 mod attempt_rule;
 mod blocked_parts;
 mod cached_replicas;
+mod centre_distance;
 mod centre_health;
 mod choice_candidate;
 mod choice_rule;
@@ -17,7 +18,9 @@
 mod crash_report;
 mod evacuation;
 mod event_cursor;
+mod exchange_rule;
 mod feed_state;
+mod fleet_demand;
 mod load_bound;
 mod peer_view;
 mod pending_crashes;
@@ -33,20 +36,27 @@
 mod replica_entry;
 mod replica_intake;
 mod replica_load;
+mod replica_pace;
 mod replica_registry;
 mod replica_tracker;
 mod request_identity;
+mod room_rule;
+mod room_share;
 mod route_entry;
 mod route_table;
 mod send_outcome;
 mod service_budget;
 mod sound_parts;
 mod stream_watch;
+mod timed_choice;
+mod wait_queue;
+mod work_estimate;
 
 pub use {
     attempt_rule::{AttemptHistory, FinalAnswer, NextStep, RefusalReason, next_step},
     blocked_parts::{BlockScope, BlockedPart, BlockedParts, SoundNote},
     cached_replicas::{CachedReplicas, PrefixReplica},
+    centre_distance::CentreDistances,
     centre_health::CentreHealth,
     choice_rule::{ChoiceRequest, PlacedBy, ReplicaChoice, choose_replica},
     client_limits::ClientLimits,
@@ -57,7 +67,9 @@
     crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
     evacuation::{EvacuationChange, EvacuationView},
     event_cursor::{CursorError, EventCursor},
+    exchange_rule::ExchangeRule,
     feed_state::FeedState,
+    fleet_demand::{FleetDemand, ServiceDemand},
     peer_view::{PeerEntry, PeerView},
     pending_crashes::{PeerCrash, PendingCrashes},
     pending_leaving::{LeavingReplica, PendingLeaving},
@@ -70,13 +82,19 @@
     replica_entry::{AddressError, ProcessAddress, ReplicaEntry, ReplicaId, ReplicaState},
     replica_intake::{IntakeState, ReplicaIntake},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
+    replica_pace::{PaceError, PaceEstimate, ReplicaPace},
     replica_registry::{RegistryChange, ReplicaRegistry, ReplicaView},
     replica_tracker::{HealthChange, ReplicaTracker},
     request_identity::{RequestContent, RequestIdentity},
+    room_rule::{RoomRequest, RoomStep, RoomView, ShortRoom, room_step},
+    room_share::RoomShare,
     route_entry::{RepeatRule, RouteEntry, ServiceEntry, ServiceShare, WorkspaceEntry},
     route_table::{AccessRefusal, RouteGrant, RouteTable},
     send_outcome::SendOutcome,
     service_budget::ServiceBudget,
     sound_parts::SoundParts,
     stream_watch::{EventlessError, StallStep, StreamWatch},
+    timed_choice::{TimedReplica, choose_by_time, load_factor, nominal_rate, timed_replicas},
+    wait_queue::{WaitEntry, WaitQueue, WaitTicket},
+    work_estimate::WorkEstimate,
 };
--- a/crates/poplargap-core/src/forward/choice_candidate.rs
+++ b/crates/poplargap-core/src/forward/choice_candidate.rs
@@ -14,9 +14,11 @@
     pub(super) confidence: f64,
     /// Whether it bears few requests yet.
     pub(super) is_cold: bool,
-    /// Whether it takes new requests.
-    pub(super) intake: IntakeState,
+    /// Whether it takes new requests; `None` if the request may not use its data centre.
+    pub(super) intake: Option<IntakeState>,
     /// Whether it is ejected or in an unreachable data centre.
     pub(super) is_unavailable: bool,
+    /// Factor on the usual time of work.
+    pub(super) pace: f64,
     pub(super) requests: f64,
 }
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -18,6 +18,12 @@
 /// Requests that are added to the load of a replica, times its failure ratio.
 const FAILURE_COST_REQUESTS: f64 = 8.0;
 
+/// Weight of the newest report from which on the mean of all is taken as it is.
+const CERTAIN_WEIGHT: f64 = 0.5;
+
+/// Greatest factor on the mean for the load of replicas that may not be used.
+const CARRIED_MEAN_MAX: f64 = 1.3;
+
 /// Most shared tokens of a prompt that a cold replica gets to load its prompts.
 const WARM_UP_TOKENS_MAX: u64 = 4_096;
 
@@ -74,6 +80,8 @@
     Cache,
     /// The replica has the lowest load.
     Load,
+    /// The replica has a short expected time.
+    Time,
     /// The replica is cold and has to load the prompts that it will serve.
     WarmUp,
     /// The replica comes first in the prompt's rendezvous order.
@@ -111,7 +119,7 @@
     tracker: &ReplicaTracker,
     request: &ChoiceRequest<'_>,
 ) -> Option<ReplicaChoice> {
-    let all = candidates(replicas, tracker, request);
+    let all = candidates(replicas, tracker, request, ReportUse::Lasting);
     let mean = mean_requests(&all);
     let eligible = eligible(&all, tracker, request);
     if let Some(chosen) = due_for_warm_up(&eligible, tracker, request) {
@@ -119,7 +127,7 @@
     }
     let by_prompt = request.key.and_then(|key| {
         let bound = LoadBound::at(mean_confidence(&all));
-        let bound = bound.requests(mean, request.shared_tokens);
+        let bound = bound.requests(bound_mean(&all, mean), request.shared_tokens);
         let expected = tracker.prompt_share(key) * mean * all.len() as f64;
         let replica_count = replica_count(expected, bound, eligible.len());
         by_prompt(&eligible, bound, key, replica_count, request.request_hash)
@@ -179,13 +187,44 @@
         .map(|(_, candidate)| candidate)
 }
 
+/// How load reports are used, which depends on how fast a service's load changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ReportUse {
+    /// Requests take seconds, and prompts keep their replicas.
+    Lasting,
+    /// Requests take much less than a second.
+    Recent,
+}
+
+impl ReportUse {
+    /// Returns the weight of a replica's last report.
+    fn weight(self, load: &ReplicaLoad, now: MonotonicInstant) -> f64 {
+        match self {
+            Self::Lasting => load.report_weight(now),
+            Self::Recent => load.recent_weight(now),
+        }
+    }
+
+    /// Returns the factor on the mean of the reports if `greatest` is the weight of the newest one.
+    ///
+    /// Where all reports are old, a full replica has probably room again, and a request has to find
+    /// out.
+    fn certainty(self, greatest: f64) -> f64 {
+        match self {
+            Self::Lasting => 1.0,
+            Self::Recent => (greatest / CERTAIN_WEIGHT).min(1.0),
+        }
+    }
+}
+
 /// Estimates the requests at each replica.
 ///
 /// A replica's own report is weighted by its age; the mean of all reports makes up the rest.
-fn candidates<'a>(
+pub(super) fn candidates<'a>(
     replicas: &'a [Arc<ReplicaEntry>],
     tracker: &ReplicaTracker,
     request: &ChoiceRequest<'_>,
+    reports: ReportUse,
 ) -> Vec<Candidate<'a>> {
     let now = request.now;
     let holders: Vec<&CachedReplica> = request
@@ -199,12 +238,13 @@
         .iter()
         .map(|entry| tracker.load(&entry.id))
         .collect();
-    let mean = mean_peer_requests(&loads, now);
+    let mean = mean_peer_requests(&loads, now, reports);
+    let paces = PaceScale::new(&loads);
     let estimate = |load: Option<&ReplicaLoad>| {
         let peers = load
             .and_then(ReplicaLoad::peer_requests)
             .map_or(mean, f64::from);
-        let weight = load.map_or(0.0, |load| load.report_weight(now));
+        let weight = load.map_or(0.0, |load| reports.weight(load, now));
         let own = load.map_or(0, ReplicaLoad::in_flight);
         f64::from(own) + weight * peers + (1.0 - weight) * mean
     };
@@ -216,30 +256,38 @@
             failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
             has_prefix: has_prefix(entry),
             confidence: load.map_or(0.0, |load| load.report_weight(now)),
-            intake: if request.places.allows(&entry.data_centre, now) {
+            intake: request.places.allows(&entry.data_centre, now).then(|| {
                 load.map_or(IntakeState::Open, |load| {
                     load.intake_state(entry, request.drain, now)
                 })
-            } else {
-                IntakeState::Closed
-            },
+            }),
             is_cold: request.is_cold(entry),
             is_unavailable: load.is_some_and(|load| load.is_ejected(now))
                 || centres.contains(&entry.data_centre.as_ref()),
-            requests: estimate(load),
+            pace: load.map_or(paces.mean, |load| paces.expected(load, now)),
+            requests: estimate(load) * paces.relative(load),
         })
         .collect()
 }
 
 /// Returns the mean number of the peers' requests per replica, weighted by the reports' ages.
-fn mean_peer_requests(loads: &[Option<&ReplicaLoad>], now: MonotonicInstant) -> f64 {
-    let (mut total, mut weights) = (0.0, 0.0);
+fn mean_peer_requests(
+    loads: &[Option<&ReplicaLoad>],
+    now: MonotonicInstant,
+    reports: ReportUse,
+) -> f64 {
+    let (mut total, mut weights, mut greatest) = (0.0, 0.0, 0.0_f64);
     for load in loads.iter().flatten() {
-        let weight = load.report_weight(now);
+        let weight = reports.weight(load, now);
+        greatest = greatest.max(weight);
         total += weight * load.peer_requests().map_or(0.0, f64::from);
         weights += weight;
     }
-    if weights > 0.0 { total / weights } else { 0.0 }
+    if weights > 0.0 {
+        total / weights * reports.certainty(greatest)
+    } else {
+        0.0
+    }
 }
 
 /// Returns the replicas that weren't tried and take requests, without the unavailable ones unless
@@ -247,7 +295,7 @@
 ///
 /// Leaving replicas are used only while no other one takes requests. If the request prefers its own
 /// data centre, replicas elsewhere are used only if it has none.
-fn eligible<'a>(
+pub(super) fn eligible<'a>(
     all: &[Candidate<'a>],
     tracker: &ReplicaTracker,
     request: &ChoiceRequest<'_>,
@@ -259,7 +307,7 @@
         .collect();
     let in_state = |state: IntakeState| -> Vec<Candidate<'a>> {
         let candidates = untried.iter();
-        let candidates = candidates.filter(|candidate| candidate.intake == state);
+        let candidates = candidates.filter(|candidate| candidate.intake == Some(state));
         candidates.copied().collect()
     };
     let open = in_state(IntakeState::Open);
@@ -327,6 +375,22 @@
     total / candidates.len().max(1) as f64
 }
 
+/// Returns the mean on which the bound of a replica's requests is based.
+///
+/// Where a part of the replicas may not be used, the others carry its load, up to the part of the
+/// bound that is left before they hold too many for the mean of all.
+fn bound_mean(all: &[Candidate<'_>], mean: f64) -> f64 {
+    let allowed: Vec<Candidate<'_>> = all
+        .iter()
+        .filter(|candidate| candidate.intake.is_some())
+        .copied()
+        .collect();
+    if allowed.len() == all.len() || allowed.is_empty() {
+        return mean;
+    }
+    mean_requests(&allowed).clamp(mean, mean * CARRIED_MEAN_MAX)
+}
+
 fn mean_requests(candidates: &[Candidate<'_>]) -> f64 {
     let total: f64 = candidates.iter().map(|candidate| candidate.requests).sum();
     total / candidates.len().max(1) as f64
@@ -349,3 +413,37 @@
 ) -> Option<&'b Candidate<'a>> {
     candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
+
+/// Least and greatest relative pace that is counted, so that a replica that states a wrong pace gets
+/// neither most of the requests nor none.
+const RELATIVE_PACE_RANGE: (f64, f64) = (0.7, 3.0);
+
+/// The paces of a service's replicas against their mean.
+#[derive(Clone, Copy, Debug)]
+struct PaceScale {
+    mean: f64,
+}
+
+impl PaceScale {
+    fn new(loads: &[Option<&ReplicaLoad>]) -> Self {
+        let paces = loads.iter().flatten().filter_map(|load| load.pace());
+        let (total, count) = paces.fold((0.0, 0.0), |(total, count), pace| {
+            (total + pace.lasting_factor(), count + 1.0)
+        });
+        let mean = if count > 0.0 { total / count } else { 1.0 };
+        Self { mean }
+    }
+
+    /// Returns the pace of a replica as of now; the mean if it has stated none.
+    fn expected(self, load: &ReplicaLoad, now: MonotonicInstant) -> f64 {
+        load.pace().map_or(self.mean, |pace| pace.factor(now))
+    }
+
+    /// Returns the factor by which a request weighs more at a replica that is slow for long.
+    fn relative(self, load: Option<&ReplicaLoad>) -> f64 {
+        let pace = load.and_then(ReplicaLoad::pace);
+        let (least, greatest) = RELATIVE_PACE_RANGE;
+        pace.map_or(1.0, |pace| pace.lasting_factor() / self.mean)
+            .clamp(least, greatest)
+    }
+}
--- a/crates/poplargap-core/src/forward/pending_reports.rs
+++ b/crates/poplargap-core/src/forward/pending_reports.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LoadReport, PrefixReplica, ReplicaId},
+    super::{LoadReport, PrefixReplica, ReplicaId, ServiceDemand},
     crate::{collections::HashMap, instant::MonotonicInstant},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct LoadDigest {
+    /// The daemon's requests of the services whose replicas state their pace.
+    pub demands: Vec<ServiceDemand>,
     /// Replicas that have cached prompt prefixes.
     #[serde(rename = "homes")]
     pub prefix_replicas: Vec<PrefixReplica>,
@@ -38,7 +40,7 @@
     /// Returns whether there is nothing to send.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.prefix_replicas.is_empty() && self.reports.is_empty()
+        self.prefix_replicas.is_empty() && self.reports.is_empty() && self.demands.is_empty()
     }
 }
 
--- a/crates/poplargap-core/src/forward/replica_load.rs
+++ b/crates/poplargap-core/src/forward/replica_load.rs
@@ -1,5 +1,7 @@
 use {
-    super::{IntakeState, ReplicaEntry, ReplicaIntake},
+    super::{
+        IntakeState, PaceEstimate, ReplicaEntry, ReplicaIntake, ReplicaPace, replica_pace::decay,
+    },
     crate::instant::MonotonicInstant,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -11,6 +13,9 @@
 /// It is long, since prompts stay at their replicas and so do the replicas' shares of the load.
 const REPORT_TTL: Duration = Duration::from_secs(15);
 
+/// Time in which a report loses most of its weight where requests take much less than a second.
+const RECENT_DECAY: Duration = Duration::from_millis(300);
+
 /// Duration of the first ejection of a replica; each further one takes twice as long.
 const EJECTION_MIN: Duration = Duration::from_millis(500);
 
@@ -18,9 +23,11 @@
 const EJECTION_MAX: Duration = Duration::from_secs(4);
 
 /// A replica's load report: its own count of the requests of all daemons.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct LoadReport {
+    /// How long the replica's work takes, if it states that.
+    pub pace: Option<ReplicaPace>,
     /// Requests that the replica processes.
     pub running: u32,
     /// Requests that are queued at the replica.
@@ -54,6 +61,7 @@
     pub(super) failures: u32,
     pub(super) in_flight: u32,
     pub(super) intake: ReplicaIntake,
+    pace: Option<PaceEstimate>,
     report: Option<KnownReport>,
     pub(super) mismatch_until: MonotonicInstant,
 }
@@ -93,6 +101,19 @@
         (1.0 - age.as_secs_f64() / REPORT_TTL.as_secs_f64()).max(0.0)
     }
 
+    /// Returns the weight of the last report where requests take much less than a second.
+    #[must_use]
+    pub fn recent_weight(&self, now: MonotonicInstant) -> f64 {
+        self.report_age(now)
+            .map_or(0.0, |age| decay(age, RECENT_DECAY))
+    }
+
+    /// Returns the replica's pace, if it has stated one.
+    #[must_use]
+    pub fn pace(&self) -> Option<&PaceEstimate> {
+        self.pace.as_ref()
+    }
+
     /// Returns the age of the last report.
     #[must_use]
     pub fn report_age(&self, now: MonotonicInstant) -> Option<Duration> {
@@ -133,6 +154,14 @@
         if self.report.is_some_and(|known| known.at > at) {
             return;
         }
+        if let Some(pace) = report.pace {
+            let known = self.pace.take();
+            let updated = known.map_or_else(
+                || PaceEstimate::new(pace, at),
+                |known| known.updated(pace, at),
+            );
+            self.pace = Some(updated);
+        }
         let total = report.running.saturating_add(report.waiting);
         self.report = Some(KnownReport {
             at,
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        CachedReplicas, CentreHealth, ColdGate, IntakeState, LeavingReplica, LoadDigest,
-        LoadReport, PendingLeaving, PendingReports, PromptRates, ReplicaEntry, ReplicaId,
-        ReplicaLoad, ReportSource, SendOutcome, cached_replicas::CachedReplica,
+        CachedReplicas, CentreDistances, CentreHealth, ColdGate, ExchangeRule, FleetDemand,
+        IntakeState, LeavingReplica, LoadDigest, LoadReport, PendingLeaving, PendingReports,
+        PromptRates, ReplicaEntry, ReplicaId, ReplicaLoad, ReportSource, SendOutcome, WorkEstimate,
+        cached_replicas::CachedReplica,
     },
     crate::{collections::HashMap, instant::MonotonicInstant},
     std::{sync::Arc, time::Duration},
@@ -21,6 +22,9 @@
 /// reply to another request.
 const MISMATCH_PENALTY: Duration = Duration::from_secs(10);
 
+/// Requests for each slot that wait at a replica which refuses one for being full.
+const FULL_QUEUE_ROUNDS: u32 = 4;
+
 /// Whether an outcome changed the health of a replica or of its data centre.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HealthChange {
@@ -37,10 +41,14 @@
     centres: HashMap<Arc<str>, CentreHealth>,
     cached_replicas: CachedReplicas,
     cold_gate: ColdGate,
+    demand: FleetDemand,
+    distances: CentreDistances,
+    exchange: ExchangeRule,
     loads: HashMap<ReplicaId, ReplicaLoad>,
     pending_leaving: PendingLeaving,
     pending_reports: PendingReports,
     prompts: PromptRates,
+    work: HashMap<Arc<str>, WorkEstimate>,
 }
 
 impl ReplicaTracker {
@@ -61,6 +69,50 @@
         &mut self.cold_gate
     }
 
+    /// Returns the ways to the data centres.
+    #[must_use]
+    pub fn distances(&self) -> &CentreDistances {
+        &self.distances
+    }
+
+    /// Returns the ways to the data centres, to record connections.
+    pub fn distances_mut(&mut self) -> &mut CentreDistances {
+        &mut self.distances
+    }
+
+    /// Returns the estimated time of a service's requests at an idle replica.
+    #[must_use]
+    pub fn work_time(&self, service: &str) -> Duration {
+        let work = self.work.get(service).copied();
+        work.unwrap_or_default().time()
+    }
+
+    /// Records that a request of a service was answered after `time`, where the replica's pace and
+    /// its queue were expected to make the work `factor` times as long.
+    pub fn record_work(&mut self, service: &Arc<str>, time: Duration, factor: f64) {
+        let work = self.work.entry(Arc::clone(service)).or_default();
+        work.record(time, factor);
+    }
+
+    /// Records that a replica which states its pace was full when it got a request, and didn't report
+    /// its load.
+    pub fn record_full(&mut self, replica: &ReplicaEntry, now: MonotonicInstant) {
+        let report = LoadReport {
+            running: replica.slots,
+            waiting: replica.slots.saturating_mul(FULL_QUEUE_ROUNDS),
+            ..LoadReport::default()
+        };
+        let load = self.load_mut(replica);
+        if load.pace().is_some() {
+            load.record_report(report, ReportSource::Own, now);
+        }
+    }
+
+    /// Returns the requests for services at all daemons.
+    pub fn demand_mut(&mut self) -> &mut FleetDemand {
+        &mut self.demand
+    }
+
     /// Counts a request for the prompt `key`.
     pub fn record_prompt(&mut self, key: u64, now: MonotonicInstant) {
         self.prompts.record(key, now);
@@ -128,6 +180,7 @@
         report: LoadReport,
         now: MonotonicInstant,
     ) {
+        self.record_exchange(replica, report, now);
         let load = self.load_mut(replica);
         load.record_report(report, ReportSource::Own, now);
         self.pending_reports
@@ -141,13 +194,34 @@
         report: LoadReport,
         at: MonotonicInstant,
     ) {
+        self.record_exchange(replica, report, at);
         let load = self.load_mut(replica);
         load.record_report(report, ReportSource::Peer, at);
     }
 
+    /// Records a report for the pause between exchanges, if it is of a replica without prompts that
+    /// states its pace.
+    fn record_exchange(
+        &mut self,
+        replica: &ReplicaEntry,
+        report: LoadReport,
+        at: MonotonicInstant,
+    ) {
+        if report.pace.is_some() && self.work.contains_key(&replica.service) {
+            self.exchange.record(report.waiting, at);
+        }
+    }
+
+    /// Returns the pause until the next exchange of load reports with the peers.
+    #[must_use]
+    pub fn exchange_pause(&self, now: MonotonicInstant) -> Duration {
+        self.exchange.pause(now)
+    }
+
     /// Returns the digest for the peers: what is new since the previous one.
     pub fn take_digest(&mut self, now: MonotonicInstant) -> LoadDigest {
         LoadDigest {
+            demands: self.demand.own(now),
             prefix_replicas: self.cached_replicas.take_unsent(),
             reports: self.pending_reports.take(now),
         }
--- a/crates/poplargap-core/tests/forward/cached_replicas.rs
+++ b/crates/poplargap-core/tests/forward/cached_replicas.rs
@@ -29,6 +29,7 @@
     let report = LoadReport {
         running,
         waiting: 0,
+        ..LoadReport::default()
     };
     tracker.record_report(replica, report, at(ms));
 }
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -87,6 +87,7 @@
         let report = LoadReport {
             running: *in_flight,
             waiting: 0,
+            ..LoadReport::default()
         };
         tracker.record_report(&replica, report, now);
         tracker.record_success(&replica);
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod readers;
 mod registry;
 mod routes;
+mod scarce_room;
 mod sharing;
 mod stream_watch;
 
--- a/crates/poplargap-core/tests/forward/places.rs
+++ b/crates/poplargap-core/tests/forward/places.rs
@@ -1,10 +1,10 @@
 use {
     crate::{at, replica, replicas},
     poplargap_core::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         forward::{
-            ChoiceRequest, ColdLimit, EvacuationChange, EvacuationView, PlaceFilter, RegionTable,
-            ReplicaEntry, ReplicaTracker, choose_replica,
+            ChoiceRequest, ColdLimit, EvacuationChange, EvacuationView, LoadReport, PlaceFilter,
+            RegionTable, ReplicaEntry, ReplicaTracker, choose_replica,
         },
         instant::MonotonicInstant,
     },
@@ -13,7 +13,7 @@
 
 const LIMIT: Duration = Duration::from_secs(5);
 
-fn request<'a>(places: PlaceFilter<'a>, now: MonotonicInstant) -> ChoiceRequest<'a> {
+fn request(places: PlaceFilter<'_>, now: MonotonicInstant) -> ChoiceRequest<'_> {
     ChoiceRequest {
         cold: ColdLimit::default(),
         daemons: 6,
@@ -68,6 +68,43 @@
     }
 }
 
+/// The bound was based on the mean of all replicas, those of the empty data centre included. The others
+/// reached it, so that all daemons sent to the one with the lowest load in the last reports.
+#[test]
+fn load_of_an_evacuated_data_centre_is_spread_by_prompt_over_the_others() {
+    let centres = ["ne1", "ne2", "ne3", "ne4"];
+    let replicas: Vec<_> = (0..16)
+        .map(|number| moved_to(number, centres[number % 4]))
+        .collect();
+    let mut tracker = ReplicaTracker::default();
+    for replica in &replicas {
+        let is_empty = replica.data_centre.as_ref() == "ne1";
+        let report = LoadReport {
+            running: if is_empty { 0 } else { 16 },
+            ..LoadReport::default()
+        };
+        tracker.record_peer_report(replica, report, at(0));
+    }
+    let mut view = EvacuationView::default();
+    view.begin("ne1", at(0), Duration::ZERO);
+    let mut chosen = HashSet::default();
+    for point in 0..200 {
+        let places = PlaceFilter {
+            evacuations: Some(&view),
+            point,
+            ..PlaceFilter::default()
+        };
+        let request = ChoiceRequest {
+            shared_tokens: 700,
+            ..request(places, at(1))
+        };
+        let choice = choose_replica(&replicas, &tracker, &request);
+        let replica = choice.expect("three data centres are left").replica;
+        chosen.insert(Arc::clone(&replica.id));
+    }
+    assert_eq!(chosen.len(), 12);
+}
+
 /// All prompts of a data centre moved at once, and the others had to prefill all of them.
 #[test]
 fn load_of_an_evacuated_data_centre_moves_in_steps_that_are_the_same_at_all_daemons() {
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -23,6 +23,7 @@
     LoadReport {
         running,
         waiting: 0,
+        ..LoadReport::default()
     }
 }
 
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -55,6 +55,7 @@
     sends: u32,
     service: Arc<str>,
     status: u16,
+    waited: Duration,
     workspace: Option<Arc<str>>,
 }
 
@@ -82,6 +83,7 @@
             sends: 0,
             service: Arc::clone(&call.service),
             status: 0,
+            waited: Duration::ZERO,
             workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
         }
     }
@@ -93,6 +95,16 @@
         self.placement = Some(placement);
     }
 
+    /// Records that the request waited for room.
+    pub(crate) fn record_wait(&mut self, waited: Duration) {
+        self.waited += waited;
+    }
+
+    /// Returns the time for which the request has waited for room.
+    pub(crate) fn waited(&self) -> Duration {
+        self.waited
+    }
+
     /// Records the status of a replica's reply, and the time to the first one.
     pub(crate) fn record_reply(&mut self, status: u16) {
         self.status = status;
@@ -124,6 +136,12 @@
         self.reason = reason;
     }
 
+    /// Returns whether the replica of the current attempt was chosen by its expected time.
+    pub(crate) fn is_timed(&self) -> bool {
+        let placement = self.placement.as_ref();
+        placement.is_some_and(|placement| placement.timed.is_some())
+    }
+
     /// Records the status of the daemon's own answer.
     pub(crate) fn record_local_answer(&mut self, status: u16) {
         self.status = status;
@@ -143,6 +161,7 @@
         );
         let placement = self.placement.as_ref();
         let source = placement.and_then(|placement| placement.source.as_ref());
+        let timed = placement.and_then(|placement| placement.timed);
         info!(self.log, "request finished";
             "request" => &self.id,
             "outcome" => outcome,
@@ -164,6 +183,11 @@
             "source-by" => source.map(|source| <&str>::from(source.basis)),
             "load-age-ms" => placement.and_then(|placement| placement.report_age).map(millis),
             "load-from" => placement.and_then(|placement| placement.report_source).map(<&str>::from),
+            "expected-ms" => timed.map(|timed| millis(timed.expected)),
+            "next-best-ms" => timed.and_then(|timed| timed.next_best).map(millis),
+            "pace" => timed.map(|timed| (timed.pace * 100.0).round() as i64),
+            "pace-age-ms" => timed.and_then(|timed| timed.pace_age).map(millis),
+            "waited-ms" => millis(self.waited),
             "sends" => self.sends,
             "resumes" => self.resumes,
             "first-byte-ms" => self.first_byte.map(millis),
--- a/crates/poplargap-forward/src/call_stage.rs
+++ b/crates/poplargap-forward/src/call_stage.rs
@@ -44,6 +44,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time until the latency target; zero after it.
+    pub(crate) fn target_left(&self) -> Duration {
+        let target = self.received.started_at + self.grant.route.latency_target;
+        target.saturating_duration_since(Instant::now())
+    }
+
     /// Returns the request's priority; that of the workspace overrides that of the route.
     pub(crate) fn priority(&self) -> u8 {
         let workspace = self.grant.workspace.as_ref();
@@ -85,4 +91,21 @@
     pub(crate) requests: f64,
     /// The replica from which the chosen one may fetch the prompt's prefix.
     pub(crate) source: Option<PromptSource>,
+    /// The expected times, if the service's replicas state their pace.
+    pub(crate) timed: Option<TimedRecord>,
+}
+
+/// The expected times behind a choice.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimedRecord {
+    /// Expected time from the send to the answer.
+    pub(crate) expected: Duration,
+    /// Factor on the work's time at an idle replica of the usual pace.
+    pub(crate) factor: f64,
+    /// Expected time at the best other replica.
+    pub(crate) next_best: Option<Duration>,
+    /// Factor of the replica's pace.
+    pub(crate) pace: f64,
+    /// Age of the replica's last statement of its pace.
+    pub(crate) pace_age: Option<Duration>,
 }
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a front proxy.
 
 use {
+    crate::room_metrics::RoomMetrics,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     },
@@ -8,7 +9,7 @@
 };
 
 /// Upper bounds of the histograms in seconds.
-const BOUNDS_S: [f64; 12] = [
+pub(crate) const BOUNDS_S: [f64; 12] = [
     0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 ];
 
@@ -26,6 +27,7 @@
     peer_messages: IntCounterVec,
     prompt_sources: IntCounterVec,
     registry: Registry,
+    room: RoomMetrics,
     store_reads: IntCounterVec,
     total: HistogramVec,
 }
@@ -49,16 +51,20 @@
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
-        let blocked_parts = IntGauge::new(
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let blocked_parts = gauge(
             "poplargap_blocked_parts",
             "Prompt parts whose requests are refused because they crash replicas",
         )?;
-        registry.register(Box::new(blocked_parts.clone()))?;
-        let evacuated = IntGauge::new(
+        let evacuated = gauge(
             "poplargap_evacuated_data_centres",
             "Data centres whose replicas get no new requests",
         )?;
-        registry.register(Box::new(evacuated.clone()))?;
+        let room = RoomMetrics::new(&registry)?;
         Ok(Self {
             attempts: counter(
                 "poplargap_attempts_total",
@@ -112,6 +118,7 @@
                 "Time from a request to the end of its answer",
                 &["service"],
             )?,
+            room,
             registry,
         })
     }
@@ -154,6 +161,11 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Returns the metrics of requests that wait for room.
+    pub(crate) fn room(&self) -> &RoomMetrics {
+        &self.room
+    }
+
     pub(crate) fn set_evacuated(&self, count: usize) {
         self.evacuated.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -15,6 +15,7 @@
         front_metrics::FrontMetrics,
         front_state::FrontState,
         peers::{PeerSocket, announce, exchange_loads},
+        room::WaitingRooms,
         status_server::{serve_metrics, serve_ready},
     },
     displaydoc::Display,
@@ -117,6 +118,7 @@
             metrics,
             peers: peers.clone(),
             replicas,
+            rooms: WaitingRooms::default(),
             routes,
             settings,
         });
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -4,7 +4,7 @@
     crate::{
         body_budget::BodyBudget, close_signal::CloseSignal, connection_pool::ConnectionPool,
         crash_board::CrashBoard, front_metrics::FrontMetrics, front_settings::FrontSettings,
-        process_clock::ProcessClock,
+        process_clock::ProcessClock, room::WaitingRooms,
     },
     poplargap_core::{
         collections::HashMap,
@@ -42,6 +42,7 @@
     pub(crate) metrics: FrontMetrics,
     pub(crate) peers: watch::Receiver<Arc<PeerView>>,
     pub(crate) replicas: watch::Receiver<Arc<ReplicaView>>,
+    pub(crate) rooms: WaitingRooms,
     pub(crate) routes: watch::Receiver<Option<Arc<RouteTable>>>,
     pub(crate) settings: FrontSettings,
 }
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -34,6 +34,8 @@
 mod relay_body;
 mod relay_end;
 mod respond;
+mod room;
+mod room_metrics;
 mod send;
 mod status_server;
 mod stream_relay;
--- a/crates/poplargap-forward/src/peers/exchange.rs
+++ b/crates/poplargap-forward/src/peers/exchange.rs
@@ -19,9 +19,6 @@
     },
 };
 
-/// Pause between two rounds of receiving and sending.
-const ROUND_PAUSE: Duration = Duration::from_millis(200);
-
 /// Most datagrams that are read in a round; further ones are left for the next round.
 const DATAGRAMS_PER_ROUND_MAX: usize = 512;
 
@@ -59,7 +56,8 @@
 ) {
     let mut refused = RefusedDatagrams::default();
     loop {
-        sleep(ROUND_PAUSE).await;
+        let pause = state.tracker().exchange_pause(state.clock.now());
+        sleep(pause).await;
         let view = Arc::clone(&peers.borrow());
         receive_digests(&state, &socket, &view, &mut refused);
         refused.write(&state);
@@ -126,7 +124,7 @@
         match message {
             Ok(PeerMessage::Loads(digest)) => {
                 state.metrics.record_peer_message("heard");
-                apply_digest(state, &digest);
+                apply_digest(state, from, &digest);
             }
             Ok(PeerMessage::Leaving(leaving)) => {
                 state.metrics.record_peer_message("heard");
@@ -145,10 +143,13 @@
 }
 
 /// Records the entries of a digest that belong to known replicas.
-fn apply_digest<D>(state: &FrontState<D>, digest: &LoadDigest) {
+fn apply_digest<D>(state: &FrontState<D>, from: SocketAddr, digest: &LoadDigest) {
     let now = state.clock.now();
     let replicas = Arc::clone(&state.replicas.borrow());
     let mut tracker = state.tracker();
+    for demand in &digest.demands {
+        tracker.demand_mut().record_peer(from, demand, now);
+    }
     for cached in &digest.prefix_replicas {
         if let Some(replica) = replicas.replica(&cached.replica) {
             tracker.record_peer_cached(cached.key, replica, now);
--- a/crates/poplargap-forward/src/relay.rs
+++ b/crates/poplargap-forward/src/relay.rs
@@ -5,11 +5,12 @@
         WireDialect,
         body_read::read_body,
         call_log::{CallLog, PromptParts},
-        call_stage::AdmittedCall,
+        call_stage::{AdmittedCall, PlacementRecord, TimedRecord},
         crash_check::check_for_crash,
-        front_state::FrontState,
-        place::place,
+        front_state::{FrontState, PlacedCall},
+        place::{PlaceRequest, Placement, place},
         relay_end::RelayEnd,
+        room::RoomWait,
         send::{OpenReply, send},
     },
     bytes::Bytes,
@@ -35,6 +36,9 @@
 /// Least time for an attempt that may be retried.
 const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(50);
 
+/// Multiple of the expected time after which a request without a reply is retried.
+const EXPECTED_TIMES_MAX: u32 = 3;
+
 /// A replica's reply.
 #[derive(Debug)]
 pub(crate) enum RelayReply<D> {
@@ -89,23 +93,21 @@
             if let Some(hash) = self.blocking_hash() {
                 return Err(self.refuse_blocked(hash));
             }
-            let Some((placed, placement)) = place(
-                &self.state,
-                &self.call,
-                &self.excluded,
-                self.met_unreachable,
-            ) else {
-                return Err(self.no_replica());
-            };
+            let (placed, placement) = self.find_room().await?;
+            let timed = placement.timed;
             self.log.record_placement(placement);
             let replica = Arc::clone(&placed.replica);
-            let deadline = self.attempt_deadline();
+            let deadline = self.attempt_deadline(timed.map(|timed| timed.expected));
+            let sent_at = Instant::now();
             let reply = match send(&self.state, &self.call, placed, last_event, deadline).await {
                 Ok(reply) => self.read_reply(reply).await,
                 Err(outcome) => Err((outcome, None)),
             };
             let (outcome, error_reply) = match reply {
                 Ok(reply) => {
+                    if let Some(timed) = timed {
+                        self.record_time(&timed, sent_at.elapsed());
+                    }
                     if matches!(&reply, RelayReply::Whole { parts, .. } if parts.status.is_success())
                     {
                         self.record_answer(&replica);
@@ -121,6 +123,64 @@
         }
     }
 
+    /// Waits until there is room for the request at a replica, and counts it there.
+    async fn find_room(&mut self) -> Result<(PlacedCall<D>, PlacementRecord), RelayEnd> {
+        let mut wait: Option<RoomWait<D>> = None;
+        loop {
+            let request = PlaceRequest {
+                call: &self.call,
+                excluded: &self.excluded,
+                is_first: wait.is_none() && self.history.tries == 0,
+                prefers_local: self.met_unreachable,
+                wait: wait.as_ref(),
+                waited: self.log.waited(),
+            };
+            match place(&self.state, &request) {
+                Placement::Placed(placed, placement) => {
+                    self.end_wait(wait, "sent");
+                    return Ok((placed, *placement));
+                }
+                Placement::Wait(pause) => {
+                    wait.get_or_insert_with(|| RoomWait::join(&self.state, &self.call))
+                        .pause(pause)
+                        .await;
+                }
+                Placement::Refused { expected, reason } => {
+                    self.end_wait(wait, "refused");
+                    let time_left = self.call.time_left();
+                    return Err(RelayEnd::without_room(
+                        self.unanswered_end(),
+                        reason,
+                        expected,
+                        time_left,
+                    ));
+                }
+                Placement::NoReplica => {
+                    self.end_wait(wait, "no-replica");
+                    return Err(self.no_replica());
+                }
+            }
+        }
+    }
+
+    fn end_wait(&mut self, wait: Option<RoomWait<D>>, outcome: &'static str) {
+        if let Some(wait) = wait {
+            self.log.record_wait(wait.waited());
+            wait.close(outcome);
+        }
+    }
+
+    /// Records how long an answer took against what was expected.
+    fn record_time(&self, timed: &TimedRecord, time: Duration) {
+        let service = &self.call.service;
+        let expected = timed.expected.as_secs_f64().max(f64::MIN_POSITIVE);
+        let ratio = time.as_secs_f64() / expected;
+        let metrics = self.state.metrics.room();
+        metrics.record_expected_ratio(service, ratio);
+        let mut tracker = self.state.tracker();
+        tracker.record_work(service, time, timed.factor);
+    }
+
     /// Records a failed attempt; returns the end of the request unless it may be retried.
     pub(crate) fn record_failure(
         &mut self,
@@ -153,7 +213,10 @@
                 "request" => &self.call.received.head.id,
                 "replica-data-centre" => replica.data_centre.as_ref());
         }
-        self.excluded.push(Arc::clone(&replica.id));
+        // A replica that was full may have room again; the rule for room decides.
+        if !(outcome == SendOutcome::NotExecuted && self.log.is_timed()) {
+            self.excluded.push(Arc::clone(&replica.id));
+        }
         end.map(|answer| RelayEnd::new(answer, reason))
     }
 
@@ -280,7 +343,9 @@
 
     /// Returns the deadline of the current attempt: it is earlier than the request's deadline if
     /// the request may be retried.
-    fn attempt_deadline(&self) -> Instant {
+    ///
+    /// `expected` is the expected time of the answer, if it is known.
+    fn attempt_deadline(&self, expected: Option<Duration>) -> Instant {
         let route = &self.call.grant.route;
         let may_retry =
             route.repeat.is_repeatable() && self.history.possible_runs + 1 < route.max_attempts;
@@ -292,7 +357,9 @@
         } else {
             CALL_ATTEMPT_SHARE
         };
-        let time = route.latency_target.mul_f64(share).max(ATTEMPT_TIME_MIN);
+        let expected = expected.unwrap_or_default() * EXPECTED_TIMES_MAX;
+        let time = route.latency_target.mul_f64(share);
+        let time = time.max(expected).max(ATTEMPT_TIME_MIN);
         self.call.deadline.min(Instant::now() + time)
     }
 
--- a/crates/poplargap-forward/src/relay_end.rs
+++ b/crates/poplargap-forward/src/relay_end.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::local_answer::{BLOCKED_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
-    poplargap_core::forward::FinalAnswer,
+    poplargap_core::forward::{FinalAnswer, ShortRoom},
     rand::Rng,
     std::time::Duration,
 };
@@ -13,6 +13,9 @@
 /// Longest time over which the returns of refused callers are spread.
 const SPREAD_MAX: Duration = Duration::from_secs(5);
 
+/// Part of the time left of a refused caller after which it should have returned.
+const RETURN_PARTS: u32 = 3;
+
 /// The end of a request that got no reply.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RelayEnd {
@@ -41,6 +44,24 @@
         }
     }
 
+    /// Returns the end of a request for which there is no room.
+    ///
+    /// `expected` is the time of an answer if the request were sent, in which the replicas serve what
+    /// they have; `time_left` is the caller's time, of which its return must leave most.
+    pub(crate) fn without_room(
+        answer: FinalAnswer,
+        reason: ShortRoom,
+        expected: Duration,
+        time_left: Duration,
+    ) -> Self {
+        let latest = (time_left / RETURN_PARTS).max(SPREAD_MIN);
+        Self {
+            answer,
+            reason: reason.into(),
+            retry_after: (expected + random_part(expected)).min(latest),
+        }
+    }
+
     /// Returns the end of a request for which no replica is left.
     ///
     /// `refusal` is the time until a replica takes requests again, if all refuse them for a time.
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -127,7 +127,13 @@
     state: &FrontState<D>,
     replica: &ReplicaEntry,
 ) -> Result<ReplicaConnection, SendOutcome> {
+    let began = Instant::now();
     let opened = state.connections.open(replica).await;
+    if opened.is_ok() {
+        let mut tracker = state.tracker();
+        let distances = tracker.distances_mut();
+        distances.record(&replica.data_centre, began.elapsed());
+    }
     let outcome = if opened.is_ok() { "opened" } else { "failed" };
     state.metrics.record_connection(&replica.service, outcome);
     opened.map_err(|error| {
@@ -197,6 +203,9 @@
     match head.refusal {
         Some(ReplyRefusal::WrongReplica) => return Err(SendOutcome::WrongReplica),
         Some(ReplyRefusal::NotExecuted) => {
+            if head.load.is_none() {
+                state.tracker().record_full(&placed.replica, now);
+            }
             if body.is_end_stream() {
                 connection.record_refusal(call_id);
                 state.connections.put(id, connection, head.keep_alive);
--- a/crates/poplargap-forward/tests/peers.rs
+++ b/crates/poplargap-forward/tests/peers.rs
@@ -3,7 +3,8 @@
 use {
     poplargap_core::forward::{
         CrashId, CrashReport, LoadDigest, LoadReport, PeerCrash, PeerEntry, PeerReport,
-        PendingCrashes, PrefixReplica, PromptPart, RequestContent, RequestIdentity, UnansweredCall,
+        PendingCrashes, PrefixReplica, PromptPart, RequestContent, RequestIdentity, ServiceDemand,
+        UnansweredCall,
     },
     poplargap_forward::{PEERS_PREFIX, PeerMessage, announce},
     poplargap_store::{
@@ -135,6 +136,7 @@
         report: LoadReport {
             running: 12,
             waiting: 3,
+            ..LoadReport::default()
         },
     };
     let cached = |number: usize| PrefixReplica {
@@ -142,6 +144,10 @@
         replica: format!("i-{number:08x}").into(),
     };
     PeerMessage::Loads(LoadDigest {
+        demands: vec![ServiceDemand {
+            requests: 7,
+            service: "orders".into(),
+        }],
         prefix_replicas: (0..count).map(cached).collect(),
         reports: (0..count).map(report).collect(),
     })
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -38,6 +38,7 @@
     fault: ReplicaFault,
     id: String,
     is_leaving: bool,
+    load: Option<String>,
     refused: u64,
     released: u64,
     running: u32,
@@ -108,6 +109,11 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Sets the load report of all further answers.
+    pub fn set_load(&self, report: &str) {
+        lock(&self.state).load = Some(report.to_owned());
+    }
+
     /// Returns the number of requests that the replica refused for being full.
     #[must_use]
     pub fn refused(&self) -> u64 {
@@ -252,7 +258,9 @@
         let mut state = lock(state);
         state.running += 1;
         state.seen.push(request.clone());
-        WireAnswer::new(&request, state.running, is_leaving)
+        let load = state.load.clone();
+        let load = load.unwrap_or_else(|| format!("{},0,64", state.running));
+        WireAnswer::new(&request, load, is_leaving)
     };
     let crash_after = match fault {
         ReplicaFault::CrashOnPart { events, part } if request.shares_part(part) => Some(events),
--- a/crates/poplargap-testbed/src/replica/wire_answer.rs
+++ b/crates/poplargap-testbed/src/replica/wire_answer.rs
@@ -8,11 +8,12 @@
 pub(super) struct WireAnswer {
     id: String,
     is_leaving: bool,
-    load: u32,
+    load: String,
 }
 
 impl WireAnswer {
-    pub(super) fn new(request: &SeenRequest, load: u32, is_leaving: bool) -> Self {
+    /// Creates the builder of the answer to `request`; `load` is the replica's load report.
+    pub(super) fn new(request: &SeenRequest, load: String, is_leaving: bool) -> Self {
         Self {
             id: request.header("attempt-id").unwrap_or("").to_owned(),
             is_leaving,
@@ -24,7 +25,7 @@
     pub(super) fn head(&self, status: &str, framing: &str) -> String {
         format!(
             "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nResponse-Signature: signed-{id}\r\n\
-             Instance-Load: {load},0,64\r\nKeep-Alive: timeout=5\r\n{leaving}{framing}\r\n",
+             Instance-Load: {load}\r\nKeep-Alive: timeout=5\r\n{leaving}{framing}\r\n",
             id = self.id,
             leaving = leaving_line(self.is_leaving),
             load = self.load,
