Keep short prompts in their data centre while that pays, and read a changed configuration from a copy first

Cause: the choice of a prompt's replica didn't look at the data centre, so that three of four prompts left one of four, also while its own replicas were idle.

Change: a request stays while reading its prompt takes less than the longer way, which is measured from the times in which connections open, and its bytes at what they are worth to the operators. What its data centre can't hold within the bound on the requests of a replica goes elsewhere, and comes back when there is room. A long prompt keeps one home for all data centres, with a copy in the own one first. In force only where the deployment's contracts are about places.

Tests: equal load (nothing short leaves), a surge, a data centre without replicas, long prompts, no rule. Not measured yet.

Copies of a changed configuration, in the same commit since both add a setting:

Ruled out: configurations between daemons (they hold callers' keys and fill slow links).

Change: for the time that is left within the bound of a change a copy that may be old is read, which costs a tenth, and taken if it is as new as the change that the reader told of; then the store itself.

Tests: a copy that is new, and copies that stay old.

--- a/crates/poplargap-core/benches/choice.rs
+++ b/crates/poplargap-core/benches/choice.rs
@@ -48,12 +48,14 @@
         let replicas = view.replicas("model");
         tracker.record_cached(7, &replicas[size / 2], now);
         let request = ChoiceRequest {
+            body_bytes: 800,
             cold: ColdLimit::default(),
             daemons: 390,
             data_centre: "dc-1",
             drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(7),
+            leave: None,
             now,
             places: PlaceFilter::default(),
             prefers_local: false,
--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -21,6 +21,7 @@
 mod exchange_rule;
 mod feed_state;
 mod fleet_demand;
+mod leave_rule;
 mod load_bound;
 mod peer_view;
 mod pending_crashes;
@@ -70,6 +71,7 @@
     exchange_rule::ExchangeRule,
     feed_state::FeedState,
     fleet_demand::{FleetDemand, ServiceDemand},
+    leave_rule::{LeaveReason, LeaveRequest, LeaveRule},
     peer_view::{PeerEntry, PeerView},
     pending_crashes::{PeerCrash, PendingCrashes},
     pending_leaving::{LeavingReplica, PendingLeaving},
--- a/crates/poplargap-core/src/forward/centre_distance.rs
+++ b/crates/poplargap-core/src/forward/centre_distance.rs
@@ -25,6 +25,18 @@
         *shortest = time.min(*shortest * RISE);
     }
 
+    /// Returns the time that a round trip to the nearest other data centre takes longer than one within
+    /// `own`.
+    #[must_use]
+    pub fn least(&self, own: &str) -> Duration {
+        let others = self
+            .shortest_s
+            .keys()
+            .filter(|centre| centre.as_ref() != own);
+        let distances = others.map(|centre| self.distance(own, centre));
+        distances.min().unwrap_or(DISTANCE_DEFAULT)
+    }
+
     /// Returns the time that a round trip to `centre` takes longer than one within `own`.
     #[must_use]
     pub fn distance(&self, own: &str, centre: &str) -> Duration {
--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,11 +1,11 @@
 use {
     super::{
-        ColdGate, ColdLimit, IntakeState, PlaceFilter, ReplicaEntry, ReplicaId, ReplicaLoad,
-        ReplicaTracker,
+        ColdGate, ColdLimit, IntakeState, LeaveReason, LeaveRequest, LeaveRule, PlaceFilter,
+        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
         cached_replicas::CachedReplica,
         choice_candidate::Candidate,
         load_bound::LoadBound,
-        prompt_order::{by_prompt, replica_count},
+        prompt_order::{PromptHome, by_prompt, replica_count},
     },
     crate::instant::MonotonicInstant,
     std::{sync::Arc, time::Duration},
@@ -30,6 +30,8 @@
 /// A request for which a replica is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
+    /// Bytes of the request's body.
+    pub body_bytes: usize,
     /// The limits of the service's cold replicas.
     pub cold: ColdLimit,
     /// Number of the fleet's daemons.
@@ -42,6 +44,8 @@
     pub excluded: &'a [ReplicaId],
     /// Key of the prompt's shared parts; `None` if it has none.
     pub key: Option<u64>,
+    /// When the request leaves its data centre; `None` if all data centres are alike.
+    pub leave: Option<LeaveRule>,
     /// The current time.
     pub now: MonotonicInstant,
     /// The data centres that the request may use.
@@ -91,6 +95,8 @@
 /// The chosen replica and why it was chosen.
 #[derive(Clone, Debug)]
 pub struct ReplicaChoice {
+    /// Why the request leaves its data centre; `None` if it doesn't, or if all are alike.
+    pub leaves: Option<LeaveReason>,
     /// Whether the replica is cold.
     pub is_cold: bool,
     /// Estimated mean of the replicas' requests.
@@ -130,7 +136,15 @@
         let bound = bound.requests(bound_mean(&all, mean), request.shared_tokens);
         let expected = tracker.prompt_share(key) * mean * all.len() as f64;
         let replica_count = replica_count(expected, bound, eligible.len());
-        by_prompt(&eligible, bound, key, replica_count, request.request_hash)
+        let home = prompt_home(tracker, request);
+        by_prompt(
+            &eligible,
+            bound,
+            key,
+            home,
+            replica_count,
+            request.request_hash,
+        )
     });
     let (rank, chosen) = match by_prompt {
         Some((rank, candidate)) => (Some(rank), candidate),
@@ -145,7 +159,50 @@
         Some(_) => PlacedBy::Order,
         None => PlacedBy::Load,
     };
-    Some(choice_of(chosen, placed_by, rank, mean))
+    let mut choice = choice_of(chosen, placed_by, rank, mean);
+    choice.leaves = leave_reason(&eligible, tracker, request, chosen);
+    Some(choice)
+}
+
+/// Returns the data centre of a request, if the data centres aren't alike, and whether the request
+/// stays there.
+fn prompt_home<'a>(tracker: &ReplicaTracker, request: &ChoiceRequest<'a>) -> PromptHome<'a> {
+    let Some(rule) = request.leave else {
+        return PromptHome {
+            centre: None,
+            stays: false,
+        };
+    };
+    let leave = LeaveRequest {
+        body_bytes: request.body_bytes,
+        distance: tracker.distances().least(request.data_centre),
+        shared_tokens: request.shared_tokens,
+    };
+    PromptHome {
+        centre: Some(request.data_centre),
+        stays: rule.stays(&leave),
+    }
+}
+
+/// Returns why a request leaves its data centre for the chosen replica.
+fn leave_reason(
+    eligible: &[Candidate<'_>],
+    tracker: &ReplicaTracker,
+    request: &ChoiceRequest<'_>,
+    chosen: &Candidate<'_>,
+) -> Option<LeaveReason> {
+    let own = request.data_centre;
+    if request.leave.is_none() || chosen.entry.data_centre.as_ref() == own {
+        return None;
+    }
+    let is_here = |candidate: &Candidate<'_>| candidate.entry.data_centre.as_ref() == own;
+    if !eligible.iter().any(is_here) {
+        return Some(LeaveReason::NoneHere);
+    }
+    if request.key.is_none() || prompt_home(tracker, request).stays {
+        return Some(LeaveReason::OwnFull);
+    }
+    Some(LeaveReason::PromptThere)
 }
 
 fn choice_of(
@@ -155,6 +212,7 @@
     mean: f64,
 ) -> ReplicaChoice {
     ReplicaChoice {
+        leaves: None,
         is_cold: chosen.is_cold,
         mean,
         placed_by,
--- a/crates/poplargap-core/tests/forward/cached_replicas.rs
+++ b/crates/poplargap-core/tests/forward/cached_replicas.rs
@@ -11,12 +11,14 @@
 
 fn request(ms: u64) -> ChoiceRequest<'static> {
     ChoiceRequest {
+        body_bytes: 800,
         cold: ColdLimit::default(),
         daemons: 6,
         data_centre: "ne1",
         drain: Duration::from_secs(2),
         excluded: &[],
         key: Some(KEY),
+        leave: None,
         now: at(ms),
         places: PlaceFilter::default(),
         prefers_local: false,
--- a/crates/poplargap-core/tests/forward/choice.rs
+++ b/crates/poplargap-core/tests/forward/choice.rs
@@ -16,12 +16,14 @@
 
 fn request(key: Option<u64>, shared_tokens: u64, now: MonotonicInstant) -> ChoiceRequest<'static> {
     ChoiceRequest {
+        body_bytes: 800,
         cold: ColdLimit::default(),
         daemons: 6,
         data_centre: "ne1",
         drain: Duration::from_secs(2),
         excluded: &[],
         key,
+        leave: None,
         now,
         places: PlaceFilter::default(),
         prefers_local: false,
--- a/crates/poplargap-core/tests/forward/cold_gate.rs
+++ b/crates/poplargap-core/tests/forward/cold_gate.rs
@@ -92,12 +92,14 @@
             peers: &self.views[daemon],
         };
         let request = ChoiceRequest {
+            body_bytes: 800,
             cold: limit(),
             daemons: self.views[daemon].len() + 1,
             data_centre: fleet.data_centre,
             drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(key),
+            leave: None,
             now,
             places: PlaceFilter::default(),
             prefers_local: false,
@@ -218,12 +220,14 @@
     let replicas = [cold(0, "dc-a", at(60_000))];
     let tracker = ReplicaTracker::default();
     let request = ChoiceRequest {
+        body_bytes: 800,
         cold: ColdLimit::default(),
         daemons: 6,
         data_centre: "dc-b",
         drain: Duration::from_secs(2),
         excluded: &[],
         key: None,
+        leave: None,
         now: at(0),
         places: PlaceFilter::default(),
         prefers_local: false,
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -12,6 +12,7 @@
 mod crash_schedules;
 mod events;
 mod intake;
+mod leaving_centres;
 mod places;
 mod prompt_source;
 mod readers;
--- a/crates/poplargap-core/tests/forward/places.rs
+++ b/crates/poplargap-core/tests/forward/places.rs
@@ -15,12 +15,14 @@
 
 fn request(places: PlaceFilter<'_>, now: MonotonicInstant) -> ChoiceRequest<'_> {
     ChoiceRequest {
+        body_bytes: 800,
         cold: ColdLimit::default(),
         daemons: 6,
         data_centre: "ne1",
         drain: Duration::from_secs(2),
         excluded: &[],
         key: Some(places.point),
+        leave: None,
         now,
         places,
         prefers_local: false,
--- a/crates/poplargap-core/tests/forward/scarce_room.rs
+++ b/crates/poplargap-core/tests/forward/scarce_room.rs
@@ -298,12 +298,14 @@
         };
         let hash = self.rng.random();
         let request = ChoiceRequest {
+            body_bytes: 800,
             cold: ColdLimit::default(),
             daemons: DAEMONS,
             data_centre: ["ne1", "ne2", "ne3"][daemon % 3],
             drain: Duration::from_secs(2),
             excluded: &[],
             key: None,
+            leave: None,
             now,
             places: PlaceFilter::default(),
             prefers_local: false,
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -128,12 +128,14 @@
         let now = at(ms);
         let tracker = &mut self.trackers[daemon];
         let request = ChoiceRequest {
+            body_bytes: 800,
             cold: ColdLimit::default(),
             daemons: 6,
             data_centre: centre(daemon),
             drain: Duration::from_secs(2),
             excluded: &[],
             key: Some(key),
+            leave: None,
             now,
             places: PlaceFilter::default(),
             prefers_local: false,
--- a/crates/poplargap-forward/src/call_log.rs
+++ b/crates/poplargap-forward/src/call_log.rs
@@ -178,6 +178,7 @@
             "mean" => placement.map(|placement| placement.mean.round() as i64),
             "candidates" => placement.map(|placement| placement.candidates),
             "placed-by" => placement.map(|placement| <&str>::from(placement.placed_by)),
+            "leaves" => placement.and_then(|placement| placement.leaves).map(<&str>::from),
             "rank" => placement.and_then(|placement| placement.rank),
             "source" => source.map(|source| source.replica.id.as_ref()),
             "source-by" => source.map(|source| <&str>::from(source.basis)),
--- a/crates/poplargap-forward/src/call_stage.rs
+++ b/crates/poplargap-forward/src/call_stage.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     hyper::{HeaderMap, Method, Uri},
     poplargap_core::forward::{
-        PlacedBy, PromptSource, ReplicaId, ReportSource, RequestIdentity, RouteGrant,
+        LeaveReason, PlacedBy, PromptSource, ReplicaId, ReportSource, RequestIdentity, RouteGrant,
     },
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -76,6 +76,8 @@
     pub(crate) candidates: usize,
     /// The daemon's own requests at the replica.
     pub(crate) in_flight: u32,
+    /// Why the request left its data centre.
+    pub(crate) leaves: Option<LeaveReason>,
     /// Estimated mean of the replicas' requests.
     pub(crate) mean: f64,
     /// The criterion that decided.
--- a/crates/poplargap-forward/src/feed/omitted_values.rs
+++ b/crates/poplargap-forward/src/feed/omitted_values.rs
@@ -1,16 +1,28 @@
 use {
     super::{FeedChange, FeedValue},
     poplargap_core::instant::MonotonicInstant,
-    poplargap_store::WatchChange,
-    std::{collections::BTreeSet, time::Duration},
+    poplargap_store::{StoreRevision, WatchChange},
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// Pause after a copy that was too old.
+const STALE_PAUSE: Duration = Duration::from_millis(150);
+
+/// A value that has to be read.
+#[derive(Clone, Copy, Debug)]
+struct OmittedValue {
+    /// Time of the first read.
+    first_read: Option<MonotonicInstant>,
+    /// Revision of the change.
+    revision: StoreRevision,
+}
+
 /// Keys whose changed values have to be read from the store, since another daemon left them out.
 ///
 /// Only the newest value of a key is read, and one value in each pause.
 #[derive(Debug, Default)]
 pub(super) struct OmittedValues {
-    keys: BTreeSet<String>,
+    keys: BTreeMap<String, OmittedValue>,
     next_read: Option<MonotonicInstant>,
 }
 
@@ -28,7 +40,13 @@
                 FeedValue::Given(value) => Some(value),
                 FeedValue::Removed => None,
                 FeedValue::Omitted => {
-                    self.keys.insert(key);
+                    let known = self.keys.get(&key);
+                    let first_read = known.and_then(|value| value.first_read);
+                    let value = OmittedValue {
+                        first_read,
+                        revision,
+                    };
+                    self.keys.insert(key, value);
                     continue;
                 }
             };
@@ -55,9 +73,35 @@
         }
     }
 
-    /// Returns the key whose value is to be read next.
-    pub(super) fn next(&self) -> Option<String> {
-        self.keys.first().cloned()
+    /// Returns the key whose value is to be read next, and whether a copy that may be old is to be read
+    /// first, which is so for `stale_time` from the first read on.
+    ///
+    /// All daemons of a data centre read a changed configuration; an old copy costs the store little,
+    /// and mostly it is the changed one soon.
+    pub(super) fn next(
+        &mut self,
+        now: MonotonicInstant,
+        stale_time: Duration,
+    ) -> Option<(String, bool)> {
+        let (key, value) = self.keys.iter_mut().next()?;
+        let first_read = *value.first_read.get_or_insert(now);
+        Some((key.clone(), now.since(first_read) < stale_time))
+    }
+
+    /// Returns whether a copy of `revision` is older than the change of `key`; if it is, the next read
+    /// is a little later.
+    pub(super) fn defer_stale(
+        &mut self,
+        key: &str,
+        revision: Option<StoreRevision>,
+        now: MonotonicInstant,
+    ) -> bool {
+        let value = self.keys.get(key);
+        let is_stale = value.is_some_and(|value| revision.is_none_or(|read| read < value.revision));
+        if is_stale {
+            self.next_read = Some(now + STALE_PAUSE);
+        }
+        is_stale
     }
 
     /// Records that a value was read; the next one is read at `next` at the earliest.
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -190,15 +190,35 @@
 
     /// Reads a value from the store that another daemon left out.
     async fn read_omitted(&mut self) -> Result<FeedRead, StoreError> {
+        let stale_time = self.context.settings.shared.stale_time;
         self.pause = POLL_PAUSE;
-        let Some(key) = self.omitted.next() else {
+        let now = self.context.clock.now();
+        let Some((key, reads_stale)) = self.omitted.next(now, stale_time) else {
             return Ok(FeedRead::default());
         };
-        let stored = self.context.store.get(&key).await;
-        let outcome = if stored.is_ok() { "read" } else { "failed" };
+        let stored = if reads_stale {
+            self.context.store.get_stale(&key).await
+        } else {
+            self.context.store.get(&key).await
+        };
+        let outcome = match (&stored, reads_stale) {
+            (Ok(_), false) => "read",
+            (Ok(_), true) => "read-stale",
+            (Err(_), _) => "failed",
+        };
         self.context.metrics.record_store_read(outcome);
         let now = self.context.clock.now();
         match stored {
+            Ok(stored)
+                if reads_stale
+                    && self.omitted.defer_stale(
+                        &key,
+                        stored.as_ref().map(|stored| stored.revision),
+                        now,
+                    ) =>
+            {
+                Ok(FeedRead::default())
+            }
             Ok(stored) => {
                 self.omitted.finish(&key, now + self.context.settings.pause);
                 let change = WatchChange {
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -23,6 +23,8 @@
     crash_reports: IntCounterVec,
     evacuated: IntGauge,
     first_byte: HistogramVec,
+    leaves: IntCounterVec,
+    leave_bytes: IntCounterVec,
     notices: IntCounterVec,
     peer_messages: IntCounterVec,
     prompt_sources: IntCounterVec,
@@ -93,6 +95,16 @@
                 "Time from a request to the head of its answer, by workspace",
                 &["service", "workspace"],
             )?,
+            leaves: counter(
+                "poplargap_left_requests_total",
+                "Sends to replicas of other data centres by the reason",
+                &["service", "data_centre", "reason"],
+            )?,
+            leave_bytes: counter(
+                "poplargap_left_body_bytes_total",
+                "Bytes of requests' bodies that were sent to other data centres",
+                &["service", "data_centre"],
+            )?,
             notices: counter(
                 "poplargap_replica_notices_total",
                 "Statements of replicas about new requests: leaving, leaving as a peer sent it, refusal",
@@ -161,6 +173,15 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn record_leave(&self, service: &str, centre: &str, reason: &str, bytes: usize) {
+        self.leaves
+            .with_label_values(&[service, centre, reason])
+            .inc();
+        self.leave_bytes
+            .with_label_values(&[service, centre])
+            .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
     /// Returns the metrics of requests that wait for room.
     pub(crate) fn room(&self) -> &RoomMetrics {
         &self.room
--- a/crates/poplargap-forward/src/front_settings.rs
+++ b/crates/poplargap-forward/src/front_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a front proxy.
 
 use {
-    poplargap_core::forward::RegionTable,
+    poplargap_core::forward::{LeaveRule, RegionTable},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -36,6 +36,8 @@
     pub poll_wait: Duration,
     /// A reader's pause between two reads of the store.
     pub read_pause: Duration,
+    /// Time for which copies that may be old are read of a value that another daemon left out.
+    pub stale_time: Duration,
     /// Longest time for which a reader's watch waits for changes.
     pub watch_wait: Duration,
 }
@@ -45,6 +47,8 @@
 pub struct PlaceSettings {
     /// Time in which an evacuation must take effect.
     pub evacuation: Duration,
+    /// When a request leaves its data centre; `None` if all data centres are alike to the operators.
+    pub leave: Option<LeaveRule>,
     /// Region of each data centre.
     pub regions: RegionTable,
     /// Time after the end of an evacuation in which replicas register whether they are cold.
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -73,6 +73,7 @@
     };
     let peers = Arc::clone(&state.peers.borrow());
     let request = ChoiceRequest {
+        body_bytes: call.received.body.len(),
         cold: ColdLimit {
             per_second: call.cold_per_second,
             return_caution: state.settings.places.return_caution,
@@ -82,6 +83,7 @@
         drain: state.settings.drain,
         excluded: place.excluded,
         key: call.placement_key,
+        leave: state.settings.places.leave,
         now,
         places,
         prefers_local: place.prefers_local,
@@ -124,25 +126,24 @@
             };
             choose_source(&tracker, &request)
         });
-        let load = tracker.load(&choice.replica.id);
         let placement = PlacementRecord {
             candidates: replicas.len(),
-            in_flight: load.map_or(0, ReplicaLoad::in_flight),
-            mean: choice.mean,
-            placed_by: choice.placed_by,
-            rank: choice.rank,
-            replica: Arc::clone(&choice.replica.id),
-            report_age: load.and_then(|load| load.report_age(now)),
-            report_source: load.and_then(ReplicaLoad::report_source),
-            requests: choice.requests,
             source,
             timed,
+            ..placement_record(&tracker, &choice, now)
         };
         if let Some(key) = call.placement_key {
             tracker.record_cached(key, &choice.replica, now);
         }
         (choice, placement)
     };
+    if let Some(reason) = choice.leaves {
+        let centre = &choice.replica.data_centre;
+        let bytes = call.received.body.len();
+        state
+            .metrics
+            .record_leave(&call.service, centre, reason.into(), bytes);
+    }
     let source = placement.source.as_ref().map(|source| {
         let basis: &'static str = source.basis.into();
         state.metrics.record_prompt_source(&call.service, basis);
@@ -152,6 +153,29 @@
     Placement::Placed(counted, Box::new(placement))
 }
 
+/// Returns what is logged of a choice, without its source and its expected times.
+fn placement_record(
+    tracker: &ReplicaTracker,
+    choice: &ReplicaChoice,
+    now: MonotonicInstant,
+) -> PlacementRecord {
+    let load = tracker.load(&choice.replica.id);
+    PlacementRecord {
+        candidates: 0,
+        in_flight: load.map_or(0, ReplicaLoad::in_flight),
+        leaves: choice.leaves,
+        mean: choice.mean,
+        placed_by: choice.placed_by,
+        rank: choice.rank,
+        replica: Arc::clone(&choice.replica.id),
+        report_age: load.and_then(|load| load.report_age(now)),
+        report_source: load.and_then(ReplicaLoad::report_source),
+        requests: choice.requests,
+        source: None,
+        timed: None,
+    }
+}
+
 /// The choice by expected times.
 #[derive(Debug)]
 enum TimedChoice<D> {
@@ -251,6 +275,7 @@
 fn choice_of(chosen: &TimedReplica, timed: &[TimedReplica]) -> ReplicaChoice {
     let total: f64 = timed.iter().map(|timed| timed.requests).sum();
     ReplicaChoice {
+        leaves: None,
         is_cold: false,
         mean: total / timed.len().max(1) as f64,
         placed_by: PlacedBy::Time,
--- a/crates/poplargap-store/src/store.rs
+++ b/crates/poplargap-store/src/store.rs
@@ -132,6 +132,14 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send;
 
+    /// Reads one value as it was up to some seconds ago, which costs less where the store offers that.
+    fn get_stale(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send {
+        self.get(key)
+    }
+
     /// Lists values by prefix, from the key after `after`.
     ///
     /// Each call returns one page. A watch after a listing has to start from the revision of the
--- a/crates/poplargap-testbed/src/store/store_faults.rs
+++ b/crates/poplargap-testbed/src/store/store_faults.rs
@@ -8,6 +8,10 @@
 };
 
 /// Active faults; the default is none.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the faults are independent of each other"
+)]
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct StoreFaults {
@@ -21,6 +25,8 @@
     pub drop_next_answers: u64,
     /// Delay after which the VM list shows a change, in milliseconds.
     pub lag_ms: u64,
+    /// Whether reads that may be stale find nothing.
+    pub old_copies: bool,
     /// Whether calls are refused with 503 and have no effect.
     pub refuse: bool,
     /// Whether connections that are open when the faults are set receive no further bytes.
--- a/crates/poplargap-testbed/src/store/store_routes.rs
+++ b/crates/poplargap-testbed/src/store/store_routes.rs
@@ -48,6 +48,11 @@
         .and_then(|context: RouteContext, query: KeyQuery| {
             let store = context.store.clone();
             context.serve(CallKind::Get, async move {
+                let faults = store.ask(StoreMessage::Faults).await;
+                let is_old = faults.is_some_and(|faults| faults.old_copies);
+                if is_old && query.stale_read.is_some() {
+                    return StatusCode::NOT_FOUND.into_response();
+                }
                 match store.ask(|reply| StoreMessage::Get(query.key, reply)).await {
                     Some(None) => StatusCode::NOT_FOUND.into_response(),
                     stored => answer(stored.flatten().as_ref().map(ItemBody::from)),
--- a/crates/poplargapd/tests/orders.rs
+++ b/crates/poplargapd/tests/orders.rs
@@ -37,6 +37,7 @@
     drop_answer: false,
     drop_next_answers: 0,
     lag_ms: 0,
+    old_copies: false,
     refuse: true,
     silent: false,
 };
