Refuse early at a daemon that is behind, and look again right before a send

Change: a daemon measures its lag by its own timers; it refuses, the least urgent first, what it can't pass on in time, and everything once its view of the replicas may be as old as a drain. Right before a send, after a connection is ready, it checks that the replica is still registered and its data centre not evacuated; such a withdrawn send counts as none. The answer at the time-out comes earlier by the lag. A single late timer, as after a freeze, is no lag.

Ruled out: the processor's quota from the settings (it doesn't say what is left of it).

Tests: lag in core, the withdrawn send.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -23,6 +23,7 @@
 mod fleet_demand;
 mod leave_rule;
 mod load_bound;
+mod loop_lag;
 mod peer_view;
 mod pending_crashes;
 mod pending_leaving;
@@ -72,6 +73,7 @@
     feed_state::FeedState,
     fleet_demand::{FleetDemand, ServiceDemand},
     leave_rule::{LeaveReason, LeaveRequest, LeaveRule},
+    loop_lag::LoopLag,
     peer_view::{PeerEntry, PeerView},
     pending_crashes::{PeerCrash, PendingCrashes},
     pending_leaving::{LeavingReplica, PendingLeaving},
--- a/crates/poplargap-core/src/forward/evacuation.rs
+++ b/crates/poplargap-core/src/forward/evacuation.rs
@@ -121,6 +121,13 @@
         position < moved
     }
 
+    /// Returns whether no request may be sent to the data centre any more.
+    #[must_use]
+    pub fn is_complete(&self, centre: &str, now: MonotonicInstant) -> bool {
+        let state = self.centres.get(centre);
+        matches!(state, Some(CentreState::Evacuated { full_at, .. }) if now >= *full_at)
+    }
+
     /// Returns whether the evacuation of a data centre ended less than `time` ago.
     #[must_use]
     pub fn has_returned_within(&self, centre: &str, time: Duration, now: MonotonicInstant) -> bool {
--- a/crates/poplargap-core/src/forward/replica_tracker.rs
+++ b/crates/poplargap-core/src/forward/replica_tracker.rs
@@ -343,6 +343,9 @@
         outcome: SendOutcome,
         now: MonotonicInstant,
     ) -> HealthChange {
+        if outcome == SendOutcome::Withdrawn {
+            return HealthChange::default();
+        }
         let centre = outcome == SendOutcome::Unreachable && {
             let centre = Arc::clone(&replica.data_centre);
             let health = self.centres.entry(centre).or_default();
--- a/crates/poplargap-core/src/forward/send_outcome.rs
+++ b/crates/poplargap-core/src/forward/send_outcome.rs
@@ -10,6 +10,8 @@
     NotExecuted,
     /// Nothing was sent: opening the connection timed out.
     Unreachable,
+    /// Nothing was sent: the replica was leaving, or its data centre was evacuated, by then.
+    Withdrawn,
     /// Another replica now has the address; it didn't run the request.
     WrongReplica,
     /// The replica replied with an error.
@@ -26,13 +28,17 @@
     pub fn proves_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotExecuted | Self::NotSent | Self::Unreachable | Self::WrongReplica
+            Self::NotExecuted
+                | Self::NotSent
+                | Self::Unreachable
+                | Self::Withdrawn
+                | Self::WrongReplica
         )
     }
 
     /// Returns whether the request, or a part of it, was sent to the replica.
     #[must_use]
     pub fn was_delivered(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Unreachable)
+        !matches!(self, Self::NotSent | Self::Unreachable | Self::Withdrawn)
     }
 }
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod events;
 mod intake;
 mod leaving_centres;
+mod loop_lag;
 mod places;
 mod prompt_source;
 mod readers;
--- a/crates/poplargap-forward/src/accept.rs
+++ b/crates/poplargap-forward/src/accept.rs
@@ -150,7 +150,8 @@
         Ok(call) => match admit(state, hold(state, call).await) {
             Err(refused) => respond_refused(state, &refused),
             Ok(call) => {
-                let deadline = call.deadline + DEADLINE_SLACK;
+                let lag = state.lag().current(state.clock.now());
+                let deadline = call.deadline + DEADLINE_SLACK.saturating_sub(lag);
                 let mut relay = CallRelay::new(state, call);
                 let result = tokio::select! {
                     biased;
--- a/crates/poplargap-forward/src/admit.rs
+++ b/crates/poplargap-forward/src/admit.rs
@@ -5,13 +5,14 @@
         LocalAnswer, WireDialect,
         call_stage::{AdmittedCall, ReceivedCall},
         front_state::FrontState,
-        local_answer::NOT_READY_RETRY_AFTER,
+        local_answer::{NOT_READY_RETRY_AFTER, OVERLOADED_RETRY_AFTER},
     },
     poplargap_core::forward::{
         AccessRefusal, ClosePhase, RequestContent, RequestIdentity, placement_key,
     },
     slog::info,
     std::sync::Arc,
+    tokio::time::Instant,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -38,6 +39,9 @@
     let retry_later = LocalAnswer::Refused {
         retry_after: NOT_READY_RETRY_AFTER,
     };
+    let busy = LocalAnswer::Refused {
+        retry_after: OVERLOADED_RETRY_AFTER,
+    };
     if state.close.phase() >= Some(ClosePhase::Finishing) {
         return refuse(received, retry_later, "closing");
     }
@@ -70,6 +74,15 @@
     let wait = head.deadline.map_or(grant.route.timeout, |deadline| {
         deadline.min(grant.route.timeout)
     });
+    let deadline = received.started_at + wait;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let lag = state.lag();
+    let workspace = grant.workspace.as_ref();
+    let priority = workspace.and_then(|workspace| workspace.priority);
+    let priority = priority.unwrap_or(grant.route.priority);
+    if lag.is_too_late(time_left, priority, state.clock.now()) {
+        return refuse(received, busy, "behind");
+    }
     let content = RequestContent {
         body: &received.body,
         method: received.method.as_str(),
@@ -82,7 +95,7 @@
     let cold = routes.service(&service);
     Ok(AdmittedCall {
         cold_per_second: cold.map_or(0.0, |entry| entry.cold_per_second),
-        deadline: received.started_at + wait,
+        deadline,
         received,
         grant,
         identity,
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -28,14 +28,14 @@
     std::{
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, atomic::Ordering},
+        sync::{Arc, Mutex, PoisonError, atomic::Ordering},
         time::Duration,
     },
     tokio::{
         net::TcpListener,
         sync::watch,
         task::JoinSet,
-        time::{Instant, sleep},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -45,6 +45,12 @@
 /// Pause between two removals of expired connections and unknown replicas.
 const SWEEP_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause between two measurements of the daemon's lag.
+const LAG_PAUSE: Duration = Duration::from_millis(100);
+
+/// Lag from which on a daemon is logged as behind.
+const LAG_LOGGED: Duration = Duration::from_millis(300);
+
 /// Why a front proxy can't start.
 #[derive(Debug, Display)]
 pub enum FrontError {
@@ -114,6 +120,7 @@
             evacuations,
             held: 0.into(),
             open_connections: 0.into(),
+            lag: Mutex::default(),
             log: log.clone(),
             metrics,
             peers: peers.clone(),
@@ -164,6 +171,7 @@
         tasks.spawn(serve_ready(Arc::clone(&state), ready));
         tasks.spawn(serve_metrics(Arc::clone(&state), metrics_listener));
         tasks.spawn(accept(Arc::clone(&state), callers));
+        tasks.spawn(measure_lag(Arc::clone(&state)));
         tasks.spawn(sweep(Arc::clone(&state)));
         let addresses = &state.settings;
         info!(log, "front proxy started"; "version" => env!("CARGO_PKG_VERSION"),
@@ -221,6 +229,28 @@
         .map_err(|error| FrontError::Listen(address, error))
 }
 
+/// Measures how late the daemon's own timer fires.
+async fn measure_lag<D>(state: Arc<FrontState<D>>) {
+    let mut was_behind = false;
+    loop {
+        let due = Instant::now() + LAG_PAUSE;
+        sleep_until(due).await;
+        let delay = due.elapsed();
+        let now = state.clock.now();
+        let lag = {
+            let mut lag = state.lag.lock().unwrap_or_else(PoisonError::into_inner);
+            lag.record(delay, now);
+            lag.current(now)
+        };
+        let is_behind = lag > LAG_LOGGED;
+        if is_behind != was_behind {
+            was_behind = is_behind;
+            info!(state.log, "lag of the daemon changed"; "behind" => is_behind,
+                "lag-ms" => crate::call_log::millis(lag));
+        }
+    }
+}
+
 /// Periodically drops the connections and the state of unregistered replicas.
 async fn sweep<D: WireDialect>(state: Arc<FrontState<D>>) {
     loop {
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -9,8 +9,8 @@
     poplargap_core::{
         collections::HashMap,
         forward::{
-            EvacuationView, PeerView, ReplicaEntry, ReplicaTracker, ReplicaView, RouteTable,
-            ServiceBudget,
+            EvacuationView, LoopLag, PeerView, ReplicaEntry, ReplicaTracker, ReplicaView,
+            RouteTable, ServiceBudget,
         },
     },
     slog::Logger,
@@ -38,6 +38,8 @@
     /// Number of requests that wait for the first routes.
     pub(crate) held: AtomicUsize,
     pub(crate) open_connections: AtomicUsize,
+    /// How far the daemon's loop is behind.
+    pub(crate) lag: Mutex<LoopLag>,
     pub(crate) log: Logger,
     pub(crate) metrics: FrontMetrics,
     pub(crate) peers: watch::Receiver<Arc<PeerView>>,
@@ -66,6 +68,11 @@
         decide(budget)
     }
 
+    /// Returns how far the daemon's loop is behind.
+    pub(crate) fn lag(&self) -> LoopLag {
+        *self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the routes in force; `None` before the first successful read.
     pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
         self.routes.borrow().clone()
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -67,6 +67,9 @@
     let call_id = &call.received.head.id;
     let mut connection = connect(state, replica, call_id, at_most_once).await?;
     let response = loop {
+        if is_withdrawn(state, replica) {
+            return Err(SendOutcome::Withdrawn);
+        }
         let mut request = build_request(state, call, &placed, last_event);
         let interim = InterimReplies::watch(&mut request);
         let reply = connection.sender.try_send_request(request);
@@ -95,6 +98,15 @@
     check_reply(state, call, placed, connection, response)
 }
 
+/// Returns whether a replica that was chosen before a connection was ready is to get no requests now.
+fn is_withdrawn<D>(state: &FrontState<D>, replica: &ReplicaEntry) -> bool {
+    let view = Arc::clone(&state.replicas.borrow());
+    let known = view.replica(&replica.id);
+    let is_registered = known.is_some_and(|known| known.started_ms == replica.started_ms);
+    let evacuations = Arc::clone(&state.evacuations.borrow());
+    !is_registered || evacuations.is_complete(&replica.data_centre, state.clock.now())
+}
+
 /// Returns an idle connection or opens a new one.
 ///
 /// An at-most-once request gets a new connection if the replica recently sent a reply to another
