Give no request time that it waited unread, and refuse from half a second of lag

A lag of half a second counts five times on the way of a change to a daemon and of a request through it.

Change: the lag is taken off the caller's time; above 0.5 s (1.2 s before) nothing is taken.

--- a/crates/poplargap-core/src/forward/loop_lag.rs
+++ b/crates/poplargap-core/src/forward/loop_lag.rs
@@ -7,8 +7,10 @@
 /// times on its way there and back.
 const LAG_PARTS: u32 = 4;
 
-/// Lag from which on no request is taken: what the daemon knows of replicas that leave is as old.
-const LAG_MAX: Duration = Duration::from_millis(1_200);
+/// Lag from which on no request is taken. What the daemon reads of replicas that leave passes its loop
+/// and that of its reader some five times, as a request does on its way: a lag of half a second is
+/// the three seconds in which a leaving replica serves.
+const LAG_MAX: Duration = Duration::from_millis(500);
 
 /// How far a daemon's loop is behind, from the delays of its own timers.
 ///
@@ -37,6 +39,13 @@
         self.lag.mul_f64(0.5_f64.powf(half_lives))
     }
 
+    /// Returns the time that a caller has left, of which `time` was left when its request was sent: the
+    /// request waited for about the lag before it was read.
+    #[must_use]
+    pub fn time_left(&self, time: Duration, now: MonotonicInstant) -> Duration {
+        time.saturating_sub(self.current(now))
+    }
+
     /// Returns whether the daemon is too far behind to take a request whose caller waits for
     /// `time_left`.
     ///
--- a/crates/poplargap-core/tests/forward/loop_lag.rs
+++ b/crates/poplargap-core/tests/forward/loop_lag.rs
@@ -28,12 +28,27 @@
 
 #[test]
 fn urgent_requests_are_taken_longer_by_a_daemon_that_falls_behind() {
-    let lag = lag_after(&[700, 700]);
-    assert!(!lag.is_too_late(CALL_TIME, 0, at(100)));
-    assert!(lag.is_too_late(CALL_TIME, 2, at(100)));
+    let lag = lag_after(&[400, 400]);
+    let time = Duration::from_millis(1_200);
+    assert!(!lag.is_too_late(time, 0, at(100)));
+    assert!(lag.is_too_late(time, 2, at(100)));
     assert!(!lag.is_too_late(Duration::from_secs(8), 2, at(100)));
 }
 
+/// A daemon held a request for three seconds, and sent it half a second after its caller had left.
+#[test]
+fn time_for_which_a_request_waited_unread_is_not_given_away_again() {
+    let lag = lag_after(&[400, 400]);
+    assert_eq!(
+        lag.time_left(CALL_TIME, at(100)),
+        Duration::from_millis(2_100)
+    );
+    assert_eq!(
+        lag.time_left(Duration::from_millis(300), at(100)),
+        Duration::ZERO
+    );
+}
+
 /// A frozen daemon refused its callers for a second after it had woken.
 #[test]
 fn one_late_timer_is_no_lag() {
--- a/crates/poplargap-forward/src/admit.rs
+++ b/crates/poplargap-forward/src/admit.rs
@@ -74,9 +74,9 @@
     let wait = head.deadline.map_or(grant.route.timeout, |deadline| {
         deadline.min(grant.route.timeout)
     });
-    let deadline = received.started_at + wait;
-    let time_left = deadline.saturating_duration_since(Instant::now());
     let lag = state.lag();
+    let deadline = received.started_at + lag.time_left(wait, state.clock.now());
+    let time_left = deadline.saturating_duration_since(Instant::now());
     let workspace = grant.workspace.as_ref();
     let priority = workspace.and_then(|workspace| workspace.priority);
     let priority = priority.unwrap_or(grant.route.priority);
