--- a/crates/poplargap-core/src/forward/choice_rule.rs
+++ b/crates/poplargap-core/src/forward/choice_rule.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        ColdGate, ColdLimit, IntakeState, LeaveReason, LeaveRequest, LeaveRule, PlaceFilter,
-        ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaTracker,
-        cached_replicas::CachedReplica,
+        ColdGate, ColdLimit, LeaveReason, LeaveRequest, LeaveRule, PlaceFilter, ReplicaEntry,
+        ReplicaId, ReplicaTracker,
         choice_candidate::Candidate,
+        eligible_rule::eligible,
         load_bound::LoadBound,
+        load_estimate::{ReportUse, candidates},
         prompt_order::{PromptHome, by_prompt, replica_count},
     },
     crate::instant::MonotonicInstant,
@@ -18,9 +19,6 @@
 /// Requests that are added to the load of a replica, times its failure ratio.
 const FAILURE_COST_REQUESTS: f64 = 8.0;
 
-/// Weight of the newest report from which on the mean of all is taken as it is.
-const CERTAIN_WEIGHT: f64 = 0.5;
-
 /// Greatest factor on the mean for the load of replicas that may not be used.
 const CARRIED_MEAN_MAX: f64 = 1.3;
 
@@ -245,185 +243,6 @@
         .map(|(_, candidate)| candidate)
 }
 
-/// How load reports are used, which depends on how fast a service's load changes.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum ReportUse {
-    /// Requests take seconds, and prompts keep their replicas.
-    Lasting,
-    /// Requests take much less than a second.
-    Recent,
-}
-
-impl ReportUse {
-    /// Returns the weight of a replica's last report.
-    fn weight(self, load: &ReplicaLoad, now: MonotonicInstant) -> f64 {
-        match self {
-            Self::Lasting => load.report_weight(now),
-            Self::Recent => load.recent_weight(now),
-        }
-    }
-
-    /// Returns the factor on the mean of the reports if `greatest` is the weight of the newest one.
-    ///
-    /// Where all reports are old, a full replica has probably room again, and a request has to find
-    /// out.
-    fn certainty(self, greatest: f64) -> f64 {
-        match self {
-            Self::Lasting => 1.0,
-            Self::Recent => (greatest / CERTAIN_WEIGHT).min(1.0),
-        }
-    }
-}
-
-/// Estimates the requests at each replica.
-///
-/// A replica's own report is weighted by its age; the mean of all reports makes up the rest.
-pub(super) fn candidates<'a>(
-    replicas: &'a [Arc<ReplicaEntry>],
-    tracker: &ReplicaTracker,
-    request: &ChoiceRequest<'_>,
-    reports: ReportUse,
-) -> Vec<Candidate<'a>> {
-    let now = request.now;
-    let holders: Vec<&CachedReplica> = request
-        .key
-        .into_iter()
-        .flat_map(|key| tracker.holders(key, now))
-        .collect();
-    let has_prefix = |entry: &ReplicaEntry| holders.iter().any(|cached| cached.is_at(entry));
-    let centres = tracker.unreachable_centres(now);
-    let loads: Vec<Option<&ReplicaLoad>> = replicas
-        .iter()
-        .map(|entry| tracker.load(&entry.id))
-        .collect();
-    let mean = mean_peer_requests(&loads, now, reports);
-    let paces = PaceScale::new(&loads);
-    let estimate = |load: Option<&ReplicaLoad>| {
-        let peers = load
-            .and_then(ReplicaLoad::peer_requests)
-            .map_or(mean, f64::from);
-        let weight = load.map_or(0.0, |load| reports.weight(load, now));
-        let own = load.map_or(0, ReplicaLoad::in_flight);
-        f64::from(own) + weight * peers + (1.0 - weight) * mean
-    };
-    replicas
-        .iter()
-        .zip(loads)
-        .map(|(entry, load)| Candidate {
-            entry,
-            failure_ratio: load.map_or(0.0, ReplicaLoad::failure_ratio),
-            has_prefix: has_prefix(entry),
-            confidence: load.map_or(0.0, |load| load.report_weight(now)),
-            intake: request.places.allows(&entry.data_centre, now).then(|| {
-                load.map_or(IntakeState::Open, |load| {
-                    load.intake_state(entry, request.drain, now)
-                })
-            }),
-            is_cold: request.is_cold(entry),
-            is_unavailable: load.is_some_and(|load| load.is_ejected(now))
-                || centres.contains(&entry.data_centre.as_ref()),
-            pace: load.map_or(paces.mean, |load| paces.expected(load, now)),
-            requests: estimate(load) * paces.relative(load),
-        })
-        .collect()
-}
-
-/// Returns the mean number of the peers' requests per replica, weighted by the reports' ages.
-fn mean_peer_requests(
-    loads: &[Option<&ReplicaLoad>],
-    now: MonotonicInstant,
-    reports: ReportUse,
-) -> f64 {
-    let (mut total, mut weights, mut greatest) = (0.0, 0.0, 0.0_f64);
-    for load in loads.iter().flatten() {
-        let weight = reports.weight(load, now);
-        greatest = greatest.max(weight);
-        total += weight * load.peer_requests().map_or(0.0, f64::from);
-        weights += weight;
-    }
-    if weights > 0.0 {
-        total / weights * reports.certainty(greatest)
-    } else {
-        0.0
-    }
-}
-
-/// Returns the replicas that weren't tried and take requests, without the unavailable ones unless
-/// all are.
-///
-/// Leaving replicas are used only while no other one takes requests. If the request prefers its own
-/// data centre, replicas elsewhere are used only if it has none.
-pub(super) fn eligible<'a>(
-    all: &[Candidate<'a>],
-    tracker: &ReplicaTracker,
-    request: &ChoiceRequest<'_>,
-) -> Vec<Candidate<'a>> {
-    let untried: Vec<Candidate<'a>> = all
-        .iter()
-        .filter(|candidate| !request.excluded.contains(&candidate.entry.id))
-        .copied()
-        .collect();
-    let in_state = |state: IntakeState| -> Vec<Candidate<'a>> {
-        let candidates = untried.iter();
-        let candidates = candidates.filter(|candidate| candidate.intake == Some(state));
-        candidates.copied().collect()
-    };
-    let open = in_state(IntakeState::Open);
-    let untried = if open.is_empty() {
-        in_state(IntakeState::LastResort)
-    } else {
-        bearable(open, tracker, request)
-    };
-    let healthy: Vec<Candidate<'a>> = untried
-        .iter()
-        .filter(|candidate| !candidate.is_unavailable)
-        .copied()
-        .collect();
-    let usable = if healthy.is_empty() { untried } else { healthy };
-    if request.prefers_local {
-        local_or_all(usable, request.data_centre)
-    } else {
-        usable
-    }
-}
-
-/// Returns the candidates without the cold replicas to which this daemon may not send now.
-///
-/// A service all of whose replicas are cold gets its requests at random ones of them, each daemon
-/// sending its part of what they bear together.
-fn bearable<'a>(
-    open: Vec<Candidate<'a>>,
-    tracker: &ReplicaTracker,
-    request: &ChoiceRequest<'_>,
-) -> Vec<Candidate<'a>> {
-    let cold_count = open.iter().filter(|candidate| candidate.is_cold).count();
-    if cold_count == 0 {
-        return open;
-    }
-    let (limit, gate, now) = (request.cold, tracker.cold_gate(), request.now);
-    if cold_count < open.len() {
-        let mut bearable = open;
-        bearable
-            .retain(|candidate| !candidate.is_cold || gate.allows(&candidate.entry.id, limit, now));
-        return bearable;
-    }
-    if !gate.allows_spread(limit, cold_count, request.daemons, now) {
-        return Vec::new();
-    }
-    let index = request.request_hash % cold_count as u64;
-    vec![open[index as usize]]
-}
-
-/// Returns the candidates in a data centre, or all candidates if it has none.
-fn local_or_all<'a>(candidates: Vec<Candidate<'a>>, data_centre: &str) -> Vec<Candidate<'a>> {
-    let local: Vec<Candidate<'a>> = candidates
-        .iter()
-        .filter(|candidate| candidate.entry.data_centre.as_ref() == data_centre)
-        .copied()
-        .collect();
-    if local.is_empty() { candidates } else { local }
-}
-
 /// Returns the mean weight of the replicas' load reports, from 0 to 1.
 fn mean_confidence(candidates: &[Candidate<'_>]) -> f64 {
     let total: f64 = candidates
@@ -471,37 +290,3 @@
 ) -> Option<&'b Candidate<'a>> {
     candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
-
-/// Least and greatest relative pace that is counted, so that a replica that states a wrong pace gets
-/// neither most of the requests nor none.
-const RELATIVE_PACE_RANGE: (f64, f64) = (0.7, 3.0);
-
-/// The paces of a service's replicas against their mean.
-#[derive(Clone, Copy, Debug)]
-struct PaceScale {
-    mean: f64,
-}
-
-impl PaceScale {
-    fn new(loads: &[Option<&ReplicaLoad>]) -> Self {
-        let paces = loads.iter().flatten().filter_map(|load| load.pace());
-        let (total, count) = paces.fold((0.0, 0.0), |(total, count), pace| {
-            (total + pace.lasting_factor(), count + 1.0)
-        });
-        let mean = if count > 0.0 { total / count } else { 1.0 };
-        Self { mean }
-    }
-
-    /// Returns the pace of a replica as of now; the mean if it has stated none.
-    fn expected(self, load: &ReplicaLoad, now: MonotonicInstant) -> f64 {
-        load.pace().map_or(self.mean, |pace| pace.factor(now))
-    }
-
-    /// Returns the factor by which a request weighs more at a replica that is slow for long.
-    fn relative(self, load: Option<&ReplicaLoad>) -> f64 {
-        let pace = load.and_then(ReplicaLoad::pace);
-        let (least, greatest) = RELATIVE_PACE_RANGE;
-        pace.map_or(1.0, |pace| pace.lasting_factor() / self.mean)
-            .clamp(least, greatest)
-    }
-}
--- a/crates/poplargap-core/src/forward/room_rule.rs
+++ b/crates/poplargap-core/src/forward/room_rule.rs
@@ -87,7 +87,7 @@
     if view.expected >= request.time_left {
         return RoomStep::Refuse(ShortRoom::NoTime);
     }
-    let has_room = if is_first_rate(request, view) {
+    let has_room = if is_within_share(request, view) {
         view.queue <= QUEUE_MAX
     } else {
         view.queue <= LATE_QUEUE_MAX && request.look < late_chance(request.share)
@@ -103,7 +103,7 @@
 }
 
 /// Returns whether a request can be in time and is within the share that the replicas bear.
-fn is_first_rate(request: &RoomRequest, view: &RoomView) -> bool {
+fn is_within_share(request: &RoomRequest, view: &RoomView) -> bool {
     let rank = f64::from(request.priority.min(PRIORITY_MAX)) / f64::from(PRIORITY_MAX);
     // The urgent requests are the first of those that the replicas bear.
     let position = request.point * (URGENT_PART + (1.0 - URGENT_PART) * rank);
--- a/crates/poplargap-core/src/forward/timed_choice.rs
+++ b/crates/poplargap-core/src/forward/timed_choice.rs
@@ -2,7 +2,8 @@
     super::{
         ChoiceRequest, ReplicaEntry, ReplicaTracker,
         choice_candidate::Candidate,
-        choice_rule::{ReportUse, candidates, eligible},
+        eligible_rule::eligible,
+        load_estimate::{ReportUse, candidates},
     },
     std::{sync::Arc, time::Duration},
 };
