--- a/crates/poplargap-core/src/forward/loop_lag.rs
+++ b/crates/poplargap-core/src/forward/loop_lag.rs
@@ -15,7 +15,9 @@
 /// How far a daemon's loop is behind, from the delays of its own timers.
 ///
 /// A daemon without processor time left doesn't see that its requests wait. The greatest recent delay
-/// counts, and fades. A single late timer doesn't count: a daemon that was frozen is fast again.
+/// counts, and fades. A single late timer doesn't count once it has fired: a daemon that was frozen is
+/// fast again. Until it fires, what is overdue counts: a request that is read right after the daemon
+/// stood still has waited for as long, and so has what the daemon is to read of its replicas.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoopLag {
     at: MonotonicInstant,
@@ -24,17 +26,25 @@
 }
 
 impl LoopLag {
+    /// Pause between two measurements.
+    pub const PAUSE: Duration = Duration::from_millis(100);
+
     /// Records that a timer fired `delay` late.
     pub fn record(&mut self, delay: Duration, now: MonotonicInstant) {
         let lasting = delay.min(self.last_delay);
         self.last_delay = delay;
-        self.lag = self.current(now).max(lasting);
+        self.lag = self.faded(now).max(lasting);
         self.at = now;
     }
 
     /// Returns the lag at `now`.
     #[must_use]
     pub fn current(&self, now: MonotonicInstant) -> Duration {
+        let overdue = now.since(self.at).saturating_sub(Self::PAUSE);
+        self.faded(now).max(overdue)
+    }
+
+    fn faded(&self, now: MonotonicInstant) -> Duration {
         let half_lives = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.lag.mul_f64(0.5_f64.powf(half_lives))
     }
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -21,7 +21,9 @@
     displaydoc::Display,
     poplargap_core::{
         collections::{HashMap, HashSet},
-        forward::{ClosePhase, ClosePlan, PeerEntry, PeerView, ReplicaTracker, ReplicaView},
+        forward::{
+            ClosePhase, ClosePlan, LoopLag, PeerEntry, PeerView, ReplicaTracker, ReplicaView,
+        },
     },
     poplargap_store::KeyValueStore,
     slog::{Logger, info},
@@ -45,9 +47,6 @@
 /// Pause between two removals of expired connections and unknown replicas.
 const SWEEP_PAUSE: Duration = Duration::from_secs(2);
 
-/// Pause between two measurements of the daemon's lag.
-const LAG_PAUSE: Duration = Duration::from_millis(100);
-
 /// Lag from which on a daemon is logged as behind.
 const LAG_LOGGED: Duration = Duration::from_millis(300);
 
@@ -233,7 +232,7 @@
 async fn measure_lag<D>(state: Arc<FrontState<D>>) {
     let mut was_behind = false;
     loop {
-        let due = Instant::now() + LAG_PAUSE;
+        let due = Instant::now() + LoopLag::PAUSE;
         sleep_until(due).await;
         let delay = due.elapsed();
         let now = state.clock.now();
