--- a/crates/poplargap-core/src/forward/send_outcome.rs
+++ b/crates/poplargap-core/src/forward/send_outcome.rs
@@ -10,7 +10,8 @@
     NotExecuted,
     /// Nothing was sent: opening the connection timed out.
     Unreachable,
-    /// Nothing was sent: the replica was leaving, or its data centre was evacuated, by then.
+    /// Nothing was sent: the replica was leaving, its data centre was evacuated, or the caller's time had
+    /// passed by then.
     Withdrawn,
     /// Another replica now has the address; it didn't run the request.
     WrongReplica,
--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -67,7 +67,7 @@
     let call_id = &call.received.head.id;
     let mut connection = connect(state, replica, call_id, at_most_once).await?;
     let response = loop {
-        if is_withdrawn(state, replica) {
+        if is_withdrawn(state, replica) || is_past_its_time(state, call) {
             return Err(SendOutcome::Withdrawn);
         }
         let mut request = build_request(state, call, &placed, last_event);
@@ -107,6 +107,14 @@
     !is_registered || evacuations.is_complete(&replica.data_centre, state.clock.now())
 }
 
+/// Returns whether the caller's time has passed, as far as the daemon can tell.
+///
+/// A daemon that stood still while a connection opened goes on where it was, before its timers fire.
+fn is_past_its_time<D>(state: &FrontState<D>, call: &AdmittedCall) -> bool {
+    let lag = state.lag();
+    lag.time_left(call.time_left(), state.clock.now()).is_zero()
+}
+
 /// Returns an idle connection or opens a new one.
 ///
 /// An at-most-once request gets a new connection if the replica recently sent a reply to another
