--- /dev/null
+++ b/review/harness-2/main.rs
@@ -0,0 +1,55 @@
+//! Cases of the second review: `cases NAME ROOT FOLDER`.
+
+#![allow(dead_code)]
+
+mod case_crash;
+mod case_extra;
+mod case_gone;
+mod case_order;
+mod case_storm;
+mod fleet;
+mod json;
+mod replica;
+mod store;
+mod wire;
+
+use std::{env, path::PathBuf, process, thread, time::Duration};
+
+/// Longest time of a case.
+const TIME_MAX: Duration = Duration::from_secs(115);
+
+fn main() {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    if let [name, id, address] = arguments.as_slice()
+        && (name == "replica" || name == "reader")
+    {
+        process::exit(match name.as_str() {
+            "reader" => case_gone::run_replica(id, address),
+            _ => case_crash::run_replica(id, address),
+        });
+    }
+    let [name, root, folder] = arguments.as_slice() else {
+        println!("usage: cases NAME ROOT FOLDER");
+        process::exit(2);
+    };
+    let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
+    let record = fleet::Record::create(&folder);
+    let (name, watched) = (name.clone(), record.clone());
+    let case = thread::spawn(move || match name.as_str() {
+        "crash" => case_crash::run(&root, &record),
+        "extra" => case_extra::run(&root, &record),
+        "gone" => case_gone::run(&root, &record),
+        "order" => case_order::run(&root, &record),
+        "storm" => case_storm::run(&root, &record),
+        _ => 2,
+    });
+    let began = std::time::Instant::now();
+    while !case.is_finished() && began.elapsed() < TIME_MAX {
+        thread::sleep(Duration::from_millis(50));
+    }
+    if !case.is_finished() {
+        watched.say("the case took too long");
+        process::exit(2);
+    }
+    process::exit(case.join().unwrap_or(2));
+}
