--- a/review/harness-2/case_crash.rs
+++ b/review/harness-2/case_crash.rs
@@ -14,7 +14,7 @@
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::Path,
-    process::{Child, Command, Stdio},
+    process::{Command, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -97,33 +97,16 @@
     poison: Vec<Instant>,
 }
 
-/// Keeps the processes of all replicas, so that none is left when the case ends.
-#[derive(Clone, Default)]
-struct Processes(Arc<Mutex<Vec<Child>>>);
-
-impl Drop for Processes {
-    fn drop(&mut self) {
-        if Arc::strong_count(&self.0) == 1 {
-            for child in self.0.lock().unwrap().iter_mut() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
-    }
-}
-
 pub fn run(root: &Path, record: &Record) -> i32 {
     let store = Store::start();
     let registry = Registry::start(&store);
     let seen: Arc<Mutex<Seen>> = Arc::default();
-    let processes = Processes::default();
     let is_over = Arc::new(AtomicBool::new(false));
     for number in 0..REPLICAS {
         let keeper = Keeper {
             id: format!("i-{number:04x}"),
             registry: registry.clone(),
             seen: Arc::clone(&seen),
-            processes: Processes(Arc::clone(&processes.0)),
             is_over: Arc::clone(&is_over),
             record: record.clone(),
         };
@@ -203,7 +186,6 @@
     id: String,
     registry: Registry,
     seen: Arc<Mutex<Seen>>,
-    processes: Processes,
     is_over: Arc<AtomicBool>,
     record: Record,
 }
@@ -213,21 +195,22 @@
         let mut address = "127.0.0.1:0".to_owned();
         let program = std::env::current_exe().expect("this program");
         while !self.is_over.load(Ordering::Relaxed) {
-            let child = Command::new(&program)
-                .args(["replica", &self.id, &address])
-                .stdin(Stdio::null())
-                .stdout(Stdio::piped())
-                .stderr(Stdio::null())
-                .spawn();
+            let child = fleet::spawn(
+                Command::new(&program)
+                    .args(["replica", &self.id, &address])
+                    .stdin(Stdio::piped())
+                    .stdout(Stdio::piped())
+                    .stderr(Stdio::null()),
+            );
             let Ok(mut child) = child else {
                 return;
             };
             let born = fleet::unix_ms();
             let output = child.stdout.take().expect("its output");
-            self.processes.0.lock().unwrap().push(child);
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 self.read(&line, &mut address, born);
             }
+            fleet::end(&mut child);
             self.registry.crashed(&self.id);
             thread::sleep(DOWN);
         }
--- a/review/harness-2/case_gone.rs
+++ b/review/harness-2/case_gone.rs
@@ -105,13 +105,14 @@
     for number in 0..REPLICAS {
         let id = format!("i-{number:04x}");
         let program = std::env::current_exe().expect("this program");
-        let mut child = Command::new(program)
-            .args(["reader", &id, "127.0.0.1:0"])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("a replica");
+        let mut child = fleet::spawn(
+            Command::new(program)
+                .args(["reader", &id, "127.0.0.1:0"])
+                .stdin(Stdio::piped())
+                .stdout(Stdio::piped())
+                .stderr(Stdio::null()),
+        )
+        .expect("a replica");
         let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
         children.0.push(child);
         let first = lines.next().and_then(Result::ok).unwrap_or_default();
@@ -173,7 +174,7 @@
     thread::sleep(CRASH_AT.saturating_sub(began.elapsed()));
     if fleet::has_trouble() {
         record.say("replica i-0000 crashes");
-        let _ = children.0[0].kill();
+        fleet::end(&mut children.0[0]);
         registry.crashed("i-0000");
     }
     for client in clients {
@@ -189,8 +190,7 @@
 impl Drop for Children {
     fn drop(&mut self) {
         for child in &mut self.0 {
-            let _ = child.kill();
-            let _ = child.wait();
+            fleet::end(child);
         }
     }
 }
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -7,7 +7,7 @@
 use std::{
     env,
     fs::{self, File},
-    io::Write,
+    io::{self, Read, Write},
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -45,6 +45,43 @@
     }
 }
 
+/// The ids of all processes that the case has started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Starts a process that `end_all` ends.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    let mut started = STARTED.lock().unwrap();
+    let child = command.spawn()?;
+    started.push(child.id());
+    Ok(child)
+}
+
+/// Ends a process that `spawn` started.
+pub fn end(child: &mut Child) {
+    let mut started = STARTED.lock().unwrap();
+    let _ = child.kill();
+    let _ = child.wait();
+    started.retain(|id| *id != child.id());
+}
+
+/// Ends all processes that are left, and keeps others from being started.
+pub fn end_all() {
+    let started = STARTED.lock().unwrap();
+    for id in started.iter() {
+        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    }
+    // No process starts after this, until the case's own process ends.
+    std::mem::forget(started);
+}
+
+/// Ends the own process when the one that started it is gone.
+pub fn end_with_parent() {
+    thread::spawn(|| {
+        let _ = io::stdin().read_to_end(&mut Vec::new());
+        std::process::exit(0);
+    });
+}
+
 /// Whether the disruption is to happen.
 pub fn has_trouble() -> bool {
     env::var("TROUBLE").map_or(true, |value| value != "0")
@@ -232,20 +269,22 @@
         let boot = folder.join("local.toml");
         fs::write(&boot, settings).expect("the settings can be written");
         let log = File::create(folder.join("daemon.log")).expect("the log can be written");
-        let child = Command::new(root.join("target/release/poplargapd"))
-            .arg("--platform")
-            .current_dir(root)
-            .env_clear()
-            .env("PATH", env::var_os("PATH").unwrap_or_default())
-            .env("POPLARGAP_BOOT", &boot)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("the log"))
-            .stderr(log)
-            .spawn();
+        let child = spawn(
+            Command::new(root.join("target/release/poplargapd"))
+                .arg("--platform")
+                .current_dir(root)
+                .env_clear()
+                .env("PATH", env::var_os("PATH").unwrap_or_default())
+                .env("POPLARGAP_BOOT", &boot)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone().expect("the log"))
+                .stderr(log),
+        );
         let child = match child {
             Ok(child) => child,
             Err(error) => {
                 println!("the daemon can't be started: {error}");
+                end_all();
                 std::process::exit(2);
             }
         };
@@ -268,6 +307,7 @@
         }
         println!("the daemon didn't become ready");
         self.end();
+        end_all();
         std::process::exit(2);
     }
 
@@ -291,8 +331,7 @@
     }
 
     fn end(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end(&mut self.child);
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -23,6 +23,7 @@
     if let [name, id, address] = arguments.as_slice()
         && (name == "replica" || name == "reader")
     {
+        fleet::end_with_parent();
         process::exit(match name.as_str() {
             "reader" => case_gone::run_replica(id, address),
             _ => case_crash::run_replica(id, address),
@@ -49,7 +50,10 @@
     }
     if !case.is_finished() {
         watched.say("the case took too long");
+        fleet::end_all();
         process::exit(2);
     }
-    process::exit(case.join().unwrap_or(2));
+    let verdict = case.join().unwrap_or(2);
+    fleet::end_all();
+    process::exit(verdict);
 }
