--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -24,8 +24,8 @@
 }
 
 impl Record {
-    pub fn create(folder: &Path) -> Record {
-        let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+    pub fn create(path: &Path) -> Record {
+        let file = File::create(path).expect("record.txt can be written");
         Record {
             file: Arc::new(Mutex::new(file)),
             began: Instant::now(),
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,4 +1,4 @@
-//! Cases of the second review: `cases NAME ROOT FOLDER`.
+//! Cases of the second review: `cases NAME ROOT RECORD`.
 
 #![allow(dead_code)]
 
@@ -29,12 +29,12 @@
             _ => case_crash::run_replica(id, address),
         });
     }
-    let [name, root, folder] = arguments.as_slice() else {
-        println!("usage: cases NAME ROOT FOLDER");
+    let [name, root, path] = arguments.as_slice() else {
+        println!("usage: cases NAME ROOT RECORD");
         process::exit(2);
     };
-    let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
-    let record = fleet::Record::create(&folder);
+    let (root, path) = (PathBuf::from(root), PathBuf::from(path));
+    let record = fleet::Record::create(&path);
     let (name, watched) = (name.clone(), record.clone());
     let case = thread::spawn(move || match name.as_str() {
         "crash" => case_crash::run(&root, &record),
