Pass on the events before a spoilt id

Cause: EventCursor::push moved the last id over the whole events of a chunk and then returned the error of a later one without them, so that the stream resumed behind events that the caller never got.

push returns the events before an error with the error, and the relay passes them on first. The end of a truncated answer waits until the server has sent its buffer. An id that isn't a number, where earlier ones were, is an error.

Before the change spoilt_event_id_loses_the_events_before_it and spoilt_event_id_cuts_a_stream_after_the_events_before_it failed.

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -70,7 +70,7 @@
     crash_evidence::{CrashEvidence, EvidenceChange, MissingNote},
     crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
     evacuation::{EvacuationChange, EvacuationView},
-    event_cursor::{CursorError, EventCursor},
+    event_cursor::{CursorError, EventBatch, EventCursor},
     exchange_rule::ExchangeRule,
     feed_state::FeedState,
     fleet_demand::{FleetDemand, ServiceDemand},
--- a/crates/poplargap-core/src/forward/event_cursor.rs
+++ b/crates/poplargap-core/src/forward/event_cursor.rs
@@ -14,6 +14,8 @@
 /// An error in an event stream.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum CursorError {
+    /// an event's id isn't a number though earlier ones were
+    InvalidId,
     /// an event came out of order
     OutOfOrder,
     /// an event is longer than 256 KiB
@@ -22,6 +24,16 @@
 
 impl std::error::Error for CursorError {}
 
+/// What a chunk added to a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EventBatch {
+    /// The error behind the events, if there is one; the stream can't be read any further.
+    pub error: Option<CursorError>,
+    /// Whole events in order. They come before the error and count in [`EventCursor::last_id`], so
+    /// that a stream that resumes after this id lacks them unless they are passed on.
+    pub events: Option<Bytes>,
+}
+
 /// Splits an event stream into whole events and tracks the id of the last one.
 ///
 /// An incomplete event is buffered until it is whole, so that a broken stream can be resumed at
@@ -58,11 +70,9 @@
 
     /// Adds a chunk and returns the whole events that are available, if any.
     ///
-    /// # Errors
-    ///
-    /// Returns an error if an event's id isn't greater than the last one, or an incomplete event
-    /// is too long.
-    pub fn push(&mut self, chunk: Bytes) -> Result<Option<Bytes>, CursorError> {
+    /// The batch has an error if an event's id isn't greater than the last one or can't be read, or
+    /// if an incomplete event is too long; the events before the error are returned nevertheless.
+    pub fn push(&mut self, chunk: Bytes) -> EventBatch {
         let mut chunk = if self.rest.is_empty() {
             chunk
         } else {
@@ -70,12 +80,19 @@
             self.rest.split().freeze()
         };
         let Some(end) = memmem::rfind(&chunk, EVENT_END) else {
-            return self.buffer(&chunk).map(|()| None);
+            return EventBatch {
+                error: self.buffer(&chunk).err(),
+                events: None,
+            };
         };
         let rest = chunk.split_off(end + EVENT_END.len());
-        self.buffer(&rest)?;
-        self.advance(&chunk)?;
-        Ok(Some(chunk))
+        let (len, error) = self.advance(&chunk);
+        let error = error.or_else(|| self.buffer(&rest).err());
+        chunk.truncate(len);
+        EventBatch {
+            error,
+            events: (!chunk.is_empty()).then_some(chunk),
+        }
     }
 
     /// Returns whether no incomplete event is buffered; blank lines are none.
@@ -97,20 +114,34 @@
         Ok(())
     }
 
-    fn advance(&mut self, events: &[u8]) -> Result<(), CursorError> {
+    /// Moves over whole events; returns the length of those before an error, and the error.
+    fn advance(&mut self, events: &[u8]) -> (usize, Option<CursorError>) {
         let mut start = 0;
         while let Some(len) = memmem::find(&events[start..], EVENT_END) {
             let event = &events[start..start + len];
-            start += len + EVENT_END.len();
-            self.event_count += u64::from(has_data(event));
-            let Some(id) = event_id(event) else {
-                continue;
-            };
-            if self.last_id.is_some_and(|last| id <= last) {
-                return Err(CursorError::OutOfOrder);
+            if let Err(error) = self.check_id(event) {
+                return (start, Some(error));
             }
-            self.last_id = Some(id);
+            self.event_count += u64::from(has_data(event));
+            start += len + EVENT_END.len();
         }
+        (start, None)
+    }
+
+    /// Checks an event's id and keeps it as the last one.
+    fn check_id(&mut self, event: &[u8]) -> Result<(), CursorError> {
+        let Some(field) = id_field(event) else {
+            return Ok(());
+        };
+        let Some(last) = self.last_id else {
+            self.last_id = read_id(field);
+            return Ok(());
+        };
+        let id = read_id(field).ok_or(CursorError::InvalidId)?;
+        if id <= last {
+            return Err(CursorError::OutOfOrder);
+        }
+        self.last_id = Some(id);
         Ok(())
     }
 }
@@ -121,11 +152,14 @@
     lines.any(|line| line.starts_with(DATA_FIELD))
 }
 
-/// Returns the value of an event's `id` field, if it is a number.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find(|line| line.starts_with(ID_FIELD))?;
-    let text = std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?;
+/// Returns the bytes of an event's `id` field.
+fn id_field(event: &[u8]) -> Option<&[u8]> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let line = lines.find(|line| line.starts_with(ID_FIELD))?;
+    Some(&line[ID_FIELD.len()..])
+}
+
+fn read_id(field: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(field).ok()?;
     text.trim().parse().ok()
 }
--- a/crates/poplargap-forward/src/relay_body.rs
+++ b/crates/poplargap-forward/src/relay_body.rs
@@ -30,6 +30,8 @@
     Whole(Bytes),
     /// A body from a relay; if the channel closes without [`RelayChunk::End`], it is truncated.
     Relayed(mpsc::Receiver<RelayChunk>),
+    /// The body is truncated, and the error follows.
+    Truncated,
     /// The body has ended.
     Done,
 }
@@ -61,10 +63,17 @@
                     Poll::Ready(None)
                 }
                 None => {
-                    *body = Self::Done;
-                    Poll::Ready(Some(Err(TruncatedBody::Broken)))
+                    // An error makes the server drop what it has buffered; while it waits, it
+                    // sends these bytes.
+                    *body = Self::Truncated;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
                 }
             },
+            Self::Truncated => {
+                *body = Self::Done;
+                Poll::Ready(Some(Err(TruncatedBody::Broken)))
+            }
             Self::Whole(bytes) => {
                 let bytes = std::mem::take(bytes);
                 *body = Self::Done;
@@ -76,7 +85,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Done => true,
-            Self::Relayed(_) => false,
+            Self::Relayed(_) | Self::Truncated => false,
             Self::Whole(bytes) => bytes.is_empty(),
         }
     }
@@ -84,7 +93,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Done => SizeHint::with_exact(0),
-            Self::Relayed(_) => SizeHint::default(),
+            Self::Relayed(_) | Self::Truncated => SizeHint::default(),
             Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
         }
     }
--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -109,9 +109,7 @@
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         let (len, known) = (chunk.len(), cursor.event_count());
-        let Ok(events) = cursor.push(chunk) else {
-            return StreamEnd::Broken;
-        };
+        let batch = cursor.push(chunk);
         let count = cursor.event_count() - known;
         let has_event = count > 0;
         has_events |= has_event;
@@ -120,17 +118,23 @@
         } else if watch.record_bytes(len).is_err() {
             return StreamEnd::Broken;
         }
-        let Some(events) = events else {
-            continue;
-        };
-        // A slice would hold the whole buffer into which it was read until the caller has it.
-        let events = Bytes::copy_from_slice(&events);
-        let sent = tokio::select! {
-            sent = caller.send(RelayChunk::Bytes(events)) => sent.is_ok(),
-            () = timer.as_mut() => return StreamEnd::TimedOut,
-        };
-        if !sent {
-            return StreamEnd::CallerGone;
+        if let Some(events) = batch.events {
+            // A slice would hold the whole buffer into which it was read until the caller has it.
+            let events = Bytes::copy_from_slice(&events);
+            let sent = tokio::select! {
+                sent = caller.send(RelayChunk::Bytes(events)) => sent.is_ok(),
+                () = timer.as_mut() => return StreamEnd::TimedOut,
+            };
+            if !sent {
+                return StreamEnd::CallerGone;
+            }
+        }
+        if let Some(error) = batch.error {
+            info!(relay.state.log, "stream can't be read any further";
+                "request" => &relay.call.received.head.id,
+                "replica" => reply.placed.replica.id.as_ref(),
+                "last-event" => cursor.last_id(), "error" => %error);
+            return StreamEnd::Broken;
         }
         if has_event {
             watch.record_event(relay.state.clock.now());
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -26,6 +26,9 @@
 /// Header lines of an event stream.
 const STREAM_FRAMING: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
 
+/// Events of a stream in one write of several.
+const EVENTS_PER_WRITE: usize = 3;
+
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(30);
 
@@ -75,6 +78,9 @@
             sleep(time).await;
             stream.write_all(whole.as_bytes()).await
         }
+        ReplicaFault::SpoiltId { event, id } => {
+            write_spoilt_stream(stream, wire, request, event, id).await
+        }
         ReplicaFault::Truncate => {
             stream
                 .write_all(&whole.as_bytes()[..whole.len() - 3])
@@ -176,6 +182,37 @@
     Err(io::ErrorKind::ConnectionAborted.into())
 }
 
+/// Writes a stream, three events at a time; the event `spoilt` has `id` in place of its own one.
+async fn write_spoilt_stream(
+    stream: &mut TcpStream,
+    wire: &WireAnswer,
+    request: &SeenRequest,
+    spoilt: u64,
+    id: &str,
+) -> io::Result<()> {
+    let head = wire.head("200 OK", STREAM_FRAMING);
+    stream.write_all(head.as_bytes()).await?;
+    let numbers: Vec<u64> = (request.last_event() + 1..=EVENT_COUNT).collect();
+    for block in numbers.chunks(EVENTS_PER_WRITE) {
+        let events: String = block
+            .iter()
+            .map(|number| {
+                let event = WireAnswer::event_text(*number);
+                if *number == spoilt {
+                    event.replacen(&format!("id: {number}"), &format!("id: {id}"), 1)
+                } else {
+                    event
+                }
+            })
+            .collect();
+        stream
+            .write_all(WireAnswer::chunk(&events).as_bytes())
+            .await?;
+        sleep(EVENT_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 /// Writes the head of a stream and this number of events.
 pub(super) async fn write_begun_stream(
     stream: &mut TcpStream,
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -48,6 +48,13 @@
     },
     /// Runs the request and answers after this delay.
     Slow(Duration),
+    /// Sends a stream three events at a time, where the id of one of them is another text.
+    SpoiltId {
+        /// Number of the event.
+        event: u64,
+        /// Text in place of its id.
+        id: &'static str,
+    },
     /// Omits the last three bytes of the answer and closes the connection.
     Truncate,
     /// Sends an answer without a length, whose body ends where the connection is closed.
--- a/crates/poplargap-testbed/src/replica/wire_answer.rs
+++ b/crates/poplargap-testbed/src/replica/wire_answer.rs
@@ -1,4 +1,4 @@
-use {super::SeenRequest, std::fmt::Write};
+use super::SeenRequest;
 
 /// Number of events in a complete stream.
 pub(super) const EVENT_COUNT: u64 = 6;
@@ -74,11 +74,12 @@
 
     /// Returns one event as an HTTP chunk.
     pub(super) fn event(number: u64) -> String {
-        let event = Self::event_text(number);
-        let mut chunk = format!("{:x}\r\n", event.len());
-        // Writing to a string can't fail.
-        let _ = write!(chunk, "{event}\r\n");
-        chunk
+        Self::chunk(&Self::event_text(number))
+    }
+
+    /// Returns a text as an HTTP chunk.
+    pub(super) fn chunk(text: &str) -> String {
+        format!("{:x}\r\n{text}\r\n", text.len())
     }
 }
 
