Don't pass on replies without a status of an answer

Cause: the client library accepts each status from 100 to 999, and the relay checked ids, signatures and refusals only.

A reply whose status isn't from 200 to 599 counts as one that can't be read: the attempt is broken, and the request is sent again only where it may run again. 000, 0 and 099 weren't passed on before, either, nor was an early 200 without a length that is reset while the upload is being written; tests guard both.

--- a/crates/poplargap-forward/src/send.rs
+++ b/crates/poplargap-forward/src/send.rs
@@ -18,13 +18,17 @@
     },
     poplargap_core::forward::{RepeatRule, ReplicaEntry, SendOutcome},
     slog::{debug, info},
-    std::{sync::Arc, time::Duration},
+    std::{ops::RangeInclusive, sync::Arc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Longest wait for an idle connection to be ready; its last reply may just have been read.
 const READY_WAIT: Duration = Duration::from_millis(5);
 
+/// Status codes of answers. 101 isn't among them: no request asks for another protocol, since
+/// `Upgrade` isn't passed on.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The content type of event streams.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -204,10 +208,15 @@
     response: Response<Incoming>,
 ) -> Result<OpenReply<D>, SendOutcome> {
     let (parts, body) = response.into_parts();
-    let head = state.dialect.read_reply(&parts);
     let id = &placed.replica.id;
     let now = state.clock.now();
     let call_id = &call.received.head.id;
+    if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+        info!(state.log, "reply has no status of an answer; the connection is closed";
+            "request" => call_id, "replica" => id.as_ref(), "status" => parts.status.as_u16());
+        return Err(SendOutcome::Broken);
+    }
+    let head = state.dialect.read_reply(&parts);
     let is_own = head.call_id.as_ref() == Some(call_id);
     if !is_own && (head.call_id.is_some() || head.refusal.is_some()) {
         info!(state.log, "reply doesn't belong to the request; the connection is closed";
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -100,6 +100,7 @@
         ReplicaFault::BreakStream(_)
         | ReplicaFault::CrashOnPart { .. }
         | ReplicaFault::CrashOnText(_)
+        | ReplicaFault::EarlyReset(_)
         | ReplicaFault::None
         | ReplicaFault::Full
         | ReplicaFault::FullFor(_)
@@ -116,6 +117,27 @@
     }
 }
 
+/// Writes the head of an answer without a length and the first part of its body, and waits.
+pub(super) async fn write_early_answer(
+    stream: &mut TcpStream,
+    request: &SeenRequest,
+    pause: Duration,
+) -> io::Result<()> {
+    let wire = WireAnswer::new(request, "1,0,64".to_owned(), false);
+    let (framing, part) = if request.line.contains("/stream") {
+        (
+            "Content-Type: text/event-stream\r\n",
+            WireAnswer::event_text(1),
+        )
+    } else {
+        ("", "answer wi".to_owned())
+    };
+    let begun = wire.head("200 OK", framing) + &part;
+    stream.write_all(begun.as_bytes()).await?;
+    sleep(pause).await;
+    Ok(())
+}
+
 /// Writes bytes without end until the reader closes the connection.
 async fn write_endless(
     stream: &mut TcpStream,
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -21,6 +21,9 @@
     CrashOnText(&'static str),
     /// Sends this number of bytes of the answer's head and closes the connection.
     CutHead(usize),
+    /// Answers a request when its head has arrived, without a length, writes a part of the body and
+    /// resets the connection after this time, while the request's body is still being written.
+    EarlyReset(Duration),
     /// Sends the head of a stream without a length and closes the connection.
     EmptyStream,
     /// Sends bytes without end until the connection is closed.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ReplicaFault, SeenRequest,
-        answer_writer::{write_answer, write_begun_stream},
+        answer_writer::{write_answer, write_begun_stream, write_early_answer},
         wire_answer::WireAnswer,
     },
     serde_json::json,
@@ -205,7 +205,16 @@
 /// Serves the requests of one connection until it is closed or an answer fails.
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<ReplicaState>>) {
     let mut refusal = None;
-    while let Some(request) = SeenRequest::read(&mut stream).await {
+    while let Some(head) = SeenRequest::read_head(&mut stream).await {
+        let fault = lock(&state).fault;
+        if let ReplicaFault::EarlyReset(pause) = fault {
+            // The connection is reset in any case, since a part of the request isn't read.
+            drop(write_early_answer(&mut stream, &head, pause).await);
+            return;
+        }
+        let Some(request) = head.read_body(&mut stream).await else {
+            return;
+        };
         if answer(&mut stream, &state, request, &mut refusal)
             .await
             .is_err()
--- a/crates/poplargap-testbed/src/replica/seen_request.rs
+++ b/crates/poplargap-testbed/src/replica/seen_request.rs
@@ -50,9 +50,9 @@
         prompt.ends_with(text) || self.body.ends_with(text.as_bytes())
     }
 
-    /// Reads one request; `None` when the connection is closed or the request is malformed or too
-    /// long.
-    pub(super) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
+    /// Reads the head of a request; `None` when the connection is closed or the head is malformed
+    /// or too long.
+    pub(super) async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
             if head.len() > HEAD_BYTES_MAX {
@@ -68,14 +68,19 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
             .collect();
-        let len = headers.get("content-length");
-        let len = len.and_then(|len| len.parse().ok()).unwrap_or(0);
-        let mut body = vec![0; len];
-        stream.read_exact(&mut body).await.ok()?;
         Some(Self {
-            body,
+            body: Vec::new(),
             headers,
             line,
         })
     }
+
+    /// Reads the body that follows the head; `None` when the connection is closed.
+    pub(super) async fn read_body(mut self, stream: &mut (impl AsyncRead + Unpin)) -> Option<Self> {
+        let len = self.headers.get("content-length");
+        let len = len.and_then(|len| len.parse().ok()).unwrap_or(0);
+        self.body = vec![0; len];
+        stream.read_exact(&mut self.body).await.ok()?;
+        Some(self)
+    }
 }
