--- a/crates/poplargap-core/benches/choice.rs
+++ b/crates/poplargap-core/benches/choice.rs
@@ -21,6 +21,7 @@
         cold_until: None,
         data_centre: format!("dc-{}", number % 6).into(),
         id: format!("replica-{number:010x}").into(),
+        sequence: 1,
         service: "model".into(),
         slots: 64,
         started_ms: 1,
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -6,6 +6,7 @@
     crate::{
         collections::{HashMap, HashSet},
         instant::MonotonicInstant,
+        store_position::StoreRevision,
     },
     std::{sync::Arc, time::Duration},
 };
@@ -26,16 +27,59 @@
 /// Attempts of one request that may end with an unanswered crash.
 const UNANSWERED_MAX: u32 = 2;
 
+/// Whether the store has a key.
+#[derive(Clone, Copy, Debug)]
+enum KeyPlace {
+    /// The store came back from a copy without the key, as was read at this time.
+    Lost(MonotonicInstant),
+    /// The daemon is writing the key in place of a revision, if there is one.
+    Sent {
+        at: MonotonicInstant,
+        replaces: Option<StoreRevision>,
+    },
+    /// The store has the key at this revision.
+    Stored(StoreRevision),
+}
+
+impl KeyPlace {
+    /// Returns the revision that a write has to replace.
+    fn revision(self) -> Option<StoreRevision> {
+        match self {
+            Self::Lost(_) => None,
+            Self::Sent { replaces, .. } => replaces,
+            Self::Stored(revision) => Some(revision),
+        }
+    }
+
+    /// Returns the time since which the key has been lost.
+    fn lost_at(self) -> Option<MonotonicInstant> {
+        match self {
+            Self::Lost(at) => Some(at),
+            Self::Sent { .. } | Self::Stored(_) => None,
+        }
+    }
+
+    /// Returns the time since which the store hasn't had the key.
+    fn missing_since(self) -> Option<MonotonicInstant> {
+        match self {
+            Self::Lost(at) | Self::Sent { at, .. } => Some(at),
+            Self::Stored(_) => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct StoredNote {
     note: SoundNote,
-    revision: u64,
+    place: KeyPlace,
 }
 
 #[derive(Debug)]
 struct StoredReport {
+    /// Number of the report in the order of arrival.
+    number: u64,
+    place: KeyPlace,
     report: CrashReport,
-    revision: u64,
 }
 
 #[derive(Debug)]
@@ -57,6 +101,8 @@
     direct: HashMap<String, DirectReport>,
     sound: SoundParts,
     stored: HashMap<String, StoredReport>,
+    /// Number of reports that came from the store so far.
+    stored_count: u64,
 }
 
 impl CrashEvidence {
@@ -88,12 +134,19 @@
         true
     }
 
-    /// Drops the reports of the daemon itself and of its peers that are too old.
+    /// Drops the reports of the daemon itself and of its peers, and what the store has lost, when it is
+    /// too old.
     pub fn expire(&mut self, now: MonotonicInstant) {
-        let before = self.direct.len();
+        let before = self.direct.len() + self.stored.len() + self.notes.len();
+        let is_kept = |place: KeyPlace| {
+            let since = place.missing_since();
+            since.is_none_or(|at| now.since(at) < DIRECT_TIME)
+        };
         self.direct
             .retain(|_, direct| now.since(direct.at) < DIRECT_TIME);
-        if self.direct.len() < before {
+        self.stored.retain(|_, stored| is_kept(stored.place));
+        self.notes.retain(|_, stored| is_kept(stored.place));
+        if self.direct.len() + self.stored.len() + self.notes.len() < before {
             self.update(now);
         }
     }
@@ -103,12 +156,19 @@
         for change in changes {
             match change {
                 EvidenceChange::Note(part, Some((revision, note))) => {
-                    self.notes.insert(part, StoredNote { note, revision });
+                    let place = KeyPlace::Stored(revision);
+                    self.notes.insert(part, StoredNote { note, place });
                 }
                 EvidenceChange::Note(part, None) => drop(self.notes.remove(&part)),
                 EvidenceChange::Report(key, None) => drop(self.stored.remove(&key)),
                 EvidenceChange::Report(key, Some((revision, report))) => {
-                    self.stored.insert(key, StoredReport { report, revision });
+                    self.stored_count += 1;
+                    let stored = StoredReport {
+                        number: self.stored_count,
+                        place: KeyPlace::Stored(revision),
+                        report,
+                    };
+                    self.stored.insert(key, stored);
                 }
             }
         }
@@ -123,6 +183,63 @@
         self.apply(changes, now);
     }
 
+    /// Takes over a listing of a store that came back from a copy; what the copy lacks is kept, since
+    /// it has to be written again.
+    pub fn replace_in_new_era(&mut self, changes: Vec<EvidenceChange>, now: MonotonicInstant) {
+        let lost = KeyPlace::Lost(now);
+        for note in self.notes.values_mut() {
+            note.place = lost;
+        }
+        for report in self.stored.values_mut() {
+            report.place = lost;
+        }
+        self.apply(changes, now);
+    }
+
+    /// Returns what the store lost and this daemon still has.
+    #[must_use]
+    pub fn lost(&self) -> Vec<LostEvidence> {
+        let notes = self.notes.iter().filter_map(|(part, stored)| {
+            let at = stored.place.lost_at()?;
+            let item = LostItem::Note(*part, stored.note);
+            Some(LostEvidence { at, item })
+        });
+        let reports = self.stored.iter().filter_map(|(key, stored)| {
+            let at = stored.place.lost_at()?;
+            let item = LostItem::Report(key.clone(), stored.report.clone());
+            Some(LostEvidence { at, item })
+        });
+        notes.chain(reports).collect()
+    }
+
+    /// Records that this daemon is writing a lost key again.
+    pub fn record_resent(&mut self, item: &LostItem, now: MonotonicInstant) {
+        let sent = KeyPlace::Sent {
+            at: now,
+            replaces: None,
+        };
+        let place = match item {
+            LostItem::Note(part, _) => self.notes.get_mut(part).map(|note| &mut note.place),
+            LostItem::Report(key, _) => self.stored.get_mut(key).map(|report| &mut report.place),
+        };
+        if let Some(place) = place {
+            *place = sent;
+        }
+    }
+
+    /// Records that this daemon is writing a note.
+    pub fn record_sent(&mut self, missing: &MissingNote, now: MonotonicInstant) {
+        let note = StoredNote {
+            note: missing.note,
+            place: KeyPlace::Sent {
+                at: now,
+                replaces: missing.replaces,
+            },
+        };
+        self.notes.insert(missing.part, note);
+        self.update(now);
+    }
+
     /// Records that a replica, started at `started_ms`, answered a request.
     pub fn record_answer(
         &mut self,
@@ -151,7 +268,7 @@
                 Some(MissingNote {
                     note,
                     part: *part,
-                    replaces: stored.map(|stored| stored.revision),
+                    replaces: stored.and_then(|stored| stored.place.revision()),
                 })
             })
             .collect()
@@ -208,11 +325,11 @@
         if self.stored.len() <= STORED_MAX {
             return;
         }
-        let mut revisions: Vec<u64> = self.stored.values().map(|report| report.revision).collect();
-        let excess = revisions.len() - STORED_MAX;
-        let (_, oldest, _) = revisions.select_nth_unstable(excess);
+        let mut numbers: Vec<u64> = self.stored.values().map(|report| report.number).collect();
+        let excess = numbers.len() - STORED_MAX;
+        let (_, oldest, _) = numbers.select_nth_unstable(excess);
         let oldest = *oldest;
-        self.stored.retain(|_, report| report.revision >= oldest);
+        self.stored.retain(|_, report| report.number >= oldest);
     }
 
     /// Judges the parts anew; answers that this daemon saw count before the store has their note.
@@ -243,9 +360,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EvidenceChange {
     /// The note on a part, with the revision of its write.
-    Note(u64, Option<(u64, SoundNote)>),
+    Note(u64, Option<(StoreRevision, SoundNote)>),
     /// The report under a key, with the revision of its write.
-    Report(String, Option<(u64, CrashReport)>),
+    Report(String, Option<(StoreRevision, CrashReport)>),
 }
 
 /// A note on a part that the store lacks.
@@ -256,7 +373,25 @@
     /// Hash of the part.
     pub part: u64,
     /// Revision of the note that it replaces.
-    pub replaces: Option<u64>,
+    pub replaces: Option<StoreRevision>,
+}
+
+/// A key that the store lost when it came back from a copy.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LostItem {
+    /// The note on the part with this hash.
+    Note(u64, SoundNote),
+    /// The report under this key.
+    Report(String, CrashReport),
+}
+
+/// A lost key, which has to be written again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LostEvidence {
+    /// When the daemon read that the store lacks it.
+    pub at: MonotonicInstant,
+    /// The key and its value.
+    pub item: LostItem,
 }
 
 /// The crashes on record for one part.
--- a/crates/poplargap-core/src/forward/peer_view.rs
+++ b/crates/poplargap-core/src/forward/peer_view.rs
@@ -1,11 +1,12 @@
 use {
+    super::rendezvous,
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
         net::{IpAddr, SocketAddr},
         sync::Arc,
     },
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// Most daemons of the own data centre that one message is sent to.
@@ -68,6 +69,18 @@
         self.data_centres.keys().copied()
     }
 
+    /// Returns how many of the other daemons come before the one at `own` in an order that all of them
+    /// share and that differs for each `key`.
+    #[must_use]
+    pub fn rank(&self, own: SocketAddr, key: &str) -> usize {
+        let score = |address: &SocketAddr| {
+            rendezvous::score(address.to_string().as_bytes(), xxh3_64(key.as_bytes()))
+        };
+        let own_score = score(&own);
+        let others = self.data_centres.keys();
+        others.filter(|other| score(other) > own_score).count()
+    }
+
     /// Returns the number of other daemons.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/poplargap-core/src/forward/replica_entry.rs
+++ b/crates/poplargap-core/src/forward/replica_entry.rs
@@ -65,6 +65,8 @@
     pub data_centre: Arc<str>,
     /// The replica's id.
     pub id: ReplicaId,
+    /// Number of the replica's report; it rises with each one until the replica starts again.
+    pub sequence: u64,
     /// Name of the service that the replica belongs to.
     pub service: Arc<str>,
     /// Number of requests that the replica processes concurrently.
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -1,6 +1,9 @@
 use {
     super::{ReplicaEntry, ReplicaId, ReplicaState},
-    crate::{collections::HashMap, instant::MonotonicInstant},
+    crate::{
+        collections::{HashMap, HashSet},
+        instant::MonotonicInstant,
+    },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     strum::IntoStaticStr,
 };
@@ -8,6 +11,10 @@
 /// Time for a running replica to register again after an outage of the store.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which a replica that left is remembered; a copy of the store from before may still have
+/// its registration.
+const DEPARTURE_TIME: Duration = Duration::from_mins(2);
+
 /// How a replica's registration changed.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
@@ -18,7 +25,8 @@
     Leaving,
     /// The replica is no longer registered.
     Gone,
-    /// The registration expired during an outage of the store and may be renewed.
+    /// The registration expired during an outage of the store, or is missing from the copy from which
+    /// the store came back, and may be renewed.
     Lapsed,
     /// The replica restarted with the same id, or its entry changed otherwise.
     Changed,
@@ -65,10 +73,42 @@
     }
 }
 
+/// Why a registration is kept though the store lacks it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LapseCause {
+    /// The store came back from a copy that doesn't have it.
+    Copy,
+    /// It expired during an outage of the store.
+    Outage,
+}
+
 #[derive(Debug)]
 struct RegistryRecord {
     entry: Arc<ReplicaEntry>,
-    lapsed: bool,
+    lapse: Option<LapseCause>,
+}
+
+/// Which of a replica's writes a registration is: later ones are greater.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct WriteOrder {
+    started_ms: u64,
+    sequence: u64,
+}
+
+impl From<&ReplicaEntry> for WriteOrder {
+    fn from(entry: &ReplicaEntry) -> Self {
+        Self {
+            started_ms: entry.started_ms,
+            sequence: entry.sequence,
+        }
+    }
+}
+
+/// A replica that is no longer registered.
+#[derive(Clone, Copy, Debug)]
+struct DepartedReplica {
+    at: MonotonicInstant,
+    last: WriteOrder,
 }
 
 /// The registrations of replicas, which outlast outages of the store.
@@ -78,9 +118,11 @@
 /// has had time to register again.
 #[derive(Debug, Default)]
 pub struct ReplicaRegistry {
+    departed: HashMap<ReplicaId, DepartedReplica>,
     grace_end: Option<MonotonicInstant>,
     is_store_down: bool,
     is_catching_up: bool,
+    read_at: MonotonicInstant,
     records: BTreeMap<ReplicaId, RegistryRecord>,
 }
 
@@ -95,6 +137,9 @@
     /// After an outage, registrations that are removed before
     /// [`finish_catch_up`](Self::finish_catch_up) may have expired during it.
     pub fn record_store_read(&mut self, now: MonotonicInstant) {
+        self.read_at = now;
+        self.departed
+            .retain(|_, departed| now.since(departed.at) < DEPARTURE_TIME);
         if std::mem::take(&mut self.is_store_down) {
             self.grace_end = Some(now + REREGISTRATION_GRACE);
             self.is_catching_up = true;
@@ -109,15 +154,23 @@
     /// Returns when lapsed registrations are removed; `None` without any or during an outage.
     #[must_use]
     pub fn grace_end(&self) -> Option<MonotonicInstant> {
-        let lapsed = self.records.values().any(|record| record.lapsed);
-        self.grace_end.filter(|_| lapsed && !self.is_store_down)
+        let has_lapsed = self.lapsed_count() > 0;
+        self.grace_end.filter(|_| has_lapsed && !self.is_store_down)
+    }
+
+    /// Returns the number of registrations that are kept though the store lacks them.
+    #[must_use]
+    pub fn lapsed_count(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.lapse.is_some()).count()
     }
 
     /// Adds or updates a registration; returns the change, if any.
     pub fn put(&mut self, entry: ReplicaEntry) -> Option<RegistryChange> {
+        self.departed.remove(&entry.id);
         let known = self.records.get_mut(&entry.id);
         if let Some(record) = known {
-            record.lapsed = false;
+            record.lapse = None;
             if *record.entry == entry {
                 return None;
             }
@@ -131,7 +184,7 @@
         let id = Arc::clone(&entry.id);
         let record = RegistryRecord {
             entry: Arc::new(entry),
-            lapsed: false,
+            lapse: None,
         };
         self.records.insert(id, record);
         Some(change)
@@ -142,13 +195,21 @@
         let record = self.records.get_mut(id)?;
         let may_return = self.is_catching_up && record.entry.state == ReplicaState::Ready;
         if may_return {
-            let lapsed = std::mem::replace(&mut record.lapsed, true);
-            return (!lapsed).then_some(RegistryChange::Lapsed);
+            let lapse = record.lapse.replace(LapseCause::Outage);
+            return lapse.is_none().then_some(RegistryChange::Lapsed);
+        }
+        let last = WriteOrder::from(record.entry.as_ref());
+        if let Some((id, _)) = self.records.remove_entry(id) {
+            self.record_departure(id, last);
         }
-        self.records.remove(id);
         Some(RegistryChange::Gone)
     }
 
+    fn record_departure(&mut self, id: ReplicaId, last: WriteOrder) {
+        let at = self.read_at;
+        self.departed.insert(id, DepartedReplica { at, last });
+    }
+
     /// Replaces all registrations by a listing; returns the changes.
     pub fn replace(&mut self, entries: Vec<ReplicaEntry>) -> Vec<(ReplicaId, RegistryChange)> {
         let mut missing: Vec<ReplicaId> = self.records.keys().cloned().collect();
@@ -165,27 +226,72 @@
         changes
     }
 
+    /// Takes over a listing of a store that came back from a copy at `now`; returns the changes.
+    ///
+    /// A registration in the copy that is older than what was known, or of a replica that has left,
+    /// has no effect. One that is missing is kept until its replica has had time to write it again.
+    pub fn replace_in_new_era(
+        &mut self,
+        entries: Vec<ReplicaEntry>,
+        now: MonotonicInstant,
+    ) -> Vec<(ReplicaId, RegistryChange)> {
+        self.grace_end = Some(now + REREGISTRATION_GRACE);
+        let listed: HashSet<ReplicaId> =
+            entries.iter().map(|entry| Arc::clone(&entry.id)).collect();
+        let mut changes = Vec::new();
+        for entry in entries {
+            if self.is_outdated(&entry) {
+                continue;
+            }
+            let id = Arc::clone(&entry.id);
+            changes.extend(self.put(entry).map(|change| (id, change)));
+        }
+        for (id, record) in &mut self.records {
+            if !listed.contains(id) && record.lapse.replace(LapseCause::Copy).is_none() {
+                changes.push((Arc::clone(id), RegistryChange::Lapsed));
+            }
+        }
+        changes
+    }
+
+    /// Returns whether a registration from a copy is older than what was known of its replica.
+    fn is_outdated(&self, entry: &ReplicaEntry) -> bool {
+        let order = WriteOrder::from(entry);
+        let known = self.records.get(&entry.id);
+        let departed = self.departed.get(&entry.id);
+        known.is_some_and(|known| order < WriteOrder::from(known.entry.as_ref()))
+            || departed.is_some_and(|departed| order <= departed.last)
+    }
+
     /// Removes the lapsed registrations after the grace period; returns their ids.
     pub fn expire(&mut self, now: MonotonicInstant) -> Vec<ReplicaId> {
         if self.is_store_down || self.grace_end.is_none_or(|end| end > now) {
             return Vec::new();
         }
         self.grace_end = None;
-        let lapsed = self.records.extract_if(.., |_, record| record.lapsed);
-        lapsed.map(|(id, _)| id).collect()
+        let lapsed = self
+            .records
+            .extract_if(.., |_, record| record.lapse.is_some());
+        let lapsed: Vec<(ReplicaId, RegistryRecord)> = lapsed.collect();
+        let mut ids = Vec::with_capacity(lapsed.len());
+        for (id, record) in lapsed {
+            self.record_departure(Arc::clone(&id), WriteOrder::from(record.entry.as_ref()));
+            ids.push(id);
+        }
+        ids
     }
 
     /// Returns the replicas that accept requests.
     ///
-    /// Lapsed ones are left out unless most of their service has lapsed: then the outage kept the
-    /// replicas from renewing their registrations, too.
+    /// Those that lapsed during an outage are left out unless most of their service has lapsed: then the
+    /// outage kept the replicas from renewing their registrations, too.
     #[must_use]
     pub fn view(&self) -> ReplicaView {
         let mut services: HashMap<&Arc<str>, ServiceRecords<'_>> = HashMap::default();
         let ready = |record: &&RegistryRecord| record.entry.state == ReplicaState::Ready;
         for record in self.records.values().filter(ready) {
             let records = services.entry(&record.entry.service).or_default();
-            if record.lapsed {
+            if record.lapse == Some(LapseCause::Outage) {
                 records.lapsed.push(&record.entry);
             } else {
                 records.registered.push(&record.entry);
--- a/crates/poplargap-core/src/lib.rs
+++ b/crates/poplargap-core/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod retry;
 pub mod settings;
 pub mod shard;
+pub mod store_position;
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{CONTENT, identity},
+    crate::{CONTENT, identity, revision},
     poplargap_core::{
         forward::{
             BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestContent,
@@ -47,7 +47,7 @@
     let key = format!("crash-reports/{replica}/{daemon}");
     EvidenceChange::Report(
         key,
-        Some((1, CrashReport::new(crash(replica), AT_MS, calls))),
+        Some((revision(1), CrashReport::new(crash(replica), AT_MS, calls))),
     )
 }
 
@@ -89,7 +89,7 @@
     evidence.record_answer(&identity(&[FIRST, 5]), 1, now());
     evidence.apply(guilty_evidence(), now());
     evidence.apply(
-        vec![EvidenceChange::Note(SECOND, Some((1, ANSWERED)))],
+        vec![EvidenceChange::Note(SECOND, Some((revision(1), ANSWERED)))],
         now(),
     );
     assert_eq!(blocked(&evidence), [GUILTY]);
@@ -152,7 +152,7 @@
     evidence.apply(reports.collect(), now());
     assert!(blocked(&evidence).is_empty());
     let mut noted = CrashEvidence::default();
-    let note = EvidenceChange::Note(FIRST, Some((1, ANSWERED)));
+    let note = EvidenceChange::Note(FIRST, Some((revision(1), ANSWERED)));
     noted.apply(guilty_evidence(), now());
     noted.apply(vec![note], now());
     assert!(!blocked(&noted).contains(&FIRST));
@@ -186,7 +186,10 @@
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
     evidence.apply(
-        vec![EvidenceChange::Note(GUILTY, Some((1, SoundNote::Lifted)))],
+        vec![EvidenceChange::Note(
+            GUILTY,
+            Some((revision(1), SoundNote::Lifted)),
+        )],
         now(),
     );
     assert!(!blocked(&evidence).contains(&GUILTY));
@@ -226,7 +229,7 @@
         let part = 1_000 + number;
         let calls = vec![call(&format!("r{number}"), &[part, OWN], "w")];
         let report = CrashReport::new(crash(&format!("{number}")), AT_MS, calls);
-        EvidenceChange::Report(format!("{number}"), Some((number, report)))
+        EvidenceChange::Report(format!("{number}"), Some((revision(number), report)))
     });
     for batch in reports.collect::<Vec<_>>().chunks(500) {
         evidence.apply(batch.to_vec(), now());
@@ -376,7 +379,7 @@
             let daemon = u32::try_from(number % 7).expect("a small number");
             stored(daemon, &format!("replica-{number}"), vec![call(&id, &parts, "w")])
         }).collect();
-        let notes = (1..=5).map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
+        let notes = (1..=5).map(|part| EvidenceChange::Note(part, Some((revision(1), ANSWERED))));
         let mut all: Vec<EvidenceChange> = reports.into_iter().chain(notes).collect();
         let mut evidence = CrashEvidence::default();
         evidence.apply(all.clone(), now());
--- a/crates/poplargap-core/tests/forward/crash_order.rs
+++ b/crates/poplargap-core/tests/forward/crash_order.rs
@@ -5,7 +5,7 @@
         crash_evidence::{
             ANSWERED, AT_MS, FIRST, GUILTY, OWN, SECOND, blocked, call, guilty_evidence, now,
         },
-        identity,
+        identity, revision,
     },
     poplargap_core::forward::{CrashEvidence, CrashId, CrashReport, EvidenceChange, SoundNote},
 };
@@ -18,7 +18,10 @@
     };
     let calls = vec![call(&format!("r{number}"), parts, "w")];
     let report = CrashReport::new(crash, at_ms, calls);
-    EvidenceChange::Report(format!("crash-reports/{number}"), Some((number, report)))
+    EvidenceChange::Report(
+        format!("crash-reports/{number}"),
+        Some((revision(number), report)),
+    )
 }
 
 // Replicas answered a part until a release; those after it crashed on it and it was never blocked.
@@ -27,7 +30,7 @@
     let mut evidence = CrashEvidence::default();
     evidence.record_answer(&identity(&[FIRST, GUILTY, 5]), 10, now());
     evidence.apply(
-        vec![EvidenceChange::Note(GUILTY, Some((1, ANSWERED)))],
+        vec![EvidenceChange::Note(GUILTY, Some((revision(1), ANSWERED)))],
         now(),
     );
     evidence.record_answer(&identity(&[FIRST, 6]), 105, now());
@@ -67,16 +70,19 @@
 #[test]
 fn answer_of_a_new_replica_is_noted_for_the_other_daemons() {
     let mut evidence = CrashEvidence::default();
-    let old = EvidenceChange::Note(FIRST, Some((7, ANSWERED)));
+    let old = EvidenceChange::Note(FIRST, Some((revision(7), ANSWERED)));
     evidence.apply(vec![old], now());
     evidence.record_answer(&identity(&[FIRST, 5]), 200, now());
     let reports = (0..3).map(|number| crash_of(number, 100, AT_MS, &[FIRST, OWN + number]));
     evidence.apply(reports.collect(), now());
     let missing = evidence.missing_notes(now());
     assert_eq!(missing.len(), 1);
-    assert_eq!((missing[0].part, missing[0].replaces), (FIRST, Some(7)));
+    assert_eq!(
+        (missing[0].part, missing[0].replaces),
+        (FIRST, Some(revision(7)))
+    );
     assert_eq!(missing[0].note, SoundNote::Answered { started_ms: 100 });
-    let noted = EvidenceChange::Note(FIRST, Some((8, missing[0].note)));
+    let noted = EvidenceChange::Note(FIRST, Some((revision(8), missing[0].note)));
     evidence.apply(vec![noted], now());
     assert!(evidence.missing_notes(now()).is_empty());
 }
@@ -85,7 +91,8 @@
 fn note_that_comes_after_the_crashes_unblocks_a_part() {
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
-    let notes = [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some((1, ANSWERED))));
+    let notes =
+        [FIRST, SECOND].map(|part| EvidenceChange::Note(part, Some((revision(1), ANSWERED))));
     evidence.apply(notes.into(), now());
     assert_eq!(blocked(&evidence), [GUILTY]);
 }
--- a/crates/poplargap-core/tests/forward/crash_schedules.rs
+++ b/crates/poplargap-core/tests/forward/crash_schedules.rs
@@ -1,10 +1,13 @@
 //! Random schedules of daemons that share crash reports through a store and datagrams.
 
 use {
-    crate::{at, identity},
-    poplargap_core::forward::{
-        CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestIdentity, SoundNote,
-        UnansweredCall,
+    crate::{at, identity, revision},
+    poplargap_core::{
+        forward::{
+            CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestIdentity, SoundNote,
+            UnansweredCall,
+        },
+        store_position::StoreRevision,
     },
     proptest::prelude::*,
     std::collections::BTreeMap,
@@ -76,7 +79,7 @@
     losses: Vec<bool>,
     /// Changes that daemons haven't read yet, in the order of the store.
     changes: Vec<Vec<EvidenceChange>>,
-    notes: BTreeMap<u64, (u64, SoundNote)>,
+    notes: BTreeMap<u64, (StoreRevision, SoundNote)>,
     /// Reports and notes that wait for the store.
     pending: Vec<(String, CrashReport)>,
     revision: u64,
@@ -211,15 +214,16 @@
     /// Writes what waits, and has all daemons read the changes.
     fn use_store(&mut self) {
         for (key, report) in std::mem::take(&mut self.pending) {
-            self.write(&EvidenceChange::Report(key, Some((self.revision, report))));
+            let report = Some((self.position(), report));
+            self.write(&EvidenceChange::Report(key, report));
         }
         for daemon in 0..DAEMONS {
             for missing in self.daemons[daemon].missing_notes(at(self.now_ms)) {
                 let stored = self.notes.get(&missing.part).map(|(revision, _)| *revision);
                 if stored == missing.replaces {
                     self.notes
-                        .insert(missing.part, (self.revision, missing.note));
-                    let note = Some((self.revision, missing.note));
+                        .insert(missing.part, (self.position(), missing.note));
+                    let note = Some((self.position(), missing.note));
                     self.write(&EvidenceChange::Note(missing.part, note));
                 }
             }
@@ -229,6 +233,10 @@
         }
     }
 
+    fn position(&self) -> StoreRevision {
+        revision(self.revision)
+    }
+
     fn write(&mut self, change: &EvidenceChange) {
         self.revision += 1;
         for changes in &mut self.changes {
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -27,6 +27,7 @@
     poplargap_core::{
         forward::{PromptPart, ReplicaEntry, ReplicaState, RequestContent, RequestIdentity},
         instant::MonotonicInstant,
+        store_position::{StoreEra, StoreRevision},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -36,6 +37,11 @@
     MonotonicInstant::from_start(Duration::from_millis(ms))
 }
 
+/// Returns a revision of the store's first era.
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::default(), number)
+}
+
 /// Returns a ready replica of the service `model`.
 fn replica(number: usize, data_centre: &str) -> ReplicaEntry {
     ReplicaEntry {
@@ -44,6 +50,7 @@
         started_ms: 1,
         data_centre: data_centre.into(),
         id: format!("replica-{number}").into(),
+        sequence: 1,
         service: "model".into(),
         slots: 64,
         state: ReplicaState::Ready,
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -5,14 +5,15 @@
     poplargap_core::{
         collections::HashMap,
         forward::{
-            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, MissingNote,
-            PeerCrash, PendingCrashes, ReplicaId, RequestIdentity, UnansweredCall,
+            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, LostItem,
+            MissingNote, PeerCrash, PendingCrashes, ReplicaId, RequestIdentity, UnansweredCall,
         },
     },
     slog::{Logger, info, warn},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
     tokio::sync::{Notify, mpsc},
 };
@@ -161,6 +162,35 @@
         self.update(|evidence| evidence.replace(changes, now));
     }
 
+    /// Takes over a listing of a store that came back from a copy; returns how much of the evidence is
+    /// kept though the copy lacks it.
+    pub(crate) fn replace_in_new_era(&self, changes: Vec<EvidenceChange>) -> usize {
+        let now = self.clock.now();
+        self.update(|evidence| {
+            evidence.replace_in_new_era(changes, now);
+            evidence.lost().len()
+        })
+    }
+
+    /// Returns what the store lost and the time since then.
+    pub(crate) fn lost(&self) -> Vec<(LostItem, Duration)> {
+        let now = self.clock.now();
+        let lost = self.evidence().lost().into_iter();
+        lost.map(|lost| (lost.item, now.since(lost.at))).collect()
+    }
+
+    /// Records that this daemon is writing a lost key again.
+    pub(crate) fn record_resent(&self, item: &LostItem) {
+        let now = self.clock.now();
+        self.evidence().record_resent(item, now);
+    }
+
+    /// Records that this daemon is writing a note.
+    pub(crate) fn record_sent(&self, missing: &MissingNote) {
+        let now = self.clock.now();
+        self.update(|evidence| evidence.record_sent(missing, now));
+    }
+
     /// Returns the notes that the store lacks on parts that replicas answered.
     pub(crate) fn missing_notes(&self) -> Vec<MissingNote> {
         let now = self.clock.now();
--- a/crates/poplargap-forward/src/crash_reporter.rs
+++ b/crates/poplargap-forward/src/crash_reporter.rs
@@ -5,13 +5,13 @@
         crash_board::{CrashBoard, KeyedReport, SOUND_PREFIX},
         front_metrics::FrontMetrics,
     },
-    poplargap_core::forward::{EvidenceChange, MissingNote},
+    poplargap_core::forward::{LostItem, MissingNote, PeerView},
     poplargap_store::{KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite},
     rand::Rng,
     slog::{Logger, info, warn},
-    std::{collections::VecDeque, sync::Arc, time::Duration},
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
-        sync::mpsc,
+        sync::{mpsc, watch},
         time::{Instant, sleep},
     },
 };
@@ -34,6 +34,16 @@
 /// Most notes that are written at a time.
 const NOTES_MAX: usize = 8;
 
+/// Time after a loss in the store in which the first daemon in order writes the keys again; each further
+/// daemon waits for that much longer.
+const REWRITE_STEP: Duration = Duration::from_millis(1_500);
+
+/// Longest random pause before a lost key is written again, which spreads the load on the store.
+const REWRITE_SPREAD: Duration = Duration::from_millis(700);
+
+/// Number of daemons that write a lost key again if those before them don't.
+const REWRITERS: usize = 6;
+
 /// Writes that may follow each other without a pause.
 const BURST_MAX: u32 = 8;
 
@@ -62,6 +72,9 @@
     pub(crate) board: Arc<CrashBoard>,
     pub(crate) log: Logger,
     pub(crate) metrics: FrontMetrics,
+    /// Address at which the other daemons know this one.
+    pub(crate) own: Option<SocketAddr>,
+    pub(crate) peers: watch::Receiver<Arc<PeerView>>,
     pub(crate) reports: mpsc::Receiver<KeyedReport>,
     pub(crate) store: S,
 }
@@ -99,7 +112,10 @@
             report = self.reports.recv() => {
                 pending.extend(report.as_ref().and_then(pending_report));
             }
-            () = sleep(NOTES_PAUSE), if has_crashes => self.collect_notes(pending).await,
+            () = sleep(NOTES_PAUSE), if has_crashes => {
+                self.collect_lost(pending).await;
+                self.collect_notes(pending).await;
+            }
             () = self.board.changed(), if !has_crashes => {}
         }
     }
@@ -111,28 +127,61 @@
         sleep(random_pause(Duration::ZERO, NOTE_SPREAD)).await;
         let missing = self.board.missing_notes().into_iter().take(NOTES_MAX);
         for missing in missing {
-            let MissingNote {
-                note,
-                part,
-                replaces,
-            } = missing;
+            let MissingNote { note, part, .. } = missing;
             info!(self.log, "prompt part or request was answered, though replicas crashed beside it";
                 "part" => format!("{part:x}"), "note" => ?note);
             pending.extend(pending_note(&missing));
-            let revision = replaces.unwrap_or(0);
-            let change = EvidenceChange::Note(part, Some((revision, note)));
-            self.board.apply(vec![change]);
+            self.board.record_sent(&missing);
         }
     }
 
+    /// Collects what the store lost when it came back from a copy, if this daemon is due to write it.
+    ///
+    /// The daemons of the fleet are in a different order for each key, so that one of them writes it
+    /// and the others see it.
+    async fn collect_lost(&self, pending: &mut VecDeque<PendingWrite>) {
+        if !self.board.lost().iter().any(|lost| self.is_due(lost)) {
+            return;
+        }
+        sleep(random_pause(Duration::ZERO, REWRITE_SPREAD)).await;
+        let lost = self.board.lost();
+        for (item, _) in lost.iter().filter(|lost| self.is_due(lost)).take(NOTES_MAX) {
+            let Some(write) = pending_rewrite(item) else {
+                continue;
+            };
+            info!(self.log, "evidence that the store lost is written again"; "key" => &write.key);
+            self.metrics.record_crash_report("rewritten");
+            self.board.record_resent(item);
+            pending.push_back(write);
+        }
+    }
+
+    /// Returns whether it is this daemon's turn to write a lost key again.
+    fn is_due(&self, (item, lost_for): &(LostItem, Duration)) -> bool {
+        let rank = self
+            .own
+            .map_or(0, |own| self.peers.borrow().rank(own, &lost_key(item)));
+        let first = REWRITE_STEP * u32::try_from(rank).unwrap_or(u32::MAX);
+        rank < REWRITERS && *lost_for >= first
+    }
+
     /// Writes a key unless it has been written since.
     async fn write(
         &self,
         pending: &PendingWrite,
         lease: &mut Option<(LeaseId, Instant)>,
     ) -> Result<(), StoreError> {
+        let era = self.store.eras().current();
+        if pending
+            .expected
+            .is_some_and(|expected| expected.era() != era)
+        {
+            info!(self.log, "note isn't written, since it replaces one of an earlier era";
+                "key" => &pending.key, "era" => era.number());
+            return Ok(());
+        }
         let id = match lease {
-            Some((id, granted)) if granted.elapsed() < LEASE_AGE_MAX => *id,
+            Some((id, granted)) if granted.elapsed() < LEASE_AGE_MAX && id.era() == era => *id,
             _ => {
                 let granted = Instant::now();
                 let id = self.store.grant_lease(LEASE_TTL).await?.id;
@@ -187,13 +236,33 @@
 
 fn pending_note(missing: &MissingNote) -> Option<PendingWrite> {
     Some(PendingWrite {
-        expected: missing.replaces.map(StoreRevision),
+        expected: missing.replaces,
         key: format!("{SOUND_PREFIX}{:x}", missing.part),
         since: Instant::now(),
         value: serde_json::to_string(&missing.note).ok()?,
     })
 }
 
+fn lost_key(item: &LostItem) -> String {
+    match item {
+        LostItem::Note(part, _) => format!("{SOUND_PREFIX}{part:x}"),
+        LostItem::Report(key, _) => key.clone(),
+    }
+}
+
+fn pending_rewrite(item: &LostItem) -> Option<PendingWrite> {
+    let value = match item {
+        LostItem::Note(_, note) => serde_json::to_string(note),
+        LostItem::Report(_, report) => serde_json::to_string(report),
+    };
+    Some(PendingWrite {
+        expected: None,
+        key: lost_key(item),
+        since: Instant::now(),
+        value: value.ok()?,
+    })
+}
+
 /// Bounds the writes of a daemon, as when many replicas crash at once.
 #[derive(Debug)]
 struct WriteAllowance {
--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -1,9 +1,11 @@
 //! Follows the routes, the replicas and the peer daemons in the store.
 
+mod change_body;
 mod change_log;
 mod change_request;
 mod change_server;
 mod change_share;
+mod era_guard;
 mod evacuation_feed;
 mod evidence_feed;
 mod feed_context;
@@ -24,6 +26,9 @@
     store_feed::{FeedViews, follow_store},
 };
 
-pub use change_log::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue};
+pub use {
+    change_body::FeedBatchBody,
+    change_log::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
+};
 
 use change_request::ChangeRequest;
--- a/crates/poplargap-forward/src/feed/change_log.rs
+++ b/crates/poplargap-forward/src/feed/change_log.rs
@@ -3,9 +3,9 @@
 use {
     displaydoc::Display,
     poplargap_core::{collections::HashSet, instant::MonotonicInstant},
-    poplargap_store::{StoreRevision, WatchBatch, WatchChange},
+    poplargap_store::{StoreEra, StoreRevision, WatchBatch, WatchChange},
     serde::{Deserialize, Serialize},
-    std::{collections::VecDeque, time::Duration},
+    std::{cmp::Ordering, collections::VecDeque, time::Duration},
 };
 
 /// Most changes that are kept.
@@ -33,8 +33,7 @@
 }
 
 /// A change of one key.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeedChange {
     /// The key.
     pub key: String,
@@ -70,8 +69,7 @@
 }
 
 /// Changes of the store that one daemon sends to another.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeedBatch {
     /// Whether the store couldn't be read before some of the changes; a registration that was
     /// removed meanwhile may be renewed.
@@ -99,6 +97,8 @@
     Dropped(u64),
     /// the daemon doesn't read the store for others
     NotReading,
+    /// the daemon reads era {0} of the store
+    OtherEra(StoreEra),
 }
 
 impl std::error::Error for ChangeLogError {}
@@ -151,13 +151,17 @@
             return;
         };
         let end = span.end;
+        if batch.revision.era() != end.era() {
+            self.stop();
+            return;
+        }
         span.read_at = now;
-        span.end = batch.revision.max(end);
+        span.end = batch.revision.latest(end);
         if after_outage {
             span.outage_end = Some(span.end);
         }
         for change in &batch.changes {
-            if change.revision > end {
+            if change.revision.compare(end) == Ok(Ordering::Greater) {
                 let change = FeedChange::from(change);
                 self.bytes += change.len();
                 self.changes.push_back(change);
@@ -166,26 +170,36 @@
         self.trim();
     }
 
+    /// Returns the revision up to which the log has the changes; `None` if it isn't started.
+    #[must_use]
+    pub fn end(&self) -> Option<StoreRevision> {
+        self.span.as_ref().map(|span| span.end)
+    }
+
     /// Returns the changes after a revision, as of `now`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the log isn't started or no longer has all of these changes.
+    /// Returns an error if the log isn't started, no longer has all of these changes, or is of another
+    /// era of the store.
     pub fn since(
         &self,
         after: StoreRevision,
         now: MonotonicInstant,
     ) -> Result<FeedBatch, ChangeLogError> {
         let span = self.span.as_ref().ok_or(ChangeLogError::NotReading)?;
-        if after < span.start {
-            return Err(ChangeLogError::Dropped(after.0));
+        match after.compare(span.start) {
+            Ok(Ordering::Less) => return Err(ChangeLogError::Dropped(after.number())),
+            Ok(_) => {}
+            Err(_) => return Err(ChangeLogError::OtherEra(span.start.era())),
         }
+        let is_known = |revision: StoreRevision| revision.compare(after) != Ok(Ordering::Greater);
         let first = self
             .changes
-            .partition_point(|change| change.revision <= after);
+            .partition_point(|change| is_known(change.revision));
         let age = now.since(span.read_at);
         Ok(FeedBatch {
-            after_outage: span.outage_end.is_some_and(|end| end > after),
+            after_outage: span.outage_end.is_some_and(|end| !is_known(end)),
             age_ms: age.as_millis().try_into().unwrap_or(u64::MAX),
             changes: self.last_changes(first),
             revision: span.end,
--- a/crates/poplargap-forward/src/feed/change_request.rs
+++ b/crates/poplargap-forward/src/feed/change_request.rs
@@ -1,4 +1,7 @@
-use {poplargap_store::StoreRevision, std::time::Duration};
+use {
+    poplargap_store::{StoreEra, StoreRevision},
+    std::time::Duration,
+};
 
 /// First segment of the URL path.
 const PATH_ROOT: &str = "changes";
@@ -16,8 +19,8 @@
 }
 
 impl ChangeRequest {
-    /// Parses a URL path: `/changes/AFTER/WAIT-MS`.
-    pub(super) fn parse(path: &str) -> Option<Self> {
+    /// Parses a URL path, `/changes/AFTER/WAIT-MS`, of a daemon that follows `era`.
+    pub(super) fn parse(path: &str, era: StoreEra) -> Option<Self> {
         let mut segments = path.strip_prefix('/')?.split('/');
         if segments.next() != Some(PATH_ROOT) {
             return None;
@@ -25,14 +28,14 @@
         let after = segments.next()?.parse().ok()?;
         let wait_ms = segments.next()?.parse().ok()?;
         segments.next().is_none().then_some(Self {
-            after: StoreRevision(after),
+            after: StoreRevision::new(era, after),
             wait: Duration::from_millis(wait_ms).min(WAIT_MAX),
         })
     }
 
     /// Returns the URL path of the request.
     pub(super) fn path(&self) -> String {
-        let after = self.after.0;
+        let after = self.after.number();
         let wait_ms = self.wait.as_millis();
         format!("/{PATH_ROOT}/{after}/{wait_ms}")
     }
--- a/crates/poplargap-forward/src/feed/change_server.rs
+++ b/crates/poplargap-forward/src/feed/change_server.rs
@@ -1,14 +1,19 @@
 //! Sends the changes of the store to the other daemons of the data centre.
 
 use {
-    super::{ChangeLogError, ChangeRequest, ChangeShare},
+    super::{
+        ChangeLogError, ChangeRequest, ChangeShare, FeedBatch,
+        change_body::{ERA_HEADER, FeedBatchBody, read_era},
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+        Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+        service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     poplargap_core::forward::PeerView,
+    poplargap_store::StoreEra,
     slog::{Logger, debug, warn},
     std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -68,22 +73,39 @@
     }
 
     async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        let Some(change_request) = ChangeRequest::parse(request.uri().path()) else {
+        let own = self.share.era();
+        let stated = read_era(request.headers());
+        let Some(change_request) =
+            ChangeRequest::parse(request.uri().path(), stated.unwrap_or(own))
+        else {
             return status(StatusCode::NOT_FOUND);
         };
         let ChangeRequest { after, wait } = change_request;
+        // A daemon of an earlier release states no era; a revision that isn't known is of another one.
+        if stated.is_none() && self.share.ends_before(after.number()) {
+            return status(StatusCode::GONE);
+        }
+        if after.era() > own {
+            self.share.hint(after.era());
+        }
         match self.share.wait_since(after, wait, self.age_max).await {
-            Ok(batch) => match serde_json::to_vec(&batch) {
-                Ok(body) => Response::new(Full::new(body.into())),
-                Err(error) => {
-                    warn!(self.log, "changes can't be encoded"; "error" => %error);
-                    status(StatusCode::INTERNAL_SERVER_ERROR)
-                }
-            },
+            Ok(batch) => self.answer_batch(batch),
+            Err(ChangeLogError::OtherEra(era)) => with_era(status(StatusCode::GONE), era),
             Err(ChangeLogError::Dropped(_)) => status(StatusCode::GONE),
             Err(ChangeLogError::NotReading) => status(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
+
+    fn answer_batch(&self, batch: FeedBatch) -> Response<Full<Bytes>> {
+        let era = batch.revision.era();
+        match serde_json::to_vec(&FeedBatchBody::from(batch)) {
+            Ok(body) => with_era(Response::new(Full::new(body.into())), era),
+            Err(error) => {
+                warn!(self.log, "changes can't be encoded"; "error" => %error);
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
 }
 
 async fn serve(server: Arc<ChangeServer>, stream: TcpStream) {
@@ -104,6 +126,12 @@
     }
 }
 
+fn with_era(mut response: Response<Full<Bytes>>, era: StoreEra) -> Response<Full<Bytes>> {
+    let value = HeaderValue::from(era.number());
+    response.headers_mut().insert(ERA_HEADER, value);
+    response
+}
+
 fn status(code: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = code;
--- a/crates/poplargap-forward/src/feed/change_share.rs
+++ b/crates/poplargap-forward/src/feed/change_share.rs
@@ -1,7 +1,7 @@
 use {
     super::{ChangeLog, ChangeLogError, FeedBatch},
     crate::ProcessClock,
-    poplargap_store::{StoreRevision, WatchBatch},
+    poplargap_store::{StoreEra, StoreRevision, WatchBatch},
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 pub(crate) struct ChangeShare {
     clock: ProcessClock,
+    /// The newest era of the store of which another daemon has spoken.
+    hinted: watch::Sender<StoreEra>,
     log: Mutex<ChangeLog>,
     /// Wakes the readers of the log after each change of it.
     updates: watch::Sender<()>,
@@ -25,6 +27,7 @@
     pub(crate) fn new(clock: ProcessClock) -> Self {
         Self {
             clock,
+            hinted: watch::Sender::new(StoreEra::default()),
             log: Mutex::default(),
             updates: watch::Sender::new(()),
         }
@@ -38,6 +41,32 @@
         }
     }
 
+    /// Returns the era of the log, or the first one if it isn't started.
+    pub(super) fn era(&self) -> StoreEra {
+        let end = self.log().end();
+        end.map_or_else(StoreEra::default, StoreRevision::era)
+    }
+
+    /// Returns whether the log isn't started or ends before the number of a revision.
+    pub(super) fn ends_before(&self, number: u64) -> bool {
+        let end = self.log().end();
+        end.is_none_or(|end| end.number() < number)
+    }
+
+    /// Records that another daemon follows a later era; the daemon then reads the store itself.
+    pub(super) fn hint(&self, era: StoreEra) {
+        self.hinted.send_if_modified(|hinted| {
+            let is_newer = *hinted < era;
+            *hinted = (*hinted).max(era);
+            is_newer
+        });
+    }
+
+    /// Returns a watch of the eras of which other daemons have spoken.
+    pub(super) fn hints(&self) -> watch::Receiver<StoreEra> {
+        self.hinted.subscribe()
+    }
+
     /// Stops the log; requests for its changes are refused.
     pub(super) fn stop(&self) {
         let mut log = self.log();
--- a/crates/poplargap-forward/src/feed/evidence_feed.rs
+++ b/crates/poplargap-forward/src/feed/evidence_feed.rs
@@ -1,5 +1,8 @@
 use {
-    super::{FeedContext, store_follower::FeedUpdate},
+    super::{
+        FeedContext,
+        store_follower::{FeedListing, FeedUpdate},
+    },
     crate::crash_board::{CRASHES_PREFIX, CrashBoard, SOUND_PREFIX},
     poplargap_core::forward::EvidenceChange,
     poplargap_store::StoreRevision,
@@ -20,20 +23,25 @@
         Self { board, context }
     }
 
-    /// Applies an update of the store.
-    pub(super) fn apply(&self, update: &FeedUpdate) {
+    /// Applies an update of the store; returns how much of the evidence is kept though a copy lacks it.
+    pub(super) fn apply(&self, update: &FeedUpdate) -> usize {
         match update {
             FeedUpdate::Changes(changes) => {
                 let changes = changes.iter().filter_map(|change| {
                     self.read(&change.key, change.revision, change.value.as_deref())
                 });
                 self.board.apply(changes.collect());
+                0
             }
-            FeedUpdate::Listing(values) => {
+            FeedUpdate::Listing(FeedListing { era_change, values }) => {
                 let values = values
                     .iter()
                     .filter_map(|value| self.read(&value.key, value.revision, Some(&value.value)));
+                if era_change.is_some() {
+                    return self.board.replace_in_new_era(values.collect());
+                }
                 self.board.replace(values.collect());
+                0
             }
         }
     }
@@ -50,12 +58,12 @@
             let note = self.decode(key, value);
             return Some(EvidenceChange::Note(
                 part,
-                note.map(|note| (revision.0, note)),
+                note.map(|note| (revision, note)),
             ));
         }
         key.starts_with(CRASHES_PREFIX).then(|| {
             let report = self.decode(key, value);
-            EvidenceChange::Report(key.to_owned(), report.map(|report| (revision.0, report)))
+            EvidenceChange::Report(key.to_owned(), report.map(|report| (revision, report)))
         })
     }
 
--- a/crates/poplargap-forward/src/feed/omitted_values.rs
+++ b/crates/poplargap-forward/src/feed/omitted_values.rs
@@ -2,7 +2,7 @@
     super::{FeedChange, FeedValue},
     poplargap_core::instant::MonotonicInstant,
     poplargap_store::{StoreRevision, WatchChange},
-    std::{collections::BTreeMap, time::Duration},
+    std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
 /// Pause after a copy that was too old.
@@ -88,7 +88,7 @@
         Some((key.clone(), now.since(first_read) < stale_time))
     }
 
-    /// Returns whether a copy of `revision` is older than the change of `key`; if it is, the next read
+    /// Returns whether a copy of `revision` is of another era than, or older than, the change of `key`; if it is, the next read
     /// is a little later.
     pub(super) fn defer_stale(
         &mut self,
@@ -97,7 +97,14 @@
         now: MonotonicInstant,
     ) -> bool {
         let value = self.keys.get(key);
-        let is_stale = value.is_some_and(|value| revision.is_none_or(|read| read < value.revision));
+        let is_older = |read: StoreRevision, changed: StoreRevision| {
+            !matches!(
+                read.compare(changed),
+                Ok(Ordering::Equal | Ordering::Greater)
+            )
+        };
+        let is_stale =
+            value.is_some_and(|value| revision.is_none_or(|read| is_older(read, value.revision)));
         if is_stale {
             self.next_read = Some(now + STALE_PAUSE);
         }
--- a/crates/poplargap-forward/src/feed/peers_feed.rs
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -1,23 +1,40 @@
 use {
-    super::{FeedContext, store_follower::FeedUpdate},
+    super::{
+        FeedContext,
+        store_follower::{FeedListing, FeedUpdate},
+    },
     crate::{
         DecodeError,
         peers::{LeasedEntry, PEERS_PREFIX},
     },
-    poplargap_core::forward::{PeerEntry, PeerView, ProcessAddress},
+    poplargap_core::{
+        forward::{PeerEntry, PeerView, ProcessAddress},
+        instant::MonotonicInstant,
+    },
     slog::info,
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::sync::watch,
 };
 
+/// Time for a daemon to announce itself again after the store came back from a copy.
+const ANNOUNCE_GRACE: Duration = Duration::from_secs(10);
+
 /// Keeps the view of the other daemons up to date.
 ///
 /// An entry that expires during an outage of the store is removed: its daemon announces itself
-/// again.
+/// again. One that is missing from a copy of the store is kept for the time that this takes.
 #[derive(Debug)]
 pub(super) struct PeersFeed<F, S> {
     context: FeedContext<F, S>,
     entries: BTreeMap<String, PeerEntry>,
+    /// Keys of the entries that a copy of the store lacks.
+    lost: BTreeSet<String>,
+    lost_until: MonotonicInstant,
     own: SocketAddr,
     view: watch::Sender<Arc<PeerView>>,
 }
@@ -31,6 +48,8 @@
         Self {
             context,
             entries: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            lost_until: MonotonicInstant::default(),
             own,
             view,
         }
@@ -46,16 +65,58 @@
                 own.filter(|change| self.put(&change.key, change.value.as_deref()))
                     .count()
             }
-            FeedUpdate::Listing(values) => {
+            FeedUpdate::Listing(FeedListing { era_change, values }) => {
                 let before = std::mem::take(&mut self.entries);
+                self.lost.clear();
                 for value in values {
                     if value.key.starts_with(PEERS_PREFIX) {
                         self.put(&value.key, Some(&value.value));
                     }
                 }
+                if era_change.is_some() {
+                    self.keep_lost(&before);
+                }
                 usize::from(before != self.entries)
             }
         };
+        self.publish(changed);
+    }
+
+    /// Returns the number of entries that are kept though a copy of the store lacks them.
+    pub(super) fn kept(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// Returns when the entries that a copy of the store lacks are removed.
+    pub(super) fn expiry(&self) -> Option<MonotonicInstant> {
+        (!self.lost.is_empty()).then_some(self.lost_until)
+    }
+
+    /// Removes the entries of daemons that haven't announced themselves again in time.
+    pub(super) fn expire(&mut self) {
+        if self.lost.is_empty() || self.context.clock.now() < self.lost_until {
+            return;
+        }
+        let lost = std::mem::take(&mut self.lost);
+        let removed = lost
+            .iter()
+            .filter(|key| self.entries.remove(*key).is_some());
+        let removed = removed.count();
+        self.publish(removed);
+    }
+
+    /// Keeps the entries of `before` that the listing lacks.
+    fn keep_lost(&mut self, before: &BTreeMap<String, PeerEntry>) {
+        self.lost_until = self.context.clock.now() + ANNOUNCE_GRACE;
+        for (key, entry) in before {
+            if !self.entries.contains_key(key) {
+                self.entries.insert(key.clone(), entry.clone());
+                self.lost.insert(key.clone());
+            }
+        }
+    }
+
+    fn publish(&self, changed: usize) {
         if changed > 0 {
             let view = PeerView::new(self.entries.values(), self.own);
             info!(self.context.log, "peer daemons changed";
@@ -66,6 +127,7 @@
 
     /// Adds, updates or removes one entry; returns whether the view changes.
     fn put(&mut self, key: &str, value: Option<&str>) -> bool {
+        self.lost.remove(key);
         let Some(value) = value else {
             return self.entries.remove(key).is_some();
         };
--- a/crates/poplargap-forward/src/feed/reader_clients.rs
+++ b/crates/poplargap-forward/src/feed/reader_clients.rs
@@ -1,10 +1,13 @@
 use {
-    super::{ChangeRequest, FeedBatch},
+    super::{
+        ChangeRequest, FeedBatch,
+        change_body::{ERA_HEADER, FeedBatchBody, read_era},
+    },
     crate::SharedFeedSettings,
     displaydoc::Display,
     hyper::StatusCode,
     poplargap_core::collections::HashMap,
-    poplargap_store::{HttpPool, StoreCounters, StoreError},
+    poplargap_store::{HttpPool, StoreCounters, StoreEra, StoreError},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -20,6 +23,8 @@
     Call(StoreError),
     /// this daemon reads from no other one
     NotShared,
+    /// it follows era {0} of the store
+    OtherEra(StoreEra),
     /// it doesn't have the changes; status {0}
     Refused(StatusCode),
 }
@@ -43,8 +48,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the daemon doesn't answer, doesn't have the changes, or last read the
-    /// store too long ago.
+    /// Returns an error if the daemon doesn't answer, doesn't have the changes, follows another era of
+    /// the store, or last read the store too long ago.
     pub(super) async fn poll(
         &mut self,
         address: SocketAddr,
@@ -52,12 +57,26 @@
     ) -> Result<FeedBatch, ReaderError> {
         let pool = self.pool(address).map_err(ReaderError::Call)?;
         let url = pool.url(&request.path());
-        let answer = pool.send(request.wait, |client| client.get(url)).await;
+        let era = request.after.era();
+        let answer = pool
+            .send(request.wait, |client| {
+                client.get(url).header(ERA_HEADER, era.number())
+            })
+            .await;
         let answer = answer.map_err(ReaderError::Call)?;
+        let stated = read_era(&answer.headers);
+        if let Some(stated) = stated.filter(|stated| *stated != era) {
+            return Err(ReaderError::OtherEra(stated));
+        }
         if answer.status != StatusCode::OK {
             return Err(ReaderError::Refused(answer.status));
         }
-        let batch: FeedBatch = answer.decode().map_err(ReaderError::Call)?;
+        // A reader of an earlier release states no era, and doesn't notice when it changes.
+        if stated.is_none() && era != StoreEra::default() {
+            return Err(ReaderError::OtherEra(StoreEra::default()));
+        }
+        let body: FeedBatchBody = answer.decode().map_err(ReaderError::Call)?;
+        let batch = body.into_batch(era);
         if batch.age() >= self.settings.age_max {
             return Err(ReaderError::Aged(batch.age()));
         }
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -1,16 +1,19 @@
 use {
-    super::{FeedContext, store_follower::FeedUpdate},
+    super::{
+        FeedContext,
+        store_follower::{FeedListing, FeedUpdate},
+    },
     crate::FeedDialect,
-    poplargap_core::forward::{RegistryChange, ReplicaEntry, ReplicaRegistry, ReplicaView},
+    poplargap_core::{
+        forward::{RegistryChange, ReplicaEntry, ReplicaRegistry, ReplicaView},
+        instant::MonotonicInstant,
+    },
     poplargap_store::{StoredValue, WatchChange},
     slog::info,
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
     tokio::sync::watch,
 };
 
-/// Wait for the expiry of lapsed registrations while there are none.
-const EXPIRY_MAX: Duration = Duration::from_hours(1);
-
 /// Keeps the view of the replicas up to date.
 #[derive(Debug)]
 pub(super) struct ReplicasFeed<F, S> {
@@ -43,24 +46,34 @@
         }
     }
 
-    /// Returns the time until lapsed registrations expire.
-    pub(super) fn expiry(&self) -> Duration {
-        let end = self.registry.grace_end();
-        end.map_or(EXPIRY_MAX, |end| end.since(self.context.clock.now()))
+    /// Returns how many registrations are kept though the store lacks them.
+    pub(super) fn kept(&self) -> usize {
+        self.registry.lapsed_count()
+    }
+
+    /// Returns when lapsed registrations expire.
+    pub(super) fn expiry(&self) -> Option<MonotonicInstant> {
+        self.registry.grace_end()
     }
 
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
-        self.registry.record_store_read(self.context.clock.now());
+        let now = self.context.clock.now();
+        self.registry.record_store_read(now);
         match update {
             FeedUpdate::Changes(changes) => {
                 for change in changes {
                     self.apply_change(change);
                 }
             }
-            FeedUpdate::Listing(values) => {
+            FeedUpdate::Listing(FeedListing { era_change, values }) => {
                 let entries = values.iter().filter_map(|value| self.read(value)).collect();
-                for (id, change) in self.registry.replace(entries) {
+                let changes = if era_change.is_some() {
+                    self.registry.replace_in_new_era(entries, now)
+                } else {
+                    self.registry.replace(entries)
+                };
+                for (id, change) in changes {
                     self.record_change(&id, change);
                 }
             }
--- a/crates/poplargap-forward/src/feed/shared_reads.rs
+++ b/crates/poplargap-forward/src/feed/shared_reads.rs
@@ -66,7 +66,7 @@
             let name: &'static str = source.into();
             info!(log, "source of the store's changes chosen"; "source" => name,
                 "reader" => source.reader().map(|reader| reader.to_string()),
-                "revision" => after.0);
+                "era" => after.era().number(), "revision" => after.number());
             self.source = source;
         }
         source
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         FeedContext,
+        era_guard::EraChange,
         evacuation_feed::EvacuationFeed,
         evidence_feed::EvidenceFeed,
         peers_feed::PeersFeed,
@@ -16,10 +17,14 @@
     },
     poplargap_core::forward::{EvacuationView, PeerView, ReplicaView, RouteTable},
     poplargap_store::KeyValueStore,
+    slog::warn,
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
+/// Wait for values to expire while none do.
+const EXPIRY_MAX: Duration = Duration::from_hours(1);
+
 /// The channels on which a feed publishes its views.
 #[derive(Debug)]
 pub(crate) struct FeedViews {
@@ -51,7 +56,7 @@
     let own_peer = sharing.as_ref().map(|sharing| sharing.own);
     let mut follower = StoreFollower::new(context.clone(), &prefixes, sharing);
     let evidence = EvidenceFeed::new(context.clone(), views.crashes);
-    let evacuations = EvacuationFeed::new(
+    let mut evacuations = EvacuationFeed::new(
         context.clone(),
         evacuation_limit,
         views.replicas.subscribe(),
@@ -59,9 +64,16 @@
     );
     let routes = RoutesFeed::new(context.clone(), views.routes);
     let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
-    let mut replicas = ReplicasFeed::new(context, views.replicas);
+    let mut replicas = ReplicasFeed::new(context.clone(), views.replicas);
     loop {
-        let expiry = replicas.expiry();
+        let ends = [
+            replicas.expiry(),
+            peers.as_ref().and_then(PeersFeed::expiry),
+            evacuations.expiry(),
+        ];
+        let now = context.clock.now();
+        let expiry = ends.into_iter().flatten().min();
+        let expiry = expiry.map_or(EXPIRY_MAX, |end| end.since(now));
         tokio::select! {
             read = follower.read() => match read {
                 Ok(FeedRead { after_outage, update }) => {
@@ -74,19 +86,52 @@
                         peers.apply(&update);
                     }
                     evacuations.apply(&update);
-                    evidence.apply(&update);
+                    let lost_evidence = evidence.apply(&update);
                     // Requests that are held for the routes need the replicas, too.
                     routes.apply(&update);
+                    if let FeedUpdate::Listing(listing) = &update
+                        && let Some(change) = listing.era_change
+                    {
+                        record_era(&context, &change, &KeptValues {
+                            evidence: lost_evidence,
+                            listed: listing.values.len(),
+                            peers: peers.as_ref().map_or(0, PeersFeed::kept),
+                            replicas: replicas.kept(),
+                        });
+                    }
                 }
                 Err(_) => replicas.record_store_failure(),
             },
             () = sleep(expiry) => {}
         }
         replicas.publish();
+        evacuations.expire();
+        if let Some(peers) = &mut peers {
+            peers.expire();
+        }
+        context.metrics.store().set_era(follower.era());
         sleep(follower.pause()).await;
     }
 }
 
+/// What a listing in a new era had, and what is kept though it lacks it.
+#[derive(Clone, Copy, Debug)]
+struct KeptValues {
+    evidence: usize,
+    listed: usize,
+    peers: usize,
+    replicas: usize,
+}
+
+/// Records that the store came back from a copy.
+fn record_era<F, S>(context: &FeedContext<F, S>, change: &EraChange, kept: &KeptValues) {
+    context.metrics.store().record_era_change();
+    warn!(context.log, "store came back from a copy; all values are listed again";
+        "from" => change.from.number(), "to" => change.to.number(), "listed" => kept.listed,
+        "kept-replicas" => kept.replicas, "kept-peers" => kept.peers,
+        "to-write-again" => kept.evidence);
+}
+
 impl FeedUpdate {
     /// Returns the newest value of `key`, if the update has one.
     pub(super) fn newest(&self, key: &str) -> Option<&str> {
@@ -96,7 +141,8 @@
                 .rev()
                 .find(|change| change.key == key)
                 .and_then(|change| change.value.as_deref()),
-            Self::Listing(values) => values
+            Self::Listing(listing) => listing
+                .values
                 .iter()
                 .find(|value| value.key == key)
                 .map(|value| value.value.as_str()),
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -3,13 +3,15 @@
 use {
     super::{
         FeedContext,
+        era_guard::{EraChange, EraGuard},
         omitted_values::OmittedValues,
         reader_clients::ReaderError,
         shared_reads::{FeedSharing, SharedReads},
     },
     poplargap_core::forward::{FeedState, ReadSource},
     poplargap_store::{
-        KeyValueStore, StoreError, StoreRevision, StoredValue, WatchBatch, WatchChange,
+        KeyValueStore, PositionError, StoreEra, StoreError, StoreRevision, StoredValue, WatchBatch,
+        WatchChange,
     },
     rand::Rng,
     slog::{info, warn},
@@ -33,13 +35,26 @@
 /// registrations would wait for both.
 const LONG_ANSWER_BYTES: usize = 32 * 1024;
 
+/// Longest random pause before all values are listed in a new era, which spreads the load of a fleet
+/// whose daemons notice the era at the same moment.
+const RELIST_PAUSE_MAX: Duration = Duration::from_millis(250);
+
+/// All values of the store.
+#[derive(Debug)]
+pub(super) struct FeedListing {
+    /// The change of the store's era since the last listing, if there was one. Values that are missing
+    /// may then be written again, and others may be older than those that were known.
+    pub(super) era_change: Option<EraChange>,
+    pub(super) values: Vec<StoredValue>,
+}
+
 /// The content of one read.
 #[derive(Debug)]
 pub(super) enum FeedUpdate {
     /// Changes since the last update.
     Changes(Vec<WatchChange>),
-    /// All values; they replace all earlier ones.
-    Listing(Vec<StoredValue>),
+    /// All values; within an era, they replace all earlier ones.
+    Listing(FeedListing),
 }
 
 /// The result of one read of the store or of a daemon that reads it.
@@ -55,6 +70,7 @@
 pub(super) struct StoreFollower<F, S> {
     after: Option<StoreRevision>,
     context: FeedContext<F, S>,
+    guard: EraGuard,
     omitted: OmittedValues,
     pause: Duration,
     sharing: Option<SharedReads>,
@@ -80,7 +96,9 @@
     ) -> Self {
         let watched = common_prefix(prefixes).to_owned();
         let shared = context.settings.shared;
+        let hints = sharing.as_ref().map(|sharing| sharing.share.hints());
         Self {
+            guard: EraGuard::new(context.store.eras(), hints),
             after: None,
             omitted: OmittedValues::default(),
             pause: context.settings.pause,
@@ -91,6 +109,11 @@
         }
     }
 
+    /// Returns the era of what was listed last.
+    pub(super) fn era(&self) -> StoreEra {
+        self.guard.listed()
+    }
+
     /// Returns the pause until the next read.
     pub(super) fn pause(&self) -> Duration {
         self.pause
@@ -98,11 +121,39 @@
 
     /// Reads once. It is cancel safe: a dropped read loses no changes.
     ///
+    /// A read ends as soon as any call shows that the store is in another era, and all values are
+    /// listed again.
+    ///
     /// # Errors
     ///
     /// Returns an error if the read fails, after a pause if it failed early; the next call tries
     /// again.
     pub(super) async fn read(&mut self) -> Result<FeedRead, StoreError> {
+        loop {
+            if self.after.is_some() && self.guard.is_past() {
+                self.forget_position();
+                let pause = rand::rng().random_range(Duration::ZERO..RELIST_PAUSE_MAX);
+                sleep(pause).await;
+            }
+            let signal = self.guard.signal();
+            tokio::select! {
+                biased;
+                read = self.read_once() => return read,
+                () = signal.changed() => {}
+            }
+        }
+    }
+
+    /// Ends all reads that are based on what was listed.
+    fn forget_position(&mut self) {
+        self.after = None;
+        self.omitted.clear();
+        if let Some(sharing) = &self.sharing {
+            sharing.share.stop();
+        }
+    }
+
+    async fn read_once(&mut self) -> Result<FeedRead, StoreError> {
         let settings = self.context.settings;
         self.pause = settings.pause;
         let Some(after) = self.after else {
@@ -116,6 +167,10 @@
                 self.pause = POLL_PAUSE;
                 match self.poll(reader, after).await {
                     Ok(read) => Ok(read),
+                    Err(ReaderError::OtherEra(era)) if era > after.era() => {
+                        self.forget_position();
+                        self.read_store(None).await
+                    }
                     Err(error) => {
                         let mut read = self.read_store(Some((after, Duration::ZERO))).await;
                         if let Ok(read) = &mut read {
@@ -169,10 +224,10 @@
         } else {
             "poll-failed"
         };
-        self.context.metrics.record_store_read(outcome);
+        self.context.metrics.store().record_read(outcome);
         match polled {
             Ok(batch) => {
-                self.after = Some(batch.revision.max(after));
+                self.after = Some(batch.revision.latest(after));
                 let after_outage = batch.after_outage;
                 let changes = self.omitted.split(batch.changes);
                 Ok(FeedRead {
@@ -181,8 +236,11 @@
                 })
             }
             Err(error) => {
-                let now = self.context.clock.now();
-                sharing.record_failure(reader, &error, now, &self.context.log);
+                let is_ahead = matches!(&error, ReaderError::OtherEra(era) if *era > after.era());
+                if !is_ahead {
+                    let now = self.context.clock.now();
+                    sharing.record_failure(reader, &error, now, &self.context.log);
+                }
                 Err(error)
             }
         }
@@ -193,7 +251,8 @@
         let stale_time = self.context.settings.shared.stale_time;
         self.pause = POLL_PAUSE;
         let now = self.context.clock.now();
-        let Some((key, reads_stale)) = self.omitted.next(now, stale_time) else {
+        let next = self.omitted.next(now, stale_time);
+        let (Some((key, reads_stale)), Some(after)) = (next, self.after) else {
             return Ok(FeedRead::default());
         };
         let stored = if reads_stale {
@@ -206,7 +265,7 @@
             (Ok(_), true) => "read-stale",
             (Err(_), _) => "failed",
         };
-        self.context.metrics.record_store_read(outcome);
+        self.context.metrics.store().record_read(outcome);
         let now = self.context.clock.now();
         match stored {
             Ok(stored)
@@ -222,9 +281,7 @@
             Ok(stored) => {
                 self.omitted.finish(&key, now + self.context.settings.pause);
                 let change = WatchChange {
-                    revision: stored
-                        .as_ref()
-                        .map_or_else(StoreRevision::default, |stored| stored.revision),
+                    revision: stored.as_ref().map_or(after, |stored| stored.revision),
                     value: stored.map(|stored| stored.value),
                     key,
                 };
@@ -254,7 +311,7 @@
             Some((after, wait)) => self.watch(after, wait).await,
         };
         let outcome = if read.is_ok() { "read" } else { "failed" };
-        self.context.metrics.record_store_read(outcome);
+        self.context.metrics.store().record_read(outcome);
         if let Some(sharing) = &mut self.sharing {
             sharing.record_store_read(read.is_ok());
         }
@@ -293,12 +350,12 @@
                 self.omitted.remove(&batch.changes);
                 FeedUpdate::Changes(batch.changes)
             }
-            StoreRead::Listing(values) => {
+            StoreRead::Listing(listing) => {
                 self.omitted.clear();
                 if let Some(share) = share {
                     share.stop();
                 }
-                FeedUpdate::Listing(values)
+                FeedUpdate::Listing(listing)
             }
         };
         FeedRead {
@@ -314,9 +371,15 @@
             self.after = None;
             return;
         }
+        if let StoreError::EraChanged { held, current } = error {
+            info!(self.context.log, "store is in another era; listing again"; "watched" => &self.watched,
+                "held" => held.number(), "current" => current.number());
+            self.forget_position();
+            return;
+        }
         if self.state.record_failure(self.context.clock.now()) {
             warn!(self.context.log, "store can't be read"; "watched" => &self.watched,
-                "revision" => self.after.map(|after| after.0), "error" => %error);
+                "revision" => self.after.map(StoreRevision::number), "error" => %error);
         }
         let pause = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
         sleep(pause.saturating_sub(time)).await;
@@ -328,20 +391,25 @@
     /// starts at the revision of the first page.
     async fn list(&mut self) -> Result<StoreRead, StoreError> {
         let mut values = Vec::new();
-        let mut revision = None;
+        let mut first: Option<StoreRevision> = None;
         let mut after: Option<String> = None;
-        loop {
+        let revision = loop {
             let page = self.context.store.list(&self.watched, after.as_deref());
             let page = page.await?;
-            revision.get_or_insert(page.revision);
+            let revision = *first.get_or_insert(page.revision);
+            if let Err(PositionError::OtherEra { held, current }) = revision.compare(page.revision)
+            {
+                return Err(StoreError::EraChanged { held, current });
+            }
             values.extend(page.values);
             after = page.next;
             if after.is_none() {
-                break;
+                break revision;
             }
-        }
-        self.after = revision;
-        Ok(StoreRead::Listing(values))
+        };
+        self.after = Some(revision);
+        let era_change = self.guard.record_listing(revision.era());
+        Ok(StoreRead::Listing(FeedListing { era_change, values }))
     }
 
     async fn watch(
@@ -350,7 +418,7 @@
         wait: Duration,
     ) -> Result<StoreRead, StoreError> {
         let batch = self.context.store.watch(&self.watched, after, wait).await?;
-        self.after = Some(batch.revision.max(after));
+        self.after = Some(batch.revision.latest(after));
         Ok(StoreRead::Changes(batch))
     }
 }
@@ -359,7 +427,7 @@
 #[derive(Debug)]
 enum StoreRead {
     Changes(WatchBatch),
-    Listing(Vec<StoredValue>),
+    Listing(FeedListing),
 }
 
 impl StoreRead {
--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of a front proxy.
 
 use {
-    crate::room_metrics::RoomMetrics,
+    crate::{room_metrics::RoomMetrics, store_metrics::StoreMetrics},
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     },
@@ -30,7 +30,7 @@
     prompt_sources: IntCounterVec,
     registry: Registry,
     room: RoomMetrics,
-    store_reads: IntCounterVec,
+    store: StoreMetrics,
     total: HistogramVec,
 }
 
@@ -120,11 +120,7 @@
                 "Sends that name a replica to fetch the prompt from, by how it was chosen",
                 &["service", "basis"],
             )?,
-            store_reads: counter(
-                "poplargap_store_reads_total",
-                "Reads of the store by their outcome",
-                &["outcome"],
-            )?,
+            store: StoreMetrics::new(&registry)?,
             total: histogram(
                 "poplargap_request_seconds",
                 "Time from a request to the end of its answer",
@@ -205,8 +201,9 @@
             .inc();
     }
 
-    pub(crate) fn record_store_read(&self, outcome: &str) {
-        self.store_reads.with_label_values(&[outcome]).inc();
+    /// Returns the metrics of the reads of the store.
+    pub(crate) fn store(&self) -> &StoreMetrics {
+        &self.store
     }
 
     /// Encodes all metrics in Prometheus's text format.
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -162,6 +162,8 @@
             board: crashes,
             log: log.clone(),
             metrics: state.metrics.clone(),
+            own: state.settings.peers,
+            peers: state.peers.clone(),
             reports,
             store: feed.store.clone(),
         }));
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -38,13 +38,14 @@
 mod room_metrics;
 mod send;
 mod status_server;
+mod store_metrics;
 mod stream_relay;
 
 pub use {
     call_head::{CallHead, HeadError, ReplyHead, ReplyRefusal, SendHead},
     crash_board::{CRASHES_PREFIX, SOUND_PREFIX},
     dialect::{DecodeError, FeedDialect, WireDialect},
-    feed::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
+    feed::{ChangeLog, ChangeLogError, FeedBatch, FeedBatchBody, FeedChange, FeedValue},
     front_proxy::{FrontError, FrontProxy},
     front_settings::{
         FeedSettings, FrontSettings, PlaceSettings, RetrySettings, SharedFeedSettings,
--- a/crates/poplargap-forward/src/peers/announcement.rs
+++ b/crates/poplargap-forward/src/peers/announcement.rs
@@ -1,6 +1,8 @@
 use {
     poplargap_core::forward::PeerEntry,
-    poplargap_store::{KeyValueStore, LeaseId, StoreError, StoredValue, SwapOutcome, SwapWrite},
+    poplargap_store::{
+        EraWatch, KeyValueStore, LeaseId, StoreEra, StoreError, StoredValue, SwapOutcome, SwapWrite,
+    },
     rand::Rng,
     serde::{Deserialize, Serialize},
     slog::{Logger, info, warn},
@@ -35,13 +37,43 @@
 pub struct LeasedEntry {
     /// The entry.
     pub entry: PeerEntry,
-    /// The lease of the entry, which a restarted daemon takes over.
-    pub lease: LeaseId,
+    /// Number of the era of the store in which the lease was granted; 0 for a store without eras.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: u64,
+    /// Number of the lease of the entry, which a restarted daemon takes over.
+    pub lease: u64,
+}
+
+impl LeasedEntry {
+    /// Creates the entry that is bound to a lease.
+    #[must_use]
+    pub fn new(entry: PeerEntry, lease: LeaseId) -> Self {
+        Self {
+            entry,
+            era: lease.era().number(),
+            lease: lease.number(),
+        }
+    }
+
+    /// Returns the lease.
+    #[must_use]
+    pub fn lease(&self) -> LeaseId {
+        LeaseId::new(StoreEra::new(self.era), self.lease)
+    }
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_first_era(era: &u64) -> bool {
+    *era == 0
 }
 
 /// Announces a daemon: writes its entry to the store and renews its lease.
 ///
-/// An entry that was lost is written again.
+/// An entry that was lost is written again, also when the store comes back from a copy: its lease is
+/// gone then, even if the copy has the entry.
 pub async fn announce<S: KeyValueStore>(store: S, entry: PeerEntry, log: Logger) {
     sleep(random_pause(Duration::ZERO, START_PAUSE_MAX)).await;
     loop {
@@ -57,18 +89,16 @@
     entry: &PeerEntry,
     log: &Logger,
 ) -> Result<Infallible, StoreError> {
+    let eras = store.eras().watch();
     let key = format!("{PEERS_PREFIX}{}", entry.address);
     let stored = store.get(&key).await?;
     if let Some(lease) = own_lease(stored.as_ref(), entry) {
-        info!(log, "existing announcement reused"; "key" => &key, "lease" => lease.0);
+        info!(log, "existing announcement reused"; "key" => &key, "lease" => lease.number());
         store.renew_lease(lease).await?;
-        return renew(store, lease, log).await;
+        return renew(store, lease, eras, log).await;
     }
     let lease = store.grant_lease(LEASE_TTL).await?.id;
-    let leased = LeasedEntry {
-        entry: entry.clone(),
-        lease,
-    };
+    let leased = LeasedEntry::new(entry.clone(), lease);
     let value = serde_json::to_string(&leased);
     let write = SwapWrite {
         expected: stored.map(|stored| stored.revision),
@@ -78,34 +108,51 @@
     };
     match store.swap(&write).await {
         SwapOutcome::Applied(revision) => {
-            info!(log, "daemon announced"; "key" => &write.key, "revision" => revision.0);
+            info!(log, "daemon announced"; "key" => &write.key, "era" => revision.era().number(),
+                "revision" => revision.number());
         }
         SwapOutcome::Conflict(_) => return Err(StoreError::Refused(412)),
         SwapOutcome::Unknown(error) | SwapOutcome::Failed(error) => return Err(error),
     }
-    renew(store, lease, log).await
+    renew(store, lease, eras, log).await
 }
 
 /// Returns the lease of the stored entry if it equals the daemon's own entry.
+///
+/// A lease of an earlier era is gone, and its number may be that of another daemon's lease.
 fn own_lease(stored: Option<&StoredValue>, entry: &PeerEntry) -> Option<LeaseId> {
-    let leased: LeasedEntry = serde_json::from_str(&stored?.value).ok()?;
-    (leased.entry == *entry).then_some(leased.lease)
+    let stored = stored?;
+    let leased: LeasedEntry = serde_json::from_str(&stored.value).ok()?;
+    let lease = leased.lease();
+    let is_own = leased.entry == *entry && lease.era() == stored.revision.era();
+    is_own.then_some(lease)
 }
 
-/// Renews a lease until it has ended.
+/// Renews a lease until it has ended, or the store is in another era.
 async fn renew<S: KeyValueStore>(
     store: &S,
     lease: LeaseId,
+    mut eras: EraWatch,
     log: &Logger,
 ) -> Result<Infallible, StoreError> {
     let mut pause = RENEWAL_PAUSE;
     loop {
-        sleep(pause).await;
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = eras.changed() => {}
+        }
+        let current = store.eras().current();
+        if lease.era() != current {
+            return Err(StoreError::EraChanged {
+                held: lease.era(),
+                current,
+            });
+        }
         pause = match store.renew_lease(lease).await {
             Ok(()) => RENEWAL_PAUSE,
             Err(error @ StoreError::NoLease) => return Err(error),
             Err(error) => {
-                warn!(log, "announcement can't be renewed; trying again"; "lease" => lease.0, "error" => %error);
+                warn!(log, "announcement can't be renewed; trying again"; "lease" => lease.number(), "error" => %error);
                 random_pause(RETRY_PAUSE_MIN, RETRY_PAUSE_MAX)
             }
         };
--- a/crates/poplargap-forward/tests/changes.rs
+++ b/crates/poplargap-forward/tests/changes.rs
@@ -2,8 +2,8 @@
 
 use {
     poplargap_core::instant::MonotonicInstant,
-    poplargap_forward::{ChangeLog, ChangeLogError, FeedBatch, FeedValue},
-    poplargap_store::{StoreRevision, WatchBatch, WatchChange},
+    poplargap_forward::{ChangeLog, ChangeLogError, FeedBatch, FeedBatchBody, FeedValue},
+    poplargap_store::{StoreEra, StoreRevision, WatchBatch, WatchChange},
     proptest::{collection::vec, prop_assert, prop_assert_eq, proptest},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -18,7 +18,7 @@
 fn change(revision: u64, key: &str, value: Option<String>) -> WatchChange {
     WatchChange {
         key: key.to_owned(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(StoreEra::default(), revision),
         value,
     }
 }
@@ -26,25 +26,25 @@
 fn batch(changes: Vec<WatchChange>, revision: u64) -> WatchBatch {
     WatchBatch {
         changes,
-        revision: StoreRevision(revision),
+        revision: StoreRevision::new(StoreEra::default(), revision),
     }
 }
 
 fn started(revision: u64) -> ChangeLog {
     let mut log = ChangeLog::default();
-    log.start(StoreRevision(revision), at(0));
+    log.start(StoreRevision::new(StoreEra::default(), revision), at(0));
     log
 }
 
 fn since(log: &ChangeLog, after: u64) -> FeedBatch {
-    let read = log.since(StoreRevision(after), at(100));
+    let read = log.since(StoreRevision::new(StoreEra::default(), after), at(100));
     read.expect("the log has the changes")
 }
 
 #[test]
 fn log_that_is_not_started_returns_nothing() {
     let log = ChangeLog::default();
-    let read = log.since(StoreRevision(1), at(0));
+    let read = log.since(StoreRevision::new(StoreEra::default(), 1), at(0));
     assert_eq!(read, Err(ChangeLogError::NotReading));
 }
 
@@ -52,7 +52,7 @@
 fn changes_before_the_start_are_refused() {
     let mut log = started(10);
     log.append(&batch(vec![change(11, "a", None)], 11), false, at(0));
-    let read = log.since(StoreRevision(9), at(0));
+    let read = log.since(StoreRevision::new(StoreEra::default(), 9), at(0));
     assert_eq!(read, Err(ChangeLogError::Dropped(9)));
     assert_eq!(since(&log, 10).changes.len(), 1);
 }
@@ -91,7 +91,7 @@
             ("servers/i-1", &draining)
         ]
     );
-    let encoded = serde_json::to_vec(&sent).expect("it can be encoded");
+    let encoded = serde_json::to_vec(&FeedBatchBody::from(sent)).expect("it can be encoded");
     assert!(encoded.len() < 1_000, "{}", encoded.len());
 }
 
@@ -114,10 +114,13 @@
         let changes = vec![change(revision, &key, value)];
         log.append(&batch(changes, revision), false, at(0));
     }
-    let early = log.since(StoreRevision(10), at(0));
+    let early = log.since(StoreRevision::new(StoreEra::default(), 10), at(0));
     assert_eq!(early, Err(ChangeLogError::Dropped(10)));
     let kept = (0..20_000)
-        .find_map(|after| log.since(StoreRevision(after), at(0)).ok())
+        .find_map(|after| {
+            log.since(StoreRevision::new(StoreEra::default(), after), at(0))
+                .ok()
+        })
         .expect("the newest changes are kept");
     let bytes: usize = kept
         .changes
@@ -125,7 +128,10 @@
         .map(|change| change.key.len() + 1_000)
         .sum();
     assert!(bytes <= BATCH_BYTES_MAX, "{bytes}");
-    assert_eq!(kept.revision, StoreRevision(20_000));
+    assert_eq!(
+        kept.revision,
+        StoreRevision::new(StoreEra::default(), 20_000)
+    );
 }
 
 proptest! {
@@ -151,10 +157,10 @@
                 // The reader restarts.
                 0 => log = started(revision),
                 1..4 => {
-                    if let Ok(sent) = log.since(StoreRevision(after), at(0)) {
-                        prop_assert!(sent.revision.0 >= after);
-                        prop_assert!(sent.changes.iter().all(|change| change.revision.0 > after));
-                        after = sent.revision.0;
+                    if let Ok(sent) = log.since(StoreRevision::new(StoreEra::default(), after), at(0)) {
+                        prop_assert!(sent.revision.number() >= after);
+                        prop_assert!(sent.changes.iter().all(|change| change.revision.number() > after));
+                        after = sent.revision.number();
                         apply(&mut follower, sent, &store);
                     } else {
                         follower.clone_from(&store);
--- a/crates/poplargap-forward/tests/peers.rs
+++ b/crates/poplargap-forward/tests/peers.rs
@@ -8,8 +8,8 @@
     },
     poplargap_forward::{PEERS_PREFIX, PeerMessage, announce},
     poplargap_store::{
-        KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
-        SwapWrite, ValuePage, WatchBatch,
+        KeyValueStore, LeaseGrant, LeaseId, StoreEra, StoreError, StoreRevision, StoredValue,
+        SwapOutcome, SwapWrite, ValuePage, WatchBatch,
     },
     proptest::{collection::vec, prelude::any, prop_assert, prop_assert_eq, proptest},
     slog::{Discard, Logger, o},
@@ -78,7 +78,7 @@
             return SwapOutcome::Failed(StoreError::NoLease);
         }
         state.writes += 1;
-        let revision = StoreRevision(state.writes);
+        let revision = StoreRevision::new(StoreEra::default(), state.writes);
         state.value = write.value.clone().map(|value| StoredValue {
             key: write.key.clone(),
             revision,
@@ -99,10 +99,10 @@
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
         let mut state = self.reachable()?;
         state.last_lease += 1;
-        let id = LeaseId(state.last_lease);
+        let id = LeaseId::new(StoreEra::default(), state.last_lease);
         state.live = Some(id);
         Ok(LeaseGrant {
-            fence: id.0,
+            fence: id.number(),
             id,
             ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
         })
--- a/crates/poplargap-forward/tests/shared_feed_model.rs
+++ b/crates/poplargap-forward/tests/shared_feed_model.rs
@@ -11,7 +11,7 @@
         instant::MonotonicInstant,
     },
     poplargap_forward::ChangeLog,
-    poplargap_store::{StoreRevision, WatchBatch, WatchChange},
+    poplargap_store::{StoreEra, StoreRevision, WatchBatch, WatchChange},
     proptest::{
         collection::vec, prelude::ProptestConfig, prop_assert, prop_assert_eq, proptest,
         test_runner::TestCaseError,
@@ -228,7 +228,9 @@
         let daemon = &mut self.daemons[own];
         daemon.source = daemon.rule.source(now);
         if daemon.source == ReadSource::StoreForOthers && !daemon.log.is_started() {
-            daemon.log.start(StoreRevision(daemon.view), now);
+            daemon
+                .log
+                .start(StoreRevision::new(StoreEra::default(), daemon.view), now);
         }
         let until = self.now;
         let waiting = match daemon.source {
@@ -257,7 +259,7 @@
             self.daemons[own].waiting = Waiting::PollTimeout { reader, until };
             return;
         }
-        let after = StoreRevision(self.daemons[own].view);
+        let after = StoreRevision::new(StoreEra::default(), self.daemons[own].view);
         let answer = self.daemons[reader].log.since(after, self.instant());
         match answer {
             Err(_) => self.reader_failed(own, reader),
@@ -265,7 +267,7 @@
             Ok(batch) if batch.changes.is_empty() && self.now < until => {}
             Ok(batch) => {
                 let daemon = &mut self.daemons[own];
-                daemon.view = daemon.view.max(batch.revision.0);
+                daemon.view = daemon.view.max(batch.revision.number());
                 daemon.rule.record_success(&address(reader));
                 self.pause(own, POLL_PAUSE_MS);
             }
@@ -290,12 +292,12 @@
         let daemon = &mut self.daemons[own];
         let change = |revision: u64| WatchChange {
             key: format!("servers/{}", revision % 5),
-            revision: StoreRevision(revision),
+            revision: StoreRevision::new(StoreEra::default(), revision),
             value: Some(revision.to_string()),
         };
         let batch = WatchBatch {
             changes: (daemon.view + 1..=revision).map(change).collect(),
-            revision: StoreRevision(revision),
+            revision: StoreRevision::new(StoreEra::default(), revision),
         };
         daemon.rule.record_store_read(true);
         daemon.log.append(&batch, false, now);
--- a/crates/poplargap-store/src/call_outcome.rs
+++ b/crates/poplargap-store/src/call_outcome.rs
@@ -17,6 +17,8 @@
     Compacted,
     /// The key had another revision than the swap expected.
     Conflict,
+    /// The answer is of another era of the store than the call was based on.
+    EraChanged,
     /// The answer couldn't be decoded.
     Malformed,
     /// The request may have been sent, but no answer was received.
@@ -33,6 +35,7 @@
     fn from(error: &StoreError) -> Self {
         match error {
             StoreError::Compacted(_) => Self::Compacted,
+            StoreError::EraChanged { .. } => Self::EraChanged,
             StoreError::Malformed(_) => Self::Malformed,
             StoreError::NoAnswer(_) => Self::NoAnswer,
             StoreError::NoLease => Self::NoLease,
--- a/crates/poplargap-store/src/http_pool.rs
+++ b/crates/poplargap-store/src/http_pool.rs
@@ -5,7 +5,10 @@
     bytes::{Bytes, BytesMut},
     displaydoc::Display,
     reqwest::{
-        Client, RequestBuilder, Response, StatusCode, header::ETAG, redirect::Policy, retry,
+        Client, RequestBuilder, Response, StatusCode,
+        header::{ETAG, HeaderMap},
+        redirect::Policy,
+        retry,
     },
     serde::de::DeserializeOwned,
     std::{error::Error, net::SocketAddr, sync::Arc, time::Duration},
@@ -34,6 +37,8 @@
 pub struct HttpAnswer {
     /// The answer's body.
     pub body: Bytes,
+    /// The answer's headers.
+    pub headers: HeaderMap,
     /// The answer's status.
     pub status: StatusCode,
     /// The answer's entity tag, if any.
@@ -174,13 +179,19 @@
         wait: Duration,
     ) -> Result<HttpAnswer, ExchangeError> {
         let head = timeout(wait.saturating_add(self.timeout), client.execute(request));
-        let response = head.await??;
+        let mut response = head.await??;
         let status = response.status();
         let tag = response.headers().get(ETAG);
         let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let headers = std::mem::take(response.headers_mut());
         let body = timeout(self.timeout * BODY_TIMEOUTS_MAX, self.read_body(response));
         let body = body.await??;
-        Ok(HttpAnswer { body, status, tag })
+        Ok(HttpAnswer {
+            body,
+            headers,
+            status,
+            tag,
+        })
     }
 
     async fn read_body(&self, mut response: Response) -> Result<Bytes, ExchangeError> {
--- a/crates/poplargap-store/src/lib.rs
+++ b/crates/poplargap-store/src/lib.rs
@@ -11,6 +11,7 @@
 mod settled_write;
 mod store;
 mod store_counters;
+mod store_eras;
 mod vm_list;
 mod vm_query;
 
@@ -23,12 +24,14 @@
     http_pool::{HttpAnswer, HttpPool},
     http_vm_list::HttpVmList,
     paced_store::PacedStore,
+    poplargap_core::store_position::{LeaseId, PositionError, StoreEra, StoreRevision},
     settled_write::{SettleLimit, WriteEvidence, write_then_settle},
     store::{
-        KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
-        SwapWrite, ValuePage, WatchBatch, WatchChange,
+        KeyValueStore, LeaseGrant, StoreError, StoredValue, SwapOutcome, SwapWrite, ValuePage,
+        WatchBatch, WatchChange,
     },
     store_counters::StoreCounters,
+    store_eras::{EraWatch, StoreEras},
     vm_list::{VmEntry, VmList, VmListError, VmRole, VmState},
     vm_query::{VmAnswer, VmQuery, VmTag},
 };
--- a/crates/poplargap-store/src/paced_store.rs
+++ b/crates/poplargap-store/src/paced_store.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CallBucket, KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue,
-        SwapOutcome, SwapWrite, ValuePage, WatchBatch,
+        CallBucket, KeyValueStore, LeaseGrant, LeaseId, StoreEras, StoreError, StoreRevision,
+        StoredValue, SwapOutcome, SwapWrite, ValuePage, WatchBatch,
     },
     std::time::Duration,
 };
@@ -25,6 +25,10 @@
 }
 
 impl<S: KeyValueStore> KeyValueStore for PacedStore<S> {
+    fn eras(&self) -> StoreEras {
+        self.inner.eras()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
         self.bucket.take().await;
         self.inner.get(key).await
--- a/crates/poplargap-store/src/settled_write.rs
+++ b/crates/poplargap-store/src/settled_write.rs
@@ -19,7 +19,7 @@
 
 use {
     crate::{KeyValueStore, StoreError, StoredValue, SwapOutcome, SwapWrite},
-    std::time::Duration,
+    std::{cmp::Ordering, time::Duration},
     tokio::time::{Instant, sleep_until, timeout_at},
 };
 
@@ -104,18 +104,72 @@
     let current = timeout_at(deadline, store.get(&write.key))
         .await
         .map_err(|elapsed| StoreError::NoAnswer(elapsed.to_string()))??;
-    let revision = current.as_ref().map(|current| current.revision);
-    if revision > write.expected {
-        return Ok(outcome_by_value(write, current, evidence));
+    match progress(write, current.as_ref()) {
+        WriteProgress::Passed => return Ok(outcome_by_value(write, current, evidence)),
+        WriteProgress::OtherEra => return Ok(outcome_in_new_era(write, current, evidence)),
+        WriteProgress::Open => {}
     }
     match swap_by_deadline(store, write, deadline).await {
         SwapOutcome::Applied(revision) => Ok(SwapOutcome::Applied(revision)),
         SwapOutcome::Conflict(current) => Ok(outcome_by_value(write, current, evidence)),
         SwapOutcome::Failed(StoreError::NoLease) => Ok(SwapOutcome::Unknown(StoreError::NoLease)),
+        SwapOutcome::Failed(StoreError::EraChanged { .. }) => {
+            let current = timeout_at(deadline, store.get(&write.key))
+                .await
+                .map_err(|elapsed| StoreError::NoAnswer(elapsed.to_string()))??;
+            Ok(outcome_in_new_era(write, current, evidence))
+        }
         SwapOutcome::Failed(error) | SwapOutcome::Unknown(error) => Err(error),
     }
 }
 
+/// How far a key has come since the revision that a write expects.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WriteProgress {
+    /// The write may still be applied.
+    Open,
+    /// The store came back from a copy since; the write's precondition means nothing there.
+    OtherEra,
+    /// The write can't be applied any more.
+    Passed,
+}
+
+fn progress(write: &SwapWrite, current: Option<&StoredValue>) -> WriteProgress {
+    let (Some(current), Some(expected)) = (current, write.expected) else {
+        // A key that had to exist and is absent was removed; the write can't be applied any more,
+        // and sending it again shows that.
+        return if current.is_some() {
+            WriteProgress::Passed
+        } else {
+            WriteProgress::Open
+        };
+    };
+    match current.revision.compare(expected) {
+        Ok(Ordering::Greater) => WriteProgress::Passed,
+        Ok(Ordering::Equal | Ordering::Less) => WriteProgress::Open,
+        Err(_) => WriteProgress::OtherEra,
+    }
+}
+
+/// Returns the outcome in an era in which the write can't be sent: only the value can show that it was
+/// applied before the copy was taken. Otherwise the caller has to decide anew on the current value.
+fn outcome_in_new_era<E>(
+    write: &SwapWrite,
+    current: Option<StoredValue>,
+    evidence: &E,
+) -> SwapOutcome
+where
+    E: Fn(&StoredValue) -> WriteEvidence,
+{
+    let applied = current
+        .as_ref()
+        .filter(|current| evidence(current) == WriteEvidence::Applied);
+    match applied {
+        Some(applied) if write.value.is_some() => SwapOutcome::Applied(applied.revision),
+        _ => SwapOutcome::Conflict(current),
+    }
+}
+
 /// Returns the outcome for a current value after which no copy of the write can be applied.
 fn outcome_by_value<E>(write: &SwapWrite, current: Option<StoredValue>, evidence: &E) -> SwapOutcome
 where
--- a/crates/poplargap-store/src/store.rs
+++ b/crates/poplargap-store/src/store.rs
@@ -1,26 +1,14 @@
 //! Interface to the platform's key-value store.
 
 use {
+    crate::StoreEras,
     displaydoc::Display,
-    serde::{Deserialize, Serialize},
+    poplargap_core::store_position::{LeaseId, StoreEra, StoreRevision},
     std::time::Duration,
 };
 
-/// Revision of the whole store; every change increases it.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[serde(transparent)]
-pub struct StoreRevision(pub u64);
-
-/// Id of a lease.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(transparent)]
-pub struct LeaseId(pub u64);
-
 /// A value with the revision of its last change.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredValue {
     /// The value's key.
     pub key: String,
@@ -31,8 +19,7 @@
 }
 
 /// A write that takes effect only when the key's revision is the expected one.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SwapWrite {
     /// Revision that the key must have; `None` when the key must be absent.
     pub expected: Option<StoreRevision>,
@@ -58,8 +45,7 @@
 }
 
 /// One page of a listing by prefix.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ValuePage {
     /// Key to continue after, or `None` on the last page.
     pub next: Option<String>,
@@ -70,8 +56,7 @@
 }
 
 /// One change reported by a watch.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WatchChange {
     /// The key.
     pub key: String,
@@ -82,8 +67,7 @@
 }
 
 /// Changes after a revision, sorted by revision.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WatchBatch {
     /// The changes; empty when there was none before the wait ended.
     pub changes: Vec<WatchChange>,
@@ -92,8 +76,7 @@
 }
 
 /// A lease that the store granted.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseGrant {
     /// Fencing number: higher than that of every lease granted before.
     pub fence: u64,
@@ -108,6 +91,13 @@
 pub enum StoreError {
     /// revision {0} is compacted; list again
     Compacted(u64),
+    /// the store came back from a copy: era {current} follows era {held}
+    EraChanged {
+        /// Era on which the call was based.
+        held: StoreEra,
+        /// Newest era that is known.
+        current: StoreEra,
+    },
     /// the answer can't be read: {0}
     Malformed(String),
     /// nothing was sent: {0}
@@ -126,6 +116,13 @@
 
 /// Access to the platform's key-value store.
 pub trait KeyValueStore: Clone + Send + Sync + 'static {
+    /// Returns the eras of the store, as all calls of the process see them.
+    ///
+    /// A store without eras has a single one, which is the default.
+    fn eras(&self) -> StoreEras {
+        StoreEras::default()
+    }
+
     /// Reads one value; `None` when the key is absent.
     fn get(
         &self,
@@ -151,6 +148,9 @@
     ) -> impl Future<Output = Result<ValuePage, StoreError>> + Send;
 
     /// Writes or removes a value if its revision is the expected one.
+    ///
+    /// A write whose precondition or lease is of an earlier era isn't sent, since it might hold by
+    /// chance. If the era changed on the way, the outcome is unknown.
     fn swap(&self, write: &SwapWrite) -> impl Future<Output = SwapOutcome> + Send;
 
     /// Waits up to `wait` for changes after a revision to keys with a prefix.
--- a/crates/poplargap-store/tests/settled_write.rs
+++ b/crates/poplargap-store/tests/settled_write.rs
@@ -2,8 +2,9 @@
 
 use {
     poplargap_store::{
-        KeyValueStore, LeaseGrant, LeaseId, SettleLimit, StoreError, StoreRevision, StoredValue,
-        SwapOutcome, SwapWrite, ValuePage, WatchBatch, WriteEvidence, write_then_settle,
+        KeyValueStore, LeaseGrant, LeaseId, SettleLimit, StoreEra, StoreError, StoreRevision,
+        StoredValue, SwapOutcome, SwapWrite, ValuePage, WatchBatch, WriteEvidence,
+        write_then_settle,
     },
     proptest::{
         prelude::{Just, ProptestConfig, Strategy, any},
@@ -63,7 +64,7 @@
         let value = write.value.clone().unwrap();
         self.own_applied += u32::from(value == OWN);
         self.put(value);
-        SwapOutcome::Applied(StoreRevision(self.revision))
+        SwapOutcome::Applied(StoreRevision::new(StoreEra::default(), self.revision))
     }
 
     fn deliver_delayed(&mut self) {
@@ -89,7 +90,7 @@
         self.revision += 1;
         self.value = Some(StoredValue {
             key: KEY.to_owned(),
-            revision: StoreRevision(self.revision),
+            revision: StoreRevision::new(StoreEra::default(), self.revision),
             value,
         });
     }
@@ -210,7 +211,7 @@
         store.state().put("base".to_owned());
     }
     store.state().steps = steps;
-    let expected = key_exists.then_some(StoreRevision(1));
+    let expected = key_exists.then_some(StoreRevision::new(StoreEra::default(), 1));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
--- a/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
+++ b/crates/poplargap-testbed/src/capacity/catalogue_filler.rs
@@ -134,7 +134,7 @@
         match self.store.swap(&write).await {
             SwapOutcome::Applied(revision) => {
                 bucket.revision = Some(revision);
-                Ok(revision.0)
+                Ok(revision.number())
             }
             outcome => Err(CapacityError::Catalogue(format!("{outcome:?}"))),
         }
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -41,6 +41,7 @@
     load: Option<String>,
     refused: u64,
     released: u64,
+    reports: u64,
     running: u32,
     seen: Vec<SeenRequest>,
 }
@@ -82,14 +83,16 @@
         self.address
     }
 
-    /// Returns the key and the JSON value of the replica's registration in the given state.
+    /// Returns the key and the JSON value of the replica's next registration in the given state.
     #[must_use]
     pub fn registration(&self, state: &str) -> (String, String) {
-        let id = lock(&self.state).id.clone();
+        let mut own = lock(&self.state);
+        own.reports += 1;
+        let id = own.id.clone();
         let value = json!({
             "service": self.service, "address": self.address, "zone": "ne1", "version": "v1",
-            "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": 1,
-            "born": 1 + self.crashes() + lock(&self.state).released,
+            "slots": 64, "state": state, "coldRemainingMs": 0, "sequence": own.reports,
+            "born": 1 + own.crashes + own.released,
         });
         (format!("servers/{id}"), value.to_string())
     }
--- a/crates/poplargap-testbed/src/soak/edit_check.rs
+++ b/crates/poplargap-testbed/src/soak/edit_check.rs
@@ -88,7 +88,11 @@
     let mut revision = 0;
     loop {
         let page = store.list(BUCKET_PREFIX, after.as_deref()).await.ok()?;
-        let highest = page.values.iter().map(|value| value.revision.0).max();
+        let highest = page
+            .values
+            .iter()
+            .map(|value| value.revision.number())
+            .max();
         revision = revision.max(highest.unwrap_or_default());
         after = page.next;
         if after.is_none() {
--- a/crates/poplargap-testbed/src/store.rs
+++ b/crates/poplargap-testbed/src/store.rs
@@ -2,8 +2,8 @@
 //!
 //! `GET /v1/kv-key`, `GET /v1/kv-range`, `POST /v1/kv-txn`, `GET /v1/kv-watch`,
 //! `POST /v1/kv-lease`, `POST /v1/kv-keep/{id}`, `DELETE /v1/kv-lease-end/{id}` and
-//! `GET /v1/vms` are the platform's interface. `PUT /v1/vms`, `GET /counters`, `POST /compact`
-//! and `GET`, `POST` and `DELETE /faults` control the stand-in; they are not counted, and faults
+//! `GET /v1/vms` are the platform's interface. `PUT /v1/vms`, `GET /counters`, `POST /compact`,
+//! `POST /copy`, `POST /restore` and `GET`, `POST` and `DELETE /faults` control the stand-in; they are not counted, and faults
 //! don't affect them.
 
 mod call_counts;
@@ -15,6 +15,7 @@
 mod store_faults;
 mod store_handle;
 mod store_message;
+mod store_restore;
 mod store_routes;
 mod store_stand_in;
 mod store_state;
@@ -22,6 +23,9 @@
 mod vm_history;
 
 pub use {
-    call_counts::CallCounts, store_faults::StoreFaults, store_stand_in::StoreStandIn,
+    call_counts::CallCounts,
+    store_faults::StoreFaults,
+    store_restore::{RestorePlan, RestoredWrite},
+    store_stand_in::StoreStandIn,
     store_state::VALUE_BYTES_MAX,
 };
--- a/crates/poplargap-testbed/src/store/change_history.rs
+++ b/crates/poplargap-testbed/src/store/change_history.rs
@@ -1,7 +1,7 @@
 //! Past changes that a watch can start from.
 
 use {
-    poplargap_store::{StoreRevision, WatchBatch, WatchChange},
+    poplargap_store::{StoreEra, StoreRevision, WatchBatch, WatchChange},
     std::collections::VecDeque,
 };
 
@@ -17,23 +17,24 @@
 pub(super) struct ChangeHistory {
     bytes: usize,
     changes: VecDeque<WatchChange>,
-    compacted: StoreRevision,
-    revision: StoreRevision,
+    /// Number of the revision up to which the changes are discarded.
+    compacted: u64,
+    era: StoreEra,
+    /// Number of the last revision.
+    last: u64,
 }
 
 impl ChangeHistory {
     /// Returns the changes after a revision whose key starts with `prefix`.
-    pub(super) fn after(
-        &self,
-        prefix: &str,
-        after: StoreRevision,
-    ) -> Result<WatchBatch, HistoryGone> {
-        if after < self.compacted {
+    ///
+    /// Callers send the number alone, so one of an earlier era may name a revision of this one.
+    pub(super) fn after(&self, prefix: &str, after: u64) -> Result<WatchBatch, HistoryGone> {
+        if after < self.compacted || after > self.last {
             return Err(HistoryGone);
         }
         let start = self
             .changes
-            .partition_point(|change| change.revision <= after);
+            .partition_point(|change| change.revision.number() <= after);
         let changes = self
             .changes
             .range(start..)
@@ -42,7 +43,7 @@
             .collect();
         Ok(WatchBatch {
             changes,
-            revision: self.revision.max(after),
+            revision: self.revision(),
         })
     }
 
@@ -50,15 +51,25 @@
     pub(super) fn compact(&mut self) {
         self.bytes = 0;
         self.changes.clear();
-        self.compacted = self.revision;
+        self.compacted = self.last;
+    }
+
+    /// Begins a new era after a revision, without the changes before it.
+    pub(super) fn restart(&mut self, revision: u64) {
+        *self = Self {
+            compacted: revision,
+            era: self.era.next(),
+            last: revision,
+            ..Self::default()
+        };
     }
 
     /// Records a change and returns its revision; a `value` of `None` is a removal.
     pub(super) fn push(&mut self, key: &str, value: Option<&str>) -> StoreRevision {
-        self.revision.0 += 1;
+        self.last += 1;
         let change = WatchChange {
             key: key.to_owned(),
-            revision: self.revision,
+            revision: self.revision(),
             value: value.map(str::to_owned),
         };
         self.bytes += bytes_of(&change);
@@ -66,17 +77,17 @@
         while self.bytes > HISTORY_BYTES_MAX || self.changes.len() > CHANGES_MAX {
             self.drop_oldest();
         }
-        self.revision
+        self.revision()
     }
 
     pub(super) fn revision(&self) -> StoreRevision {
-        self.revision
+        StoreRevision::new(self.era, self.last)
     }
 
     fn drop_oldest(&mut self) {
         if let Some(oldest) = self.changes.pop_front() {
             self.bytes -= bytes_of(&oldest);
-            self.compacted = oldest.revision;
+            self.compacted = oldest.revision.number();
         }
     }
 }
--- a/crates/poplargap-testbed/src/store/lease_table.rs
+++ b/crates/poplargap-testbed/src/store/lease_table.rs
@@ -1,37 +1,37 @@
 //! Leases and their expiry by the stand-in's monotonic clock.
 
 use {
-    poplargap_store::{LeaseGrant, LeaseId},
+    poplargap_store::{LeaseGrant, LeaseId, StoreEra},
     std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
 };
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct LeaseState {
     expires_at: Instant,
     ttl: Duration,
 }
 
 /// Leases that have neither expired nor been revoked.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct LeaseTable {
     leases: BTreeMap<u64, LeaseState>,
     next: u64,
 }
 
 impl LeaseTable {
-    pub(super) fn holds(&self, id: LeaseId) -> bool {
-        self.leases.contains_key(&id.0)
+    pub(super) fn holds(&self, number: u64) -> bool {
+        self.leases.contains_key(&number)
     }
 
-    pub(super) fn grant(&mut self, ttl: Duration, now: Instant) -> LeaseGrant {
+    pub(super) fn grant(&mut self, era: StoreEra, ttl: Duration, now: Instant) -> LeaseGrant {
         self.next += 1;
         let expires_at = now + ttl;
         self.leases
             .insert(self.next, LeaseState { expires_at, ttl });
         LeaseGrant {
             fence: self.next,
-            id: LeaseId(self.next),
+            id: LeaseId::new(era, self.next),
             ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
         }
     }
@@ -41,22 +41,22 @@
     }
 
     /// Removes and returns the leases that have expired.
-    pub(super) fn remove_expired(&mut self, now: Instant) -> Vec<LeaseId> {
+    pub(super) fn remove_expired(&mut self, now: Instant) -> Vec<u64> {
         self.leases
             .extract_if(.., |_, lease| lease.expires_at <= now)
-            .map(|(id, _)| LeaseId(id))
+            .map(|(number, _)| number)
             .collect()
     }
 
-    pub(super) fn renew(&mut self, id: LeaseId, now: Instant) -> bool {
-        let Some(lease) = self.leases.get_mut(&id.0) else {
+    pub(super) fn renew(&mut self, number: u64, now: Instant) -> bool {
+        let Some(lease) = self.leases.get_mut(&number) else {
             return false;
         };
         lease.expires_at = now + lease.ttl;
         true
     }
 
-    pub(super) fn revoke(&mut self, id: LeaseId) -> bool {
-        self.leases.remove(&id.0).is_some()
+    pub(super) fn revoke(&mut self, number: u64) -> bool {
+        self.leases.remove(&number).is_some()
     }
 }
--- a/crates/poplargap-testbed/src/store/route_answer.rs
+++ b/crates/poplargap-testbed/src/store/route_answer.rs
@@ -52,7 +52,7 @@
     match swapped {
         None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Some(SwapAnswer::Applied(revision)) => {
-            let revision = revision.0;
+            let revision = revision.number();
             json(&RevisionBody { revision }).into_response()
         }
         Some(SwapAnswer::Conflict(current)) => {
@@ -60,6 +60,7 @@
             let body = json(&ConflictBody { entries });
             with_status(body, StatusCode::PRECONDITION_FAILED).into_response()
         }
+        Some(SwapAnswer::Malformed) => StatusCode::BAD_REQUEST.into_response(),
         Some(SwapAnswer::NoLease) => StatusCode::NOT_FOUND.into_response(),
         Some(SwapAnswer::TooLong) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
     }
--- a/crates/poplargap-testbed/src/store/route_context.rs
+++ b/crates/poplargap-testbed/src/store/route_context.rs
@@ -6,10 +6,15 @@
         store_handle::StoreHandle, store_message::StoreMessage,
     },
     crate::relay::RelayControl,
+    poplargap_platform::store_wire::ERA_HEADER,
     poplargap_store::CallKind,
     std::{convert::Infallible, future::pending, net::SocketAddr},
     tokio::time::sleep,
-    warp::{Reply, http::StatusCode, reply::Response},
+    warp::{
+        Reply,
+        http::{HeaderValue, StatusCode},
+        reply::Response,
+    },
 };
 
 /// Store, relay and caller's address of one request.
@@ -34,9 +39,10 @@
         let Some(CallEffect::Apply { delay, drop_answer }) = effect else {
             return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
         };
+        let store = self.store.clone();
         let work = async move {
             sleep(delay).await;
-            work.await
+            in_one_era(&store, kind, work).await
         };
         let response = if is_write(kind) {
             run_detached(work).await
@@ -64,6 +70,24 @@
     }
 }
 
+/// Adds the era to an answer; there is none if the era changed meanwhile, except for a watch, which is
+/// answered in the new one.
+async fn in_one_era(
+    store: &StoreHandle,
+    kind: CallKind,
+    work: impl Future<Output = Response>,
+) -> Response {
+    let before = store.ask(StoreMessage::Era).await;
+    let mut response = work.await;
+    let era = store.ask(StoreMessage::Era).await;
+    let Some(era) = era.filter(|_| before == era || kind == CallKind::Watch) else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let header = HeaderValue::from(era.number() + 1);
+    response.headers_mut().insert(ERA_HEADER, header);
+    response
+}
+
 /// Completes a write even when its caller disconnects.
 async fn run_detached(work: impl Future<Output = Response> + Send + 'static) -> Response {
     tokio::spawn(work)
--- a/crates/poplargap-testbed/src/store/store_routes.rs
+++ b/crates/poplargap-testbed/src/store/store_routes.rs
@@ -7,13 +7,14 @@
         route_context::RouteContext,
         store_handle::StoreHandle,
         store_message::StoreMessage,
+        store_restore::RestorePlan,
     },
     crate::relay::RelayControl,
     poplargap_platform::store_wire::{
         ItemBody, KeyQuery, LeaseBody, RangeBody, RangeQuery, TransactionBody, WatchBody,
         WatchQuery,
     },
-    poplargap_store::{CallKind, LeaseId, VmEntry, VmQuery},
+    poplargap_store::{CallKind, VmEntry, VmQuery},
     serde::de::DeserializeOwned,
     std::{convert::Infallible, time::Duration},
     warp::{Filter, Rejection, Reply, http::StatusCode},
@@ -77,10 +78,7 @@
         .and_then(|context: RouteContext, body: TransactionBody| {
             let store = context.store.clone();
             context.serve(CallKind::Swap, async move {
-                let Some(writes) = body.swaps() else {
-                    return StatusCode::BAD_REQUEST.into_response();
-                };
-                swap_answer(store.ask(|reply| StoreMessage::Swap(writes, reply)).await)
+                swap_answer(store.ask(|reply| StoreMessage::Swap(body, reply)).await)
             })
         });
     let watch = warp::path!("v1" / "kv-watch")
@@ -114,7 +112,7 @@
                     .ask(|reply| StoreMessage::GrantLease(ttl, reply))
                     .await;
                 answer(grant.map(|grant| LeaseBody {
-                    lease: grant.id.0,
+                    lease: grant.id.number(),
                     ttl_ms: grant.ttl_ms,
                 }))
             })
@@ -124,7 +122,6 @@
         .and(context.clone())
         .and_then(|id: u64, context: RouteContext| {
             let store = context.store.clone();
-            let id = LeaseId(id);
             context.serve(CallKind::RenewLease, async move {
                 lease_answer(store.ask(|reply| StoreMessage::RenewLease(id, reply)).await)
             })
@@ -134,7 +131,6 @@
         .and(context)
         .and_then(|id: u64, context: RouteContext| {
             let store = context.store.clone();
-            let id = LeaseId(id);
             context.serve(CallKind::RevokeLease, async move {
                 lease_answer(
                     store
@@ -190,6 +186,22 @@
         .and_then(|context: RouteContext| async move {
             Ok::<_, Infallible>(answer(context.store.ask(StoreMessage::Compact).await))
         });
+    let copy = warp::path!("copy")
+        .and(warp::post())
+        .and(context.clone())
+        .and_then(|context: RouteContext| async move {
+            Ok::<_, Infallible>(answer(context.store.ask(StoreMessage::TakeCopy).await))
+        });
+    let restore = warp::path!("restore")
+        .and(warp::post())
+        .and(context.clone())
+        .and(json_body())
+        .and_then(|context: RouteContext, plan: RestorePlan| async move {
+            let restored = context
+                .store
+                .ask(|reply| StoreMessage::Restore(plan, reply));
+            Ok::<_, Infallible>(lease_answer(restored.await))
+        });
     let counters = warp::path!("counters")
         .and(warp::get())
         .and(context.clone())
@@ -207,7 +219,13 @@
         .and(context)
         .and(json_body())
         .and_then(|context: RouteContext, faults| context.set_faults(faults));
-    clear.or(compact).or(counters).or(faults).or(set)
+    clear
+        .or(compact)
+        .or(copy)
+        .or(counters)
+        .or(faults)
+        .or(restore)
+        .or(set)
 }
 
 /// Extracts the query for a part of the VM list; `None` stands for the whole list.
--- a/crates/poplargap-testbed/src/store/store_state.rs
+++ b/crates/poplargap-testbed/src/store/store_state.rs
@@ -4,8 +4,9 @@
     super::{
         change_history::{ChangeHistory, HistoryGone},
         lease_table::LeaseTable,
+        store_restore::{RestorePlan, RestoredWrite},
     },
-    poplargap_platform::store_wire::RangeQuery,
+    poplargap_platform::store_wire::{RangeQuery, TransactionBody},
     poplargap_store::{
         LeaseGrant, LeaseId, StoreRevision, StoredValue, SwapWrite, ValuePage, WatchBatch,
     },
@@ -28,13 +29,15 @@
 pub(super) enum SwapAnswer {
     Applied(StoreRevision),
     Conflict(Option<StoredValue>),
+    Malformed,
     NoLease,
     TooLong,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ValueState {
-    lease: Option<LeaseId>,
+    /// Number of the lease to which the value is bound.
+    lease: Option<u64>,
     revision: StoreRevision,
     value: String,
 }
@@ -49,20 +52,25 @@
     }
 }
 
+/// What a copy of the store holds.
+#[derive(Debug)]
+struct StoreCopy {
+    leases: LeaseTable,
+    revision: u64,
+    values: BTreeMap<String, ValueState>,
+}
+
 /// The store's values, leases and history.
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
+    copy: Option<StoreCopy>,
     history: ChangeHistory,
     leases: LeaseTable,
     values: BTreeMap<String, ValueState>,
 }
 
 impl StoreState {
-    pub(super) fn changes(
-        &self,
-        prefix: &str,
-        after: StoreRevision,
-    ) -> Result<WatchBatch, HistoryGone> {
+    pub(super) fn changes(&self, prefix: &str, after: u64) -> Result<WatchBatch, HistoryGone> {
         self.history.after(prefix, after)
     }
 
@@ -70,6 +78,41 @@
         self.history.compact();
     }
 
+    /// Takes a copy, which replaces any earlier one.
+    pub(super) fn take_copy(&mut self) {
+        self.copy = Some(StoreCopy {
+            leases: self.leases.clone(),
+            revision: self.revision().number(),
+            values: self.values.clone(),
+        });
+    }
+
+    /// Puts the copy back in a new era and applies the writes of the plan; returns whether there was
+    /// a copy.
+    ///
+    /// Everything since the copy is gone, and its revisions and lease numbers are given out again.
+    pub(super) fn restore(&mut self, plan: RestorePlan) -> bool {
+        let Some(copy) = &self.copy else {
+            return false;
+        };
+        self.history.restart(copy.revision);
+        self.leases = copy.leases.clone();
+        self.values = copy.values.clone();
+        let era = self.history.revision().era();
+        for value in self.values.values_mut() {
+            value.revision = StoreRevision::new(era, value.revision.number());
+        }
+        for RestoredWrite { key, value } in plan.writes {
+            self.apply(SwapWrite {
+                expected: None,
+                key,
+                lease: None,
+                value,
+            });
+        }
+        true
+    }
+
     /// Removes the leases that have expired, with the values that are bound to them.
     pub(super) fn expire_leases(&mut self, now: Instant) {
         let expired = self.leases.remove_expired(now);
@@ -83,7 +126,7 @@
     }
 
     pub(super) fn grant_lease(&mut self, ttl: Duration, now: Instant) -> LeaseGrant {
-        self.leases.grant(ttl, now)
+        self.leases.grant(self.revision().era(), ttl, now)
     }
 
     pub(super) fn list(&self, query: &RangeQuery) -> ValuePage {
@@ -117,7 +160,7 @@
         self.leases.next_expiry()
     }
 
-    pub(super) fn renew_lease(&mut self, id: LeaseId, now: Instant) -> bool {
+    pub(super) fn renew_lease(&mut self, id: u64, now: Instant) -> bool {
         self.leases.renew(id, now)
     }
 
@@ -125,7 +168,7 @@
         self.history.revision()
     }
 
-    pub(super) fn revoke_lease(&mut self, id: LeaseId) -> bool {
+    pub(super) fn revoke_lease(&mut self, id: u64) -> bool {
         let held = self.leases.revoke(id);
         if held {
             self.remove_bound_values(&[id]);
@@ -133,8 +176,11 @@
         held
     }
 
-    /// Applies all writes, or none of them when one can't be applied.
-    pub(super) fn swap(&mut self, writes: Vec<SwapWrite>) -> SwapAnswer {
+    /// Applies all writes of a transaction, or none of them when one can't be applied.
+    pub(super) fn swap(&mut self, transaction: &TransactionBody) -> SwapAnswer {
+        let Some(writes) = transaction.swaps(self.revision().era()) else {
+            return SwapAnswer::Malformed;
+        };
         for write in &writes {
             if let Some(refusal) = self.refusal(write) {
                 return refusal;
@@ -148,7 +194,10 @@
 
     /// Returns the reason why a write can't be applied, if there is one.
     fn refusal(&self, write: &SwapWrite) -> Option<SwapAnswer> {
-        if write.lease.is_some_and(|id| !self.leases.holds(id)) {
+        if write
+            .lease
+            .is_some_and(|id| !self.leases.holds(id.number()))
+        {
             return Some(SwapAnswer::NoLease);
         }
         if write.value.as_ref().map_or(0, String::len) > VALUE_BYTES_MAX {
@@ -166,7 +215,7 @@
                 self.values.remove(&write.key);
             }
             Some(value) => {
-                let lease = write.lease;
+                let lease = write.lease.map(LeaseId::number);
                 let value = ValueState {
                     lease,
                     revision,
@@ -177,7 +226,7 @@
         }
     }
 
-    fn remove_bound_values(&mut self, leases: &[LeaseId]) {
+    fn remove_bound_values(&mut self, leases: &[u64]) {
         let bound = |value: &ValueState| value.lease.is_some_and(|id| leases.contains(&id));
         let removed = self.values.extract_if(.., |_, value| bound(value));
         for (key, _) in removed {
--- a/crates/poplargap-testbed/src/store/store_task.rs
+++ b/crates/poplargap-testbed/src/store/store_task.rs
@@ -9,7 +9,7 @@
         vm_history::VmHistory,
     },
     poplargap_platform::store_wire::WatchQuery,
-    poplargap_store::{StoreRevision, WatchBatch},
+    poplargap_store::WatchBatch,
     std::{future::pending, time::Duration},
     tokio::{
         sync::mpsc::Receiver,
@@ -22,7 +22,7 @@
 
 #[derive(Debug)]
 struct WaitingWatch {
-    after: StoreRevision,
+    after: u64,
     ends_at: Instant,
     prefix: String,
     reply: ReplySender<Result<WatchBatch, HistoryGone>>,
@@ -80,6 +80,7 @@
                 answer(reply, ());
             }
             StoreMessage::Counts(reply) => answer(reply, self.counts()),
+            StoreMessage::Era(reply) => answer(reply, self.state.revision().era()),
             StoreMessage::Faults(reply) => answer(reply, self.faults),
             StoreMessage::Get(key, reply) => answer(reply, self.state.get(&key)),
             StoreMessage::GrantLease(ttl, reply) => {
@@ -91,12 +92,17 @@
                 answer(reply, ());
             }
             StoreMessage::RenewLease(id, reply) => answer(reply, self.state.renew_lease(id, now)),
+            StoreMessage::Restore(plan, reply) => answer(reply, self.state.restore(plan)),
             StoreMessage::RevokeLease(id, reply) => answer(reply, self.state.revoke_lease(id)),
             StoreMessage::SetFaults(faults, reply) => {
                 self.faults = faults;
                 answer(reply, ());
             }
-            StoreMessage::Swap(write, reply) => answer(reply, self.state.swap(write)),
+            StoreMessage::Swap(write, reply) => answer(reply, self.state.swap(&write)),
+            StoreMessage::TakeCopy(reply) => {
+                self.state.take_copy();
+                answer(reply, ());
+            }
             StoreMessage::Vms(reply) => answer(reply, self.vms.shown(self.faults.lag(), now)),
             StoreMessage::Watch(query, reply) => self.add_watch(query, reply, now),
         }
@@ -110,7 +116,7 @@
     ) {
         let wait = Duration::from_millis(query.wait_ms).min(WATCH_WAIT_MAX);
         self.watches.push(WaitingWatch {
-            after: StoreRevision(query.after),
+            after: query.after,
             ends_at: now + wait,
             prefix: query.prefix,
             reply,
@@ -123,7 +129,7 @@
             let changes = self.state.changes(&watch.prefix, watch.after);
             match changes {
                 Ok(batch) if batch.changes.is_empty() && watch.ends_at > now => {
-                    watch.after = batch.revision;
+                    watch.after = batch.revision.number();
                     self.watches.push(watch);
                 }
                 changes => answer(watch.reply, changes),
--- a/crates/poplargap-testbed/tests/store.rs
+++ b/crates/poplargap-testbed/tests/store.rs
@@ -3,8 +3,8 @@
 use {
     fixture::{Fixture, KEY, WAIT, create, replace},
     poplargap_store::{
-        CallKind, CallOutcome, HttpVmList, KeyValueStore, LeaseId, StoreError, StoreRevision,
-        SwapOutcome, SwapWrite, VmEntry, VmList, VmRole, VmState,
+        CallKind, CallOutcome, HttpVmList, KeyValueStore, LeaseId, StoreEra, StoreError,
+        StoreRevision, SwapOutcome, SwapWrite, VmEntry, VmList, VmRole, VmState,
     },
     poplargap_testbed::store::{CallCounts, StoreFaults, VALUE_BYTES_MAX},
     std::time::Duration,
@@ -16,6 +16,9 @@
 
 mod fixture;
 
+/// The stand-in's first era.
+const ERA: StoreEra = StoreEra::new(1);
+
 #[tokio::test]
 async fn race_of_swaps_has_one_winner() {
     let fixture = Fixture::start().await;
@@ -77,7 +80,10 @@
         .map(|value| value.key)
         .collect();
     assert_eq!(keys, ["b/1 &?", "b/2", "b/3", "b/4", "b/5"]);
-    assert_eq!((second.next, second.revision), (None, StoreRevision(7)));
+    assert_eq!(
+        (second.next, second.revision),
+        (None, StoreRevision::new(ERA, 7))
+    );
     fixture.stand_in.close().await;
 }
 
@@ -122,7 +128,7 @@
     store.revoke_lease(lease.id).await.unwrap();
     assert_eq!(fixture.value().await, None);
     assert_eq!(
-        store.revoke_lease(LeaseId(99)).await,
+        store.revoke_lease(LeaseId::new(ERA, 99)).await,
         Err(StoreError::NoLease)
     );
     fixture.stand_in.close().await;
@@ -151,9 +157,15 @@
     let fixture = Fixture::start().await;
     fixture.put("else/key", "no match").await;
     let wait = Duration::from_millis(50);
-    let batch = fixture.store.watch("test/", StoreRevision(0), wait).await;
+    let batch = fixture
+        .store
+        .watch("test/", StoreRevision::new(ERA, 0), wait)
+        .await;
     let batch = batch.unwrap();
-    assert_eq!((batch.changes.len(), batch.revision), (0, StoreRevision(1)));
+    assert_eq!(
+        (batch.changes.len(), batch.revision),
+        (0, StoreRevision::new(ERA, 1))
+    );
     fixture.stand_in.close().await;
 }
 
@@ -165,7 +177,7 @@
     fixture.post("/compact", &()).await;
     let store = &fixture.store;
     let gap = store.watch("test/", first, WAIT).await;
-    assert_eq!(gap, Err(StoreError::Compacted(first.0)));
+    assert_eq!(gap, Err(StoreError::Compacted(first.number())));
     let page = store.list("test/", None).await.unwrap();
     assert_eq!((page.values.len(), page.revision), (2, second));
     let third = fixture.put("test/third", "third").await;
--- a/crates/poplargap-testbed/tests/store_faults.rs
+++ b/crates/poplargap-testbed/tests/store_faults.rs
@@ -4,8 +4,8 @@
     fixture::{Fixture, KEY, WAIT, create, replace},
     poplargap_platform::StoreClient,
     poplargap_store::{
-        KeyValueStore, SettleLimit, StoreError, StoreRevision, StoredValue, SwapOutcome, SwapWrite,
-        WriteEvidence, write_then_settle,
+        KeyValueStore, SettleLimit, StoreEra, StoreError, StoreRevision, StoredValue, SwapOutcome,
+        SwapWrite, WriteEvidence, write_then_settle,
     },
     poplargap_testbed::{
         relay::{LinkFaults, LinkRelay},
@@ -36,6 +36,11 @@
     write_then_settle(store, write, evidence, limit).await
 }
 
+/// Returns a revision of the stand-in's first era.
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::new(1), number)
+}
+
 #[tokio::test]
 async fn lost_answer_is_resolved_by_write_id() {
     let fixture = Fixture::start().await;
@@ -48,10 +53,10 @@
     assert!(matches!(lost, SwapOutcome::Unknown(_)), "{lost:?}");
     assert_eq!(fixture.counts().await.swap, 1);
     let first = settle(&fixture.store, &create("first")).await;
-    assert_eq!(first, SwapOutcome::Applied(StoreRevision(1)));
+    assert_eq!(first, SwapOutcome::Applied(revision(1)));
     fixture.set_faults(faults).await;
-    let second = settle(&fixture.store, &replace(StoreRevision(1), "second")).await;
-    assert_eq!(second, SwapOutcome::Applied(StoreRevision(2)));
+    let second = settle(&fixture.store, &replace(revision(1), "second")).await;
+    assert_eq!(second, SwapOutcome::Applied(revision(2)));
     fixture.stand_in.close().await;
 }
 
@@ -84,10 +89,10 @@
     fixture.set_faults(StoreFaults::default()).await;
     assert_eq!(fixture.value().await.unwrap().value, "first");
     let settled = settle(&fixture.store, &write).await;
-    assert_eq!(settled, SwapOutcome::Applied(StoreRevision(2)));
-    let third = settle(&fixture.store, &replace(StoreRevision(2), "third")).await;
+    assert_eq!(settled, SwapOutcome::Applied(revision(2)));
+    let third = settle(&fixture.store, &replace(revision(2), "third")).await;
     sleep(Duration::from_millis(600)).await;
-    assert_eq!(third, SwapOutcome::Applied(StoreRevision(3)));
+    assert_eq!(third, SwapOutcome::Applied(revision(3)));
     assert_eq!(fixture.value().await.unwrap().value, "third");
     fixture.stand_in.close().await;
 }
@@ -154,7 +159,7 @@
     relay.set_faults(LinkFaults::default()).await;
     assert_eq!(
         settle(&store, &write).await,
-        SwapOutcome::Applied(StoreRevision(1))
+        SwapOutcome::Applied(revision(1))
     );
     relay.close().await;
     fixture.stand_in.close().await;
--- a/crates/poplargap/src/catalogue_store.rs
+++ b/crates/poplargap/src/catalogue_store.rs
@@ -80,7 +80,7 @@
             let evidence = |stored: &StoredValue| evidence_in(edit, stored);
             match write_then_settle(&self.store, &write, evidence, limit).await {
                 SwapOutcome::Applied(revision) => {
-                    return Ok(EditReceipt::accepted(edit, revision.0));
+                    return Ok(EditReceipt::accepted(edit, revision.number()));
                 }
                 SwapOutcome::Conflict(_) => {}
                 SwapOutcome::Failed(error) => return Err(unwritten(&edit.entry, &error)),
--- a/crates/poplargap/tests/support/faulty_store.rs
+++ b/crates/poplargap/tests/support/faulty_store.rs
@@ -2,8 +2,8 @@
 
 use {
     poplargap_store::{
-        KeyValueStore, LeaseGrant, LeaseId, StoreError, StoreRevision, StoredValue, SwapOutcome,
-        SwapWrite, ValuePage, WatchBatch,
+        KeyValueStore, LeaseGrant, LeaseId, StoreEra, StoreError, StoreRevision, StoredValue,
+        SwapOutcome, SwapWrite, ValuePage, WatchBatch,
     },
     rand::Rng,
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
@@ -44,7 +44,7 @@
             return SwapOutcome::Conflict(current);
         }
         self.revision += 1;
-        let revision = StoreRevision(self.revision);
+        let revision = StoreRevision::new(StoreEra::default(), self.revision);
         let stored = StoredValue {
             key: write.key.clone(),
             revision,
@@ -133,7 +133,7 @@
                 .filter(|stored| after.is_none_or(|after| stored.key.as_str() > after));
             let page: Vec<StoredValue> = values.by_ref().take(2).cloned().collect();
             let next = values.next().and(page.last()).map(|last| last.key.clone());
-            let revision = StoreRevision(state.revision);
+            let revision = StoreRevision::new(StoreEra::default(), state.revision);
             ValuePage {
                 next,
                 revision,
--- a/crates/poplargapd/src/feed/catalogue_feed.rs
+++ b/crates/poplargapd/src/feed/catalogue_feed.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         PeerClients,
-        store_watch::{self, BucketUpdate, StoreUpdate},
+        store_watch::{self, BucketUpdate, StoreRead, StoreUpdate},
     },
     crate::{
         clock::ProcessClock,
@@ -17,7 +17,7 @@
         name::DataCentre,
     },
     poplargap_link::rpc::{CatalogueBucket, CatalogueDelta, DELTA_LEN_MAX},
-    poplargap_store::{KeyValueStore, StoreError},
+    poplargap_store::{KeyValueStore, StoreError, StoreRevision},
     slog::Logger,
     std::{
         net::SocketAddr,
@@ -161,6 +161,7 @@
         let state = FeedState {
             channels,
             inputs,
+            position: None,
             reachable: true,
             store,
         };
@@ -177,6 +178,8 @@
 struct FeedState<S> {
     channels: FeedChannels,
     inputs: FeedInputs,
+    /// Position of the last read of the store; `None` before the first one.
+    position: Option<StoreRevision>,
     reachable: bool,
     store: S,
 }
@@ -206,8 +209,8 @@
     /// Reads the whole catalogue again after a step in which the daemon may have been paused.
     async fn catch_up(&mut self) {
         let began = self.inputs.clock.now();
-        if let Ok(update) = store_watch::list(&self.store).await {
-            self.apply(&update);
+        if let Ok(read) = store_watch::list(&self.store).await {
+            self.apply_read(&read);
             self.confirm(began);
         }
     }
@@ -222,9 +225,9 @@
     /// Reads the first catalogue from the store, or from any peer when the store doesn't answer.
     async fn read_first(&mut self) {
         match store_watch::list(&self.store).await {
-            Ok(update) => {
+            Ok(read) => {
                 self.set_store_error(None);
-                self.apply(&update);
+                self.apply_read(&read);
             }
             Err(error) => {
                 self.set_store_error(Some(&error));
@@ -252,17 +255,21 @@
     }
 
     async fn watch_store(&mut self) {
-        let update = match store_watch::watch(&self.store, self.revision()).await {
+        let watched = match self.position {
+            Some(position) => store_watch::watch(&self.store, position).await,
+            None => store_watch::list(&self.store).await,
+        };
+        let read = match watched {
             // After a call without an answer the store's client opens a new connection.
-            Err(StoreError::Compacted(_) | StoreError::NoAnswer(_)) => {
-                store_watch::list(&self.store).await
-            }
+            Err(
+                StoreError::Compacted(_) | StoreError::EraChanged { .. } | StoreError::NoAnswer(_),
+            ) => store_watch::list(&self.store).await,
             result => result,
         };
-        match update {
-            Ok(update) => {
+        match read {
+            Ok(read) => {
                 self.set_store_error(None);
-                self.apply(&update);
+                self.apply_read(&read);
             }
             Err(error) => {
                 self.set_store_error(Some(&error));
@@ -331,6 +338,11 @@
         self.apply(&StoreUpdate { buckets, revision });
     }
 
+    fn apply_read(&mut self, read: &StoreRead) {
+        self.position = Some(read.position);
+        self.apply(&read.update);
+    }
+
     fn apply(&mut self, update: &StoreUpdate) {
         let before = self.revision();
         let mut table = self
--- a/crates/poplargapd/src/feed/store_watch.rs
+++ b/crates/poplargapd/src/feed/store_watch.rs
@@ -24,37 +24,51 @@
     pub(super) revision: u64,
 }
 
+/// An update from the store, and where a watch continues from it.
+#[derive(Debug)]
+pub(super) struct StoreRead {
+    pub(super) position: StoreRevision,
+    pub(super) update: StoreUpdate,
+}
+
 /// Lists all buckets.
 ///
 /// The listing's pages may come from several revisions; it is complete up to the first.
-pub(super) async fn list<S: KeyValueStore>(store: &S) -> Result<StoreUpdate, StoreError> {
+pub(super) async fn list<S: KeyValueStore>(store: &S) -> Result<StoreRead, StoreError> {
     let mut buckets = Vec::new();
-    let mut revision = None;
+    let mut position = None;
     let mut after: Option<String> = None;
     loop {
         let page = store.list(BUCKET_PREFIX, after.as_deref()).await?;
-        revision.get_or_insert(page.revision.0);
+        let first = *position.get_or_insert(page.revision);
         buckets.extend(page.values.into_iter().map(|value| BucketUpdate {
             key: value.key,
-            revision: value.revision.0,
+            revision: value.revision.number(),
             value: value.value,
         }));
         after = page.next;
         if after.is_none() {
-            let revision = revision.unwrap_or_default();
-            return Ok(StoreUpdate { buckets, revision });
+            return Ok(StoreRead::new(first, buckets));
+        }
+    }
+}
+
+impl StoreRead {
+    fn new(position: StoreRevision, buckets: Vec<BucketUpdate>) -> Self {
+        let revision = position.number();
+        Self {
+            position,
+            update: StoreUpdate { buckets, revision },
         }
     }
 }
 
-/// Waits for buckets that change after `revision`.
+/// Waits for buckets that change after `position`.
 pub(super) async fn watch<S: KeyValueStore>(
     store: &S,
-    revision: u64,
-) -> Result<StoreUpdate, StoreError> {
-    let batch = store
-        .watch(BUCKET_PREFIX, StoreRevision(revision), WATCH_WAIT)
-        .await?;
+    position: StoreRevision,
+) -> Result<StoreRead, StoreError> {
+    let batch = store.watch(BUCKET_PREFIX, position, WATCH_WAIT).await?;
     let buckets = batch
         .changes
         .into_iter()
@@ -62,11 +76,10 @@
             let value = change.value?;
             Some(BucketUpdate {
                 key: change.key,
-                revision: change.revision.0,
+                revision: change.revision.number(),
                 value,
             })
         })
         .collect();
-    let revision = batch.revision.0;
-    Ok(StoreUpdate { buckets, revision })
+    Ok(StoreRead::new(batch.revision, buckets))
 }
--- a/crates/poplargapd/src/orders/lease_store.rs
+++ b/crates/poplargapd/src/orders/lease_store.rs
@@ -17,7 +17,8 @@
 #[serde(rename_all = "kebab-case")]
 struct HolderRecord {
     holder: DaemonName,
-    lease: LeaseId,
+    /// Number of the lease.
+    lease: u64,
 }
 
 /// Outcome of an attempt to acquire the lease.
@@ -72,7 +73,7 @@
         self.lease = Some(grant.id);
         match self.write_holder(grant.id).await {
             Ok(Some(revision)) => Ok(AcquireOutcome::Acquired {
-                fence: revision.0,
+                fence: revision.number(),
                 sent,
             }),
             Ok(None) => {
@@ -107,7 +108,7 @@
     async fn write_holder(&self, lease: LeaseId) -> Result<Option<StoreRevision>, StoreError> {
         let record = HolderRecord {
             holder: self.holder.clone(),
-            lease,
+            lease: lease.number(),
         };
         let value = serde_json::to_string(&record)
             .map_err(|error| StoreError::Malformed(error.to_string()))?;
