--- a/crates/poplargap-core/tests/forward/registry.rs
+++ b/crates/poplargap-core/tests/forward/registry.rs
@@ -1,6 +1,6 @@
 use {
     crate::{at, replica},
-    poplargap_core::forward::{RegistryChange, ReplicaRegistry, ReplicaState},
+    poplargap_core::forward::{RegistryChange, ReplicaEntry, ReplicaRegistry, ReplicaState},
 };
 
 fn registry(count: usize) -> ReplicaRegistry {
@@ -106,3 +106,76 @@
     registry.finish_catch_up();
     assert_eq!(registry.expire(at(32_300)).len(), 1);
 }
+
+fn reported(number: usize, started_ms: u64, sequence: u64) -> ReplicaEntry {
+    ReplicaEntry {
+        sequence,
+        started_ms,
+        ..replica(number, "ne1")
+    }
+}
+
+// The store's copy named an earlier start and an earlier report of replicas that were known.
+#[test]
+fn registration_in_a_copy_replaces_a_later_one() {
+    let mut registry = ReplicaRegistry::default();
+    let mut draining = reported(0, 5, 9);
+    draining.state = ReplicaState::Draining;
+    registry.put(draining);
+    registry.put(reported(1, 7, 2));
+    registry.record_store_read(at(1_000));
+    let copy = vec![reported(0, 5, 8), reported(1, 6, 40)];
+    assert_eq!(registry.replace_in_new_era(copy, at(1_000)), []);
+    assert_eq!(usable(&registry), 1);
+    let view = registry.view();
+    assert_eq!(
+        view.replica("replica-1").map(|entry| entry.started_ms),
+        Some(7)
+    );
+    // What is written in the new era counts, whatever its numbers are.
+    assert_eq!(
+        registry.put(reported(0, 5, 1)),
+        Some(RegistryChange::Joined)
+    );
+}
+
+// A copy had replicas that had left, and they got requests again.
+#[test]
+fn departed_replica_is_taken_up_from_a_copy() {
+    let mut registry = registry(3);
+    registry.record_store_read(at(1_000));
+    assert_eq!(registry.remove("replica-0"), Some(RegistryChange::Gone));
+    assert_eq!(registry.remove("replica-1"), Some(RegistryChange::Gone));
+    for at_ms in [2_000, 9_000] {
+        registry.record_store_read(at(at_ms));
+        let copy = vec![reported(0, 1, 1), reported(1, 1, 2), reported(2, 1, 1)];
+        registry.replace_in_new_era(copy, at(at_ms));
+        assert_eq!(
+            usable(&registry),
+            2,
+            "only a later report shows that one is back"
+        );
+    }
+    registry.record_store_read(at(200_000));
+    registry.replace_in_new_era(vec![reported(0, 1, 1)], at(200_000));
+    assert!(
+        registry.view().replica("replica-0").is_some(),
+        "it was long ago"
+    );
+}
+
+// Replicas that the copy lacked were gone at once.
+#[test]
+fn replica_that_a_copy_lacks_is_gone_at_once() {
+    let mut registry = registry(3);
+    registry.record_store_read(at(1_000));
+    let changes = registry.replace_in_new_era(vec![reported(2, 1, 1)], at(1_000));
+    assert_eq!(changes.len(), 2);
+    assert_eq!((usable(&registry), registry.lapsed_count()), (3, 2));
+    assert_eq!(registry.grace_end(), Some(at(3_200)));
+    registry.put(reported(0, 1, 2));
+    assert!(registry.expire(at(3_000)).is_empty());
+    assert_eq!(registry.remove("replica-2"), Some(RegistryChange::Gone));
+    assert_eq!(registry.expire(at(3_200)).len(), 1);
+    assert_eq!(usable(&registry), 1);
+}
--- a/crates/poplargap-core/tests/forward/sharing.rs
+++ b/crates/poplargap-core/tests/forward/sharing.rs
@@ -288,3 +288,26 @@
             > 150
     );
 }
+
+// Each key that the store lost is written by one daemon first, and not by the same one for all keys.
+#[test]
+fn daemons_have_ranks_that_differ_for_each_key() {
+    let address = |number: u8| SocketAddr::from(([10, 0, 0, number], 7_340));
+    let entries: Vec<PeerEntry> = (1..=40)
+        .map(|number| PeerEntry {
+            address: address(number),
+            data_centre: "ne1".into(),
+        })
+        .collect();
+    let mut firsts = std::collections::BTreeSet::new();
+    for key in 0..60 {
+        let key = format!("crash-reports/{key}");
+        let mut ranks: Vec<usize> = (1..=40)
+            .map(|own| PeerView::new(&entries, address(own)).rank(address(own), &key))
+            .collect();
+        firsts.extend(ranks.iter().position(|rank| *rank == 0));
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..40).collect::<Vec<_>>(), "{key}");
+    }
+    assert!(firsts.len() > 20, "{firsts:?}");
+}
--- a/crates/poplargap-forward/src/crash_reporter.rs
+++ b/crates/poplargap-forward/src/crash_reporter.rs
@@ -36,10 +36,10 @@
 
 /// Time after a loss in the store in which the first daemon in order writes the keys again; each further
 /// daemon waits for that much longer.
-const REWRITE_STEP: Duration = Duration::from_millis(1_500);
+const REWRITE_STEP: Duration = Duration::from_secs(3);
 
 /// Longest random pause before a lost key is written again, which spreads the load on the store.
-const REWRITE_SPREAD: Duration = Duration::from_millis(700);
+const REWRITE_SPREAD: Duration = Duration::from_millis(500);
 
 /// Number of daemons that write a lost key again if those before them don't.
 const REWRITERS: usize = 6;
--- a/crates/poplargap-forward/tests/changes.rs
+++ b/crates/poplargap-forward/tests/changes.rs
@@ -3,9 +3,9 @@
 use {
     poplargap_core::instant::MonotonicInstant,
     poplargap_forward::{ChangeLog, ChangeLogError, FeedBatch, FeedBatchBody, FeedValue},
-    poplargap_store::{StoreEra, StoreRevision, WatchBatch, WatchChange},
-    proptest::{collection::vec, prop_assert, prop_assert_eq, proptest},
-    std::{collections::BTreeMap, time::Duration},
+    poplargap_store::{StoreEra, StoreEras, StoreRevision, WatchBatch, WatchChange},
+    proptest::{collection::vec, prop_assert, prop_assert_eq, prop_assert_ne, proptest},
+    std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
 /// Most bytes of changes that a log may send at once.
@@ -176,6 +176,53 @@
     }
 }
 
+proptest! {
+    /// Answers of several eras arrive in any order: the era never falls, and a follower gets changes
+    /// after its own position in its own era, or an error.
+    #[test]
+    fn answers_of_two_eras_in_any_order_never_mix(
+        answers in vec((1_u64..4, 1_u64..40, 0_u8..3), 1..80),
+    ) {
+        let eras = StoreEras::default();
+        let mut log = ChangeLog::default();
+        let mut newest = 0;
+        for (era, number, action) in answers {
+            let position = StoreRevision::new(StoreEra::new(era), number);
+            let read = eras.observe(Some(StoreEra::new(era)));
+            newest = newest.max(era);
+            prop_assert_eq!(read, StoreEra::new(era));
+            prop_assert_eq!(eras.current(), StoreEra::new(newest));
+            match action {
+                0 if era == newest => log.start(position, at(0)),
+                1 => {
+                    let changes = (1..=number).map(|number| WatchChange {
+                        key: format!("{era}-{number}"),
+                        revision: StoreRevision::new(StoreEra::new(era), number),
+                        value: Some(era.to_string()),
+                    });
+                    let changes = changes.collect();
+                    log.append(&WatchBatch { changes, revision: position }, false, at(0));
+                }
+                _ => {}
+            }
+            for reader in 1..4 {
+                let after = StoreRevision::new(StoreEra::new(reader), number);
+                match log.since(after, at(0)) {
+                    Ok(batch) => {
+                        prop_assert_eq!(batch.revision.era(), after.era());
+                        for change in &batch.changes {
+                            prop_assert_eq!(change.revision.compare(after), Ok(Ordering::Greater));
+                            prop_assert_eq!(&change.value, &FeedValue::Given(reader.to_string()));
+                        }
+                    }
+                    Err(ChangeLogError::OtherEra(own)) => prop_assert_ne!(own, after.era()),
+                    Err(ChangeLogError::Dropped(_) | ChangeLogError::NotReading) => {}
+                }
+            }
+        }
+    }
+}
+
 /// Applies a batch; omitted values are read from the store.
 fn apply(
     values: &mut BTreeMap<String, String>,
--- a/crates/poplargapd/tests/platform_process/faults.rs
+++ b/crates/poplargapd/tests/platform_process/faults.rs
@@ -9,6 +9,12 @@
 /// Seeds of the soak; a seed that has failed stays here with its cause.
 const SEEDS: [u64; 2] = [1, 2];
 
+/// Variable with the number of seeds of a long run, which replace those above.
+const SEEDS_VARIABLE: &str = "POPLARGAP_SOAK_SEEDS";
+
+/// Time in which a configuration has to be in force after the faults, with that of the daemons' reads.
+const CONFIGURED_MAX: Duration = Duration::from_secs(5);
+
 /// Number of faults in one run.
 const FAULT_COUNT: usize = 8;
 
@@ -19,7 +25,7 @@
     let daemon = random.random_range(0..site.daemons.len());
     let replica = site.replicas.choose(random).expect("there are replicas");
     let pause = Duration::from_millis(random.random_range(100..700));
-    match random.random_range(0..7) {
+    match random.random_range(0..9) {
         0 => {
             site.daemons[daemon].signal("-TERM");
             assert!(site.daemons[daemon].wait_for_end().await.success());
@@ -38,6 +44,19 @@
         }
         4 => replica.set_fault(ReplicaFault::CloseUnanswered),
         5 => replica.set_fault(ReplicaFault::ExtraAnswer),
+        6 => site.copy_store().await,
+        7 => {
+            // Only some of the daemons may be awake, and the others see the new era late.
+            let is_frozen = random.random();
+            if is_frozen {
+                site.daemons[daemon].signal("-STOP");
+            }
+            site.restore_store(random.random_range(0..300)).await;
+            sleep(pause).await;
+            if is_frozen {
+                site.daemons[daemon].signal("-CONT");
+            }
+        }
         _ => {
             let refuse = random.random();
             let faults = StoreFaults {
@@ -55,10 +74,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_run_at_most_once_under_faults() {
-    for seed in SEEDS {
+    let count = std::env::var(SEEDS_VARIABLE);
+    let count: Option<u64> = count.ok().and_then(|count| count.parse().ok());
+    let seeds = count.map_or(SEEDS.to_vec(), |count| (1..=count).collect());
+    for seed in seeds {
         eprintln!("seed {seed}");
         let mut random = StdRng::seed_from_u64(seed);
         let mut site = FleetSite::start(3, Stdio::null).await;
+        site.copy_store().await;
         let record = with_callers(&mut site, async |site, _| {
             for _ in 0..FAULT_COUNT {
                 play_fault(site, &mut random).await;
@@ -70,6 +93,8 @@
         })
         .await;
         record.check(&site.runs());
+        site.configure(seed + 1).await;
+        site.wait_until_configured(seed + 1, CONFIGURED_MAX).await;
         assert!(
             record.served() * 2 > record.answers.len(),
             "more than half of the requests are served"
--- a/crates/poplargapd/tests/platform_process/site.rs
+++ b/crates/poplargapd/tests/platform_process/site.rs
@@ -3,10 +3,11 @@
     poplargap_store::{KeyValueStore, SwapOutcome, SwapWrite},
     poplargap_testbed::{
         replica::ReplicaStandIn,
-        store::{StoreFaults, StoreStandIn},
+        store::{RestorePlan, RestoredWrite, StoreFaults, StoreStandIn},
     },
     rand::Rng,
     reqwest::{Client, StatusCode},
+    serde::Serialize,
     std::{
         collections::HashMap,
         fs,
@@ -108,7 +109,7 @@
             write(&writer, &key, &value).await;
             replicas.push(replica);
         }
-        write(&writer, "op/config", CONFIGURATION).await;
+        write(&writer, "op/config", &configuration(1)).await;
         let directory = TempDir::new().expect("a directory");
         let network = rand::rng().random_range(1_u8..=250);
         let daemons = (1..=count)
@@ -146,6 +147,63 @@
         assert_eq!(set.expect("an answer").status(), StatusCode::OK);
     }
 
+    /// Takes a copy of the store.
+    pub async fn copy_store(&self) {
+        self.control("copy", &()).await;
+    }
+
+    /// Puts the last copy of the store back and writes `fillers` keys before any answer.
+    pub async fn restore_store(&self, fillers: usize) {
+        let writes = (0..fillers).map(|number| RestoredWrite {
+            key: format!("fillers/{number}"),
+            value: Some(String::new()),
+        });
+        let writes = writes.collect();
+        self.control("restore", &RestorePlan { writes }).await;
+    }
+
+    async fn control(&self, name: &str, body: &impl Serialize) {
+        let url = format!("http://{}/{name}", self.store.address());
+        let done = self.client.post(url).json(body).send().await;
+        assert_eq!(done.expect("an answer").status(), StatusCode::OK);
+    }
+
+    /// Writes a configuration that has a route of its own version.
+    pub async fn configure(&self, version: u64) {
+        let writer = StoreClient::new(self.store.address(), Duration::from_secs(2));
+        let writer = writer.expect("a client");
+        let stored = writer.get("op/config").await.expect("the store answers");
+        let outcome = writer
+            .swap(&SwapWrite {
+                expected: stored.map(|stored| stored.revision),
+                key: "op/config".to_owned(),
+                lease: None,
+                value: Some(configuration(version)),
+            })
+            .await;
+        assert!(matches!(outcome, SwapOutcome::Applied(_)), "{outcome:?}");
+    }
+
+    /// Waits until all daemons have the route of a version.
+    pub async fn wait_until_configured(&self, version: u64, limit: Duration) {
+        let end = Instant::now() + limit;
+        for daemon in &self.daemons {
+            let url = format!("http://{}:{CALLERS_PORT}/version-{version}/", daemon.ip);
+            loop {
+                let request = self.client.post(&url).header("host", "shop.example");
+                let request = request
+                    .header("attempt-id", format!("v{version}"))
+                    .header("x-api-key", "key-1");
+                let answer = request.send().await.expect("an answer");
+                if answer.status() != StatusCode::NOT_FOUND {
+                    break;
+                }
+                assert!(Instant::now() < end, "version {version} isn't in force");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     /// Returns the number of runs of each request, by its id.
     pub fn runs(&self) -> HashMap<String, usize> {
         let mut runs = HashMap::new();
@@ -168,11 +226,22 @@
     assert!(matches!(outcome, SwapOutcome::Applied(_)), "{outcome:?}");
 }
 
-pub const CONFIGURATION: &str = r#"{"version":1,
-    "routes":[{"name":"once","host":"shop.example","prefix":"/once/","type":"non_idempotent",
-        "timeoutMs":3000,"latencyTargetMs":400,"priority":1,"service":"model","maxAttempts":2}],
-    "services":[{"name":"model","maxConns":100}],
-    "tenants":[{"name":"ty-bach","apiKeys":["key-1"],"priority":2}]}"#;
+/// Returns a configuration with a route for callers and one that is named after the version.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"shop.example","prefix":"/{name}/","type":"non_idempotent",
+                "timeoutMs":3000,"latencyTargetMs":400,"priority":1,"service":"model",
+                "maxAttempts":2}}"#
+        )
+    };
+    let (once, own) = (route("once"), route(&format!("version-{version}")));
+    format!(
+        r#"{{"version":{version},"routes":[{once},{own}],
+            "services":[{{"name":"model","maxConns":100}}],
+            "tenants":[{{"name":"ty-bach","apiKeys":["key-1"],"priority":2}}]}}"#
+    )
+}
 
 pub fn settings(ip: &str, store: &StoreStandIn) -> String {
     let store = store.address();
