Publish the view when a lapsed registration returns unchanged

Cause: the registry cleared the lapse but reported no change, so the feed didn't publish a new view. It reports Joined now.

registration_that_lapsed_and_returns_unchanged_stays_out_of_the_view failed before. The check in all_registrations_that_lapsed_in_an_outage_have_time_to_return asked that nothing be reported, which is the fault; it asks for Joined now.

--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -170,9 +170,9 @@
         self.departed.remove(&entry.id);
         let known = self.records.get_mut(&entry.id);
         if let Some(record) = known {
-            record.lapse = None;
+            let lapse = record.lapse.take();
             if *record.entry == entry {
-                return None;
+                return lapse.map(|_| RegistryChange::Joined);
             }
         }
         let before = self.records.get(&entry.id).map(|record| record.entry.state);
--- a/crates/poplargap-core/tests/forward/registry.rs
+++ b/crates/poplargap-core/tests/forward/registry.rs
@@ -45,7 +45,8 @@
     }
     registry.finish_catch_up();
     assert_eq!(usable(&registry), 3);
-    assert_eq!(registry.put(replica(0, "ne1")), None);
+    let back = registry.put(replica(0, "ne1"));
+    assert_eq!(back, Some(RegistryChange::Joined));
     assert!(registry.expire(at(12_000)).is_empty());
     assert_eq!(registry.expire(at(12_300)).len(), 2);
     assert_eq!(usable(&registry), 1);
@@ -62,6 +63,20 @@
     assert_eq!(usable(&registry), 2);
 }
 
+// An entry that lapsed and came back unchanged stayed out of the view until another entry changed.
+#[test]
+fn registration_that_lapsed_and_returns_unchanged_stays_out_of_the_view() {
+    let mut registry = registry(3);
+    registry.record_store_failure();
+    registry.record_store_read(at(10_000));
+    registry.remove("replica-0");
+    registry.finish_catch_up();
+    assert_eq!(usable(&registry), 2);
+    let back = registry.put(replica(0, "ne1"));
+    assert_eq!(back, Some(RegistryChange::Joined));
+    assert_eq!(usable(&registry), 3);
+}
+
 /// A replica that deregistered half a second after the end of an outage was used for two more
 /// seconds, since its registration counted as lapsed.
 #[test]
