End all waits of a stream's relay when its caller leaves

Cause: the relay looked for a caller that had left only between two events, and not while it waited for the head of a resumed stream.

The whole relay of a stream now races with the caller's leaving, so that a new wait is covered, too; dropping the relay closes the replica's connection.

--- a/crates/poplargap-forward/src/stream_relay.rs
+++ b/crates/poplargap-forward/src/stream_relay.rs
@@ -15,6 +15,9 @@
     },
 };
 
+/// The end of a stream whose caller has left.
+const CALLER_GONE: (CallEnd, &str) = (CallEnd::CallerGone, "caller-gone");
+
 /// How one replica's stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StreamEnd {
@@ -29,22 +32,39 @@
 }
 
 /// Relays a stream to the caller, resuming it at other replicas where its route allows.
+///
+/// Whatever the stream waits for, its wait ends when the caller leaves, and with it the work of its
+/// replica: dropping the wait closes the replica's connection.
 pub(crate) async fn relay_stream<D: WireDialect>(
     mut relay: CallRelay<D>,
-    mut reply: OpenReply<D>,
+    reply: OpenReply<D>,
     caller: mpsc::Sender<RelayChunk>,
 ) {
+    let (end, reason) = tokio::select! {
+        biased;
+        end = relay_to_end(&mut relay, reply, &caller) => end,
+        () = caller.closed() => CALLER_GONE,
+    };
+    relay.log.finish(end, reason);
+}
+
+/// Relays a stream until it ends or can't be resumed; returns the end and its reason.
+async fn relay_to_end<D: WireDialect>(
+    relay: &mut CallRelay<D>,
+    mut reply: OpenReply<D>,
+    caller: &mpsc::Sender<RelayChunk>,
+) -> (CallEnd, &'static str) {
     let mut cursor = EventCursor::new(relay.call.received.head.last_event);
     loop {
-        let end = forward_events(&mut relay, &mut reply, &mut cursor, &caller).await;
-        let (end, reason) = match end {
+        let end = forward_events(relay, &mut reply, &mut cursor, caller).await;
+        return match end {
             StreamEnd::Broken | StreamEnd::Stalled => {
                 let outcome = match end {
                     StreamEnd::Stalled => SendOutcome::Silent,
                     _ => SendOutcome::Broken,
                 };
                 drop(cursor.take_rest());
-                match resume(&mut relay, reply, &cursor, outcome).await {
+                match resume(relay, reply, &cursor, outcome).await {
                     Ok(next) => {
                         reply = next;
                         continue;
@@ -58,16 +78,14 @@
                 relay.record_failure(&replica, SendOutcome::Silent);
                 (CallEnd::BrokenOff, "no-events")
             }
-            StreamEnd::CallerGone => (CallEnd::CallerGone, "caller-gone"),
+            StreamEnd::CallerGone => CALLER_GONE,
             StreamEnd::TimedOut => (CallEnd::TimedOut, "route-timeout"),
             StreamEnd::Whole => {
                 relay.record_answer(&reply.placed.replica);
-                finish(&relay, reply, &mut cursor, &caller).await;
+                finish(relay, reply, &mut cursor, caller).await;
                 (CallEnd::Answered, "")
             }
         };
-        relay.log.finish(end, reason);
-        return;
     }
 }
 
@@ -94,7 +112,6 @@
         let frame = tokio::select! {
             biased;
             frame = reply.body.frame() => frame,
-            () = caller.closed() => return StreamEnd::CallerGone,
             () = timer.as_mut() => return StreamEnd::TimedOut,
             () = sleep(wait) => continue,
         };
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -10,7 +10,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -75,9 +75,25 @@
             stream.write_all(plain.as_bytes()).await
         }
         ReplicaFault::Slow(time) => {
-            sleep(time).await;
+            if timeout(time, wait_for_close(stream)).await.is_ok() {
+                lock(state).cut_off += 1;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             stream.write_all(whole.as_bytes()).await
         }
+        ReplicaFault::StallStream(events) => {
+            write_begun_stream(stream, wire, request, events).await?;
+            wait_for_close(stream).await;
+            lock(state).cut_off += 1;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
+        ReplicaFault::Stall => {
+            let half = &whole.as_bytes()[..whole.len() - 5];
+            stream.write_all(half).await?;
+            wait_for_close(stream).await;
+            lock(state).cut_off += 1;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
         ReplicaFault::SpoiltId { event, id } => {
             write_spoilt_stream(stream, wire, request, event, id).await
         }
@@ -117,6 +133,12 @@
     }
 }
 
+/// Waits until the reader closes the connection; it sends nothing before the answer.
+async fn wait_for_close(stream: &mut TcpStream) {
+    let mut byte = [0; 1];
+    while let Ok(1) = stream.read(&mut byte).await {}
+}
+
 /// Writes the head of an answer without a length and the first part of its body, and waits.
 pub(super) async fn write_early_answer(
     stream: &mut TcpStream,
--- a/crates/poplargap-testbed/src/replica/replica_fault.rs
+++ b/crates/poplargap-testbed/src/replica/replica_fault.rs
@@ -49,7 +49,7 @@
         /// Whether the repeated refusal carries the id of the refused request.
         has_id: bool,
     },
-    /// Runs the request and answers after this delay.
+    /// Runs the request and answers after this delay, unless the reader closes the connection before.
     Slow(Duration),
     /// Sends a stream three events at a time, where the id of one of them is another text.
     SpoiltId {
@@ -58,6 +58,12 @@
         /// Text in place of its id.
         id: &'static str,
     },
+    /// Writes the head and the first half of the answer, and nothing more until the reader closes the
+    /// connection.
+    Stall,
+    /// Writes this number of events of a stream, and nothing more until the reader closes the
+    /// connection.
+    StallStream(u64),
     /// Omits the last three bytes of the answer and closes the connection.
     Truncate,
     /// Sends an answer without a length, whose body ends where the connection is closed.
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -146,7 +146,7 @@
         lock(&self.state).connections
     }
 
-    /// Returns the number of streams that the reader closed before their end.
+    /// Returns the number of answers that the reader cut off before their end.
     #[must_use]
     pub fn cut_off(&self) -> usize {
         lock(&self.state).cut_off
