--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -168,8 +168,7 @@
                 match self.poll(reader, after).await {
                     Ok(read) => Ok(read),
                     Err(ReaderError::OtherEra(era)) if era > after.era() => {
-                        self.forget_position();
-                        self.read_store(None).await
+                        self.follow_reader(reader, era).await
                     }
                     Err(error) => {
                         let mut read = self.read_store(Some((after, Duration::ZERO))).await;
@@ -192,6 +191,24 @@
         }
     }
 
+    /// Lists all values after a reader spoke of a later era.
+    async fn follow_reader(
+        &mut self,
+        reader: SocketAddr,
+        era: StoreEra,
+    ) -> Result<FeedRead, StoreError> {
+        self.forget_position();
+        let read = self.read_store(None).await?;
+        if self.guard.listed() < era
+            && let Some(sharing) = &mut self.sharing
+        {
+            // The store doesn't confirm it; without a pause each poll would lead to a listing.
+            let now = self.context.clock.now();
+            sharing.record_failure(reader, &ReaderError::OtherEra(era), now, &self.context.log);
+        }
+        Ok(read)
+    }
+
     fn source(&mut self, after: StoreRevision) -> ReadSource {
         let now = self.context.clock.now();
         let sharing = self.sharing.as_mut();
