Keep what a copy of the store lacks through a listing in the same era

If the store forgets its history right after it came back from a copy, daemons list it again in the same era. Replicas and other daemons that the copy lacks were gone at once then, and the crash evidence wasn't written again.

Cause: a listing within an era replaced everything. What has time to be written again now keeps that time.

replica_that_a_copy_lacks_is_gone_with_a_compaction_right_after and evidence_that_a_copy_lacks_is_lost_with_a_compaction_right_after failed before and pass now; for the other daemons' entries there is no test.

--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -176,10 +176,12 @@
         self.update(now);
     }
 
-    /// Replaces everything that came from the store.
+    /// Replaces everything that the store has; what it lost has to be written again and is kept.
     pub fn replace(&mut self, changes: Vec<EvidenceChange>, now: MonotonicInstant) {
-        self.notes.clear();
-        self.stored.clear();
+        self.notes
+            .retain(|_, stored| stored.place.missing_since().is_some());
+        self.stored
+            .retain(|_, stored| stored.place.missing_since().is_some());
         self.apply(changes, now);
     }
 
--- a/crates/poplargap-core/src/forward/replica_registry.rs
+++ b/crates/poplargap-core/src/forward/replica_registry.rs
@@ -211,8 +211,12 @@
     }
 
     /// Replaces all registrations by a listing; returns the changes.
+    ///
+    /// Those that a copy of the store lacks keep their time to be written again.
     pub fn replace(&mut self, entries: Vec<ReplicaEntry>) -> Vec<(ReplicaId, RegistryChange)> {
-        let mut missing: Vec<ReplicaId> = self.records.keys().cloned().collect();
+        let known = self.records.iter();
+        let known = known.filter(|(_, record)| record.lapse != Some(LapseCause::Copy));
+        let mut missing: Vec<ReplicaId> = known.map(|(id, _)| Arc::clone(id)).collect();
         missing.retain(|id| entries.iter().all(|entry| entry.id != *id));
         let mut changes = Vec::new();
         for entry in entries {
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -8,7 +8,7 @@
         instant::MonotonicInstant,
     },
     proptest::{collection::vec, prelude::*, sample::subsequence},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 pub(super) const GUILTY: u64 = 0xdead;
@@ -393,3 +393,31 @@
         prop_assert_eq!(rotated.blocked(), evidence.blocked());
     }
 }
+
+// What a copy of the store lacked was lost with the next listing.
+#[test]
+fn evidence_that_a_copy_lacks_is_lost_with_a_compaction_right_after() {
+    let mut evidence = CrashEvidence::default();
+    evidence.apply(guilty_evidence(), now());
+    let note = EvidenceChange::Note(FIRST, Some((revision(1), ANSWERED)));
+    evidence.apply(vec![note], now());
+    let reports = evidence.report_count();
+    let blocked_before = Arc::clone(evidence.blocked());
+    evidence.replace_in_new_era(Vec::new(), now());
+    let lost = evidence.lost();
+    assert_eq!(lost.len(), reports + 1);
+    evidence.replace(Vec::new(), now());
+    assert_eq!(evidence.lost().len(), reports + 1);
+    assert_eq!(
+        evidence.blocked(),
+        &blocked_before,
+        "the part stays blocked"
+    );
+    for lost in &lost {
+        evidence.record_resent(&lost.item, now());
+    }
+    assert_eq!(evidence.lost(), []);
+    assert_eq!(evidence.report_count(), reports);
+    evidence.expire(now() + Duration::from_mins(11));
+    assert_eq!(evidence.report_count(), 0, "nobody wrote them again");
+}
--- a/crates/poplargap-core/tests/forward/registry.rs
+++ b/crates/poplargap-core/tests/forward/registry.rs
@@ -194,3 +194,18 @@
     assert_eq!(registry.expire(at(3_200)).len(), 1);
     assert_eq!(usable(&registry), 1);
 }
+
+// The store forgot its history right after it came back, and what the copy lacked was gone at once.
+#[test]
+fn replica_that_a_copy_lacks_is_gone_with_a_compaction_right_after() {
+    let mut registry = registry(3);
+    registry.record_store_read(at(1_000));
+    registry.replace_in_new_era(vec![reported(2, 1, 1)], at(1_000));
+    registry.record_store_read(at(1_500));
+    assert_eq!(registry.replace(vec![reported(2, 1, 1)]), []);
+    assert_eq!((usable(&registry), registry.lapsed_count()), (3, 2));
+    assert_eq!(registry.expire(at(3_200)).len(), 2);
+    registry.record_store_read(at(4_000));
+    assert_eq!(registry.replace(Vec::new()).len(), 1);
+    assert_eq!(usable(&registry), 0);
+}
--- a/crates/poplargap-forward/src/feed/peers_feed.rs
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -67,14 +67,17 @@
             }
             FeedUpdate::Listing(FeedListing { era_change, values }) => {
                 let before = std::mem::take(&mut self.entries);
-                self.lost.clear();
+                let lost = std::mem::take(&mut self.lost);
                 for value in values {
                     if value.key.starts_with(PEERS_PREFIX) {
                         self.put(&value.key, Some(&value.value));
                     }
                 }
                 if era_change.is_some() {
-                    self.keep_lost(&before);
+                    self.lost_until = self.context.clock.now() + ANNOUNCE_GRACE;
+                    self.keep_lost(before.iter());
+                } else {
+                    self.keep_lost(before.iter().filter(|(key, _)| lost.contains(*key)));
                 }
                 usize::from(before != self.entries)
             }
@@ -105,10 +108,9 @@
         self.publish(removed);
     }
 
-    /// Keeps the entries of `before` that the listing lacks.
-    fn keep_lost(&mut self, before: &BTreeMap<String, PeerEntry>) {
-        self.lost_until = self.context.clock.now() + ANNOUNCE_GRACE;
-        for (key, entry) in before {
+    /// Keeps those of the `earlier` entries that the listing lacks.
+    fn keep_lost<'a>(&mut self, earlier: impl Iterator<Item = (&'a String, &'a PeerEntry)>) {
+        for (key, entry) in earlier {
             if !self.entries.contains_key(key) {
                 self.entries.insert(key.clone(), entry.clone());
                 self.lost.insert(key.clone());
