Break three circles of imports

front_state.rs and room.rs, front_metrics.rs and room_metrics.rs, and in the testbed answer_writer.rs and replica_stand_in.rs imported each other. The waiting rooms, the bounds of the histograms and the state of the stand-in are modules of their own now. Nothing behaves differently.

--- a/crates/poplargap-forward/src/front_metrics.rs
+++ b/crates/poplargap-forward/src/front_metrics.rs
@@ -1,18 +1,13 @@
 //! Counters and histograms of a front proxy.
 
 use {
-    crate::{room_metrics::RoomMetrics, store_metrics::StoreMetrics},
+    crate::{metric_bounds::BOUNDS_S, room_metrics::RoomMetrics, store_metrics::StoreMetrics},
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
     },
     std::time::Duration,
 };
 
-/// Upper bounds of the histograms in seconds.
-pub(crate) const BOUNDS_S: [f64; 12] = [
-    0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
-];
-
 /// Metrics of a front proxy; clones share their values.
 #[derive(Clone, Debug)]
 pub(crate) struct FrontMetrics {
--- a/crates/poplargap-forward/src/front_proxy.rs
+++ b/crates/poplargap-forward/src/front_proxy.rs
@@ -15,8 +15,8 @@
         front_metrics::FrontMetrics,
         front_state::FrontState,
         peers::{PeerSocket, announce, exchange_loads},
-        room::WaitingRooms,
         status_server::{serve_metrics, serve_ready},
+        waiting_rooms::WaitingRooms,
     },
     displaydoc::Display,
     poplargap_core::{
--- a/crates/poplargap-forward/src/front_state.rs
+++ b/crates/poplargap-forward/src/front_state.rs
@@ -4,7 +4,7 @@
     crate::{
         body_budget::BodyBudget, close_signal::CloseSignal, connection_pool::ConnectionPool,
         crash_board::CrashBoard, front_metrics::FrontMetrics, front_settings::FrontSettings,
-        process_clock::ProcessClock, room::WaitingRooms,
+        process_clock::ProcessClock, waiting_rooms::WaitingRooms,
     },
     poplargap_core::{
         collections::HashMap,
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -27,6 +27,7 @@
 mod identify;
 mod interim_replies;
 mod local_answer;
+mod metric_bounds;
 mod peers;
 mod place;
 mod process_clock;
@@ -40,6 +41,7 @@
 mod status_server;
 mod store_metrics;
 mod stream_relay;
+mod waiting_rooms;
 
 pub use {
     call_head::{CallHead, HeadError, ReplyHead, ReplyRefusal, SendHead},
--- a/crates/poplargap-forward/src/place.rs
+++ b/crates/poplargap-forward/src/place.rs
@@ -228,7 +228,7 @@
     }
     let is_turn = match place.wait {
         Some(wait) => wait.is_first(),
-        None => !state.rooms.is_preceded(state, call),
+        None => !state.rooms.is_preceded(call, state.clock.now()),
     };
     let id_hash = xxh3_64(call.received.head.id.as_bytes());
     let room = RoomRequest {
--- a/crates/poplargap-forward/src/room.rs
+++ b/crates/poplargap-forward/src/room.rs
@@ -1,83 +1,21 @@
-//! The requests that wait for room at the replicas of their service.
+//! A request that waits for room at the replicas of its service.
 
 use {
-    crate::{call_log::millis, call_stage::AdmittedCall, front_state::FrontState},
-    poplargap_core::{
-        collections::HashMap,
-        forward::{RoomShare, WaitEntry, WaitQueue, WaitTicket},
-        instant::MonotonicInstant,
+    crate::{
+        call_log::millis,
+        call_stage::AdmittedCall,
+        front_state::FrontState,
+        waiting_rooms::{ServiceRoom, wait_entry},
     },
+    poplargap_core::forward::WaitTicket,
     slog::info,
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::{
-        sync::Notify,
-        time::{Instant, timeout},
-    },
+    tokio::time::{Instant, timeout},
 };
 
-/// The waiting requests of one service.
-#[derive(Debug, Default)]
-struct ServiceRoom {
-    changed: Notify,
-    queue: Mutex<WaitQueue>,
-    share: Mutex<Option<RoomShare>>,
-}
-
-impl ServiceRoom {
-    fn queue(&self) -> MutexGuard<'_, WaitQueue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// The waiting requests of all services.
-#[derive(Debug, Default)]
-pub(crate) struct WaitingRooms {
-    rooms: Mutex<HashMap<Arc<str>, Arc<ServiceRoom>>>,
-}
-
-impl WaitingRooms {
-    fn room(&self, service: &Arc<str>) -> Arc<ServiceRoom> {
-        let mut rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(rooms.entry(Arc::clone(service)).or_default())
-    }
-
-    /// Runs `decide` on the estimate of the share of a service's requests that its replicas bear.
-    pub(crate) fn share<T>(
-        &self,
-        service: &Arc<str>,
-        now: MonotonicInstant,
-        decide: impl FnOnce(&mut RoomShare) -> T,
-    ) -> T {
-        let room = self.room(service);
-        let mut share = room.share.lock().unwrap_or_else(PoisonError::into_inner);
-        decide(share.get_or_insert_with(|| RoomShare::new(now)))
-    }
-
-    /// Returns whether a request of `service` that doesn't wait has to, since another one precedes
-    /// it.
-    pub(crate) fn is_preceded<D>(&self, state: &FrontState<D>, call: &AdmittedCall) -> bool {
-        let rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
-        rooms.get(&call.service).is_some_and(|room| {
-            let queue = room.queue();
-            !queue.is_empty() && queue.precedes(&wait_entry(state, call), state.clock.now())
-        })
-    }
-}
-
-/// What decides the order of a waiting request.
-fn wait_entry<D>(state: &FrontState<D>, call: &AdmittedCall) -> WaitEntry {
-    let now = state.clock.now();
-    let target_left = call.target_left();
-    WaitEntry {
-        deadline: now + call.time_left(),
-        priority: call.priority(),
-        target: now + target_left,
-    }
-}
-
 /// What was known when a waiting request last looked for room.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RoomInputs {
@@ -108,7 +46,7 @@
 impl<D> RoomWait<D> {
     pub(crate) fn join(state: &Arc<FrontState<D>>, call: &Arc<AdmittedCall>) -> Self {
         let room = state.rooms.room(&call.service);
-        let ticket = room.queue().join(wait_entry(state, call));
+        let ticket = room.queue().join(wait_entry(call, state.clock.now()));
         state
             .metrics
             .room()
--- a/crates/poplargap-forward/src/room_metrics.rs
+++ b/crates/poplargap-forward/src/room_metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of requests that wait for room, and of expected times.
 
 use {
-    crate::front_metrics::BOUNDS_S,
+    crate::metric_bounds::BOUNDS_S,
     prometheus::{GaugeVec, HistogramOpts, HistogramVec, IntGaugeVec, Opts, Registry},
     std::time::Duration,
 };
--- a/crates/poplargap-testbed/src/replica.rs
+++ b/crates/poplargap-testbed/src/replica.rs
@@ -4,6 +4,7 @@
 mod endless_bytes;
 mod replica_fault;
 mod replica_stand_in;
+mod replica_state;
 mod seen_request;
 mod wire_answer;
 
--- a/crates/poplargap-testbed/src/replica/answer_writer.rs
+++ b/crates/poplargap-testbed/src/replica/answer_writer.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         EndlessBytes, ReplicaFault, SeenRequest,
-        replica_stand_in::{ReplicaState, lock},
+        replica_state::{ReplicaState, lock},
         wire_answer::{EVENT_COUNT, WireAnswer},
     },
     std::{io, sync::Mutex, time::Duration},
--- a/crates/poplargap-testbed/src/replica/replica_stand_in.rs
+++ b/crates/poplargap-testbed/src/replica/replica_stand_in.rs
@@ -2,19 +2,19 @@
     super::{
         ReplicaFault, SeenRequest,
         answer_writer::{write_answer, write_begun_stream, write_early_answer},
+        replica_state::{ReplicaState, lock},
         wire_answer::WireAnswer,
     },
     serde_json::json,
     std::{
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex},
         time::Duration,
     },
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
-        sync::Notify,
         task::{JoinHandle, JoinSet},
         time::sleep,
     },
@@ -26,26 +26,6 @@
 /// Time between the start of a replica and that of the one that replaces it, in milliseconds.
 const RELEASE_MS: u64 = 100_000;
 
-/// What a replica counts, and how it behaves.
-#[derive(Debug, Default)]
-pub(super) struct ReplicaState {
-    connections: usize,
-    crash: Arc<Notify>,
-    crashes: u64,
-    pub(super) cut_off: usize,
-    pub(super) endless_bytes: usize,
-    pub(super) endless_open: usize,
-    fault: ReplicaFault,
-    id: String,
-    is_leaving: bool,
-    load: Option<String>,
-    refused: u64,
-    released: u64,
-    reports: u64,
-    running: u32,
-    seen: Vec<SeenRequest>,
-}
-
 /// A replica that answers according to its fault and records the requests that it ran.
 #[derive(Debug)]
 pub struct ReplicaStandIn {
@@ -170,10 +150,6 @@
     }
 }
 
-pub(super) fn lock(state: &Mutex<ReplicaState>) -> MutexGuard<'_, ReplicaState> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Accepts connections; after a crash, which ends all of them, the replica starts again.
 async fn accept_connections(mut listener: TcpListener, state: Arc<Mutex<ReplicaState>>) {
     let crash = Arc::clone(&lock(&state).crash);
