--- a/crates/poplargap-store/src/settled_write.rs
+++ b/crates/poplargap-store/src/settled_write.rs
@@ -12,6 +12,10 @@
 //!   revision. At most one of the copies can be applied. If the new copy is applied, the older
 //!   ones fail from then on; if it conflicts, the value in the conflict decides as above.
 //!
+//! If the store came back from a copy meanwhile, the write's precondition means nothing any more and
+//! isn't sent again: the value shows whether the copy has the write, and otherwise the caller decides
+//! anew.
+//!
 //! A write that creates a key (no expected revision) has a weaker guarantee: after the key is
 //! removed, a copy still in transit creates it again. A key that will be removed should be bound
 //! to a lease, since copies that arrive after the end of the lease are refused, or be replaced by
