--- a/review/harness-3/src/bin/reports.rs
+++ b/review/harness-3/src/bin/reports.rs
@@ -1,4 +1,5 @@
-//! Case 13: replicas crash while chats with long prompts are open, and a key is taken away just after.
+//! Case 13: replicas crash while chats with long prompts are open; just after, a route moves to another
+//! service and a key is taken away.
 
 use {
     review_harness_3::{
@@ -71,16 +72,18 @@
     Ok(true)
 }
 
-fn routes() -> Vec<String> {
+/// Returns the routes; those of orders lead to the service `desk`.
+fn routes(desk: &str) -> Vec<String> {
     let plain = ",\"timeoutMs\":600,\"latencyTargetMs\":120,\"maxAttempts\":2";
     let chat = ",\"timeoutMs\":12000,\"latencyTargetMs\":400,\"gapTargetMs\":400,\"maxAttempts\":1,\"resumable\":false,\"sticky\":true";
     let mut routes = vec![
         route("note", "/note/", "streaming", "model", chat),
-        route("stock", "/stock/", "idempotent", "desk", plain),
+        route("reserve", "/reserve/", "non_idempotent", desk, plain),
+        route("stock", "/stock/", "idempotent", "desk-old", plain),
     ];
     for idle in 0..IDLE_ROUTES {
         let (name, prefix) = (format!("r-idle{idle:03}"), format!("/idle{idle:03}/"));
-        routes.push(route(&name, &prefix, "idempotent", "desk", plain));
+        routes.push(route(&name, &prefix, "idempotent", "desk-old", plain));
     }
     routes
 }
@@ -117,21 +120,21 @@
         let id = format!("i-model{number}");
         processes.push(ReplicaProcess::start(&id, "model", ip, &store)?);
     }
-    let seen = Arc::clone(record);
-    let desk = replica::start(any_port(ip), "i-desk0", record, move |call| {
-        let tenant = call.head.get("tenant").map(str::to_owned);
-        seen.add(format!(
-            "replica {}: runs {} of tenant {tenant:?}",
-            call.replica,
-            call.id()
-        ));
-        call.answer("200 OK", "stock")?;
-        Ok(true)
-    })?;
-    Registration::new("i-desk0", "desk", desk).keep(&store);
-    let (routes, services) = (routes(), ["desk", "model"]);
+    for service in ["desk-old", "desk-new"] {
+        let seen = Arc::clone(record);
+        let id = format!("i-{service}");
+        let desk = replica::start(any_port(ip), &id, record, move |call| {
+            let (replica, target) = (call.replica.clone(), call.head.target().to_owned());
+            seen.add(format!("replica {replica}: runs {} {target}", call.id()));
+            call.answer("200 OK", service)?;
+            Ok(true)
+        })?;
+        Registration::new(&id, service, desk).keep(&store);
+    }
+    let services = ["desk-old", "desk-new", "model"];
     let both = format!("{},{}", tenant("quad", "key-1"), tenant("pair", "key-2"));
-    store.put("op/config", &configuration(1, &routes, &services, &both));
+    let text = configuration(1, &routes("desk-old"), &services, &both);
+    store.put("op/config", &text);
     let mut daemons = Vec::new();
     for (number, machine) in MACHINES.iter().enumerate() {
         let name = format!("edge-zone-a-{number}");
@@ -158,35 +161,45 @@
         ));
     }
     sleep(Duration::from_millis(1_500));
-    let text = configuration(2, &routes, &services, &tenant("quad", "key-1"));
+    let one = tenant("quad", "key-1");
+    let text = configuration(2, &routes("desk-new"), &services, &one);
     store.put("op/config", &text);
     let changed = Instant::now();
     let (count, bytes) = store.count("crash-reports/");
     record.add(format!(
-        "operator: version 2 is acknowledged, key-2 is taken away; the store has {count} crash reports of {bytes} bytes"
+        "operator: version 2 is acknowledged: /reserve/ moves to desk-new, key-2 is taken away; the store has {count} crash reports of {bytes} bytes"
     ));
     let (mut late, mut step) = (0, 0);
     while changed.elapsed() < ASKED {
         sleep(Duration::from_millis(300));
         step += 1;
         for (number, daemon) in daemons.iter().enumerate() {
-            let is_late = changed.elapsed() > APPLY;
-            let id = format!("c{number}-{step}");
-            let mut client = Client::connect(daemon.front)?;
-            client.send(&request("GET", "/stock/1", &id, "key-2", 600, "", ""))?;
-            let end = Instant::now() + Duration::from_secs(1);
-            let answer = client.read(Duration::from_secs(1), end);
-            let after = changed.elapsed().as_secs_f64();
-            record.add(format!(
-                "client: {id} with key-2 at daemon {number} got {}, {after:.2} s after the acknowledgement",
-                answer.status()
-            ));
-            late += i32::from(is_late && answer.status() == 200);
+            for (kind, method, path, key) in [
+                ("order", "POST", "/reserve/1", "key-1"),
+                ("lookup", "GET", "/stock/1", "key-2"),
+            ] {
+                let is_late = changed.elapsed() > APPLY;
+                let id = format!("{kind}{number}-{step}");
+                let mut client = Client::connect(daemon.front)?;
+                client.send(&request(method, path, &id, key, 600, "", ""))?;
+                let end = Instant::now() + Duration::from_secs(1);
+                let answer = client.read(Duration::from_secs(1), end);
+                let after = changed.elapsed().as_secs_f64();
+                record.add(format!(
+                    "client: {id} with {key} at daemon {number} got {} {:?}, {after:.2} s after the acknowledgement",
+                    answer.status(),
+                    answer.body
+                ));
+                let is_old = answer.status() == 200 && answer.body == "desk-old";
+                if is_late && is_old {
+                    late += 1;
+                }
+            }
         }
     }
     drop(chats);
     record.add(format!(
-        "{late} requests ran with the key later than configApplyMs after the acknowledgement"
+        "{late} requests ran at the old service or with the old key later than configApplyMs after the acknowledgement"
     ));
     Ok(if late > 0 { BROKEN } else { HELD })
 }
