--- a/review/harness-3/src/bin/grace.rs
+++ b/review/harness-3/src/bin/grace.rs
@@ -1,4 +1,4 @@
-//! Case 14: the platform raises `graceS` in the settings file of a daemon, sends SIGHUP, and later
+//! Case 15: the platform raises `graceS` in the settings file of a daemon, sends SIGHUP, and later
 //! stops the daemon.
 
 use {
--- a/review/harness-3/src/bin/reports.rs
+++ b/review/harness-3/src/bin/reports.rs
@@ -1,4 +1,4 @@
-//! Case 13: replicas crash while chats with long prompts are open; just after, a route moves to another
+//! Case 14: replicas crash while chats with long prompts are open; just after, a route moves to another
 //! service and a key is taken away.
 
 use {
--- a/review/harness-3/src/bin/silence.rs
+++ b/review/harness-3/src/bin/silence.rs
@@ -1,4 +1,4 @@
-//! Case 12: a replica pauses in the middle of a stream while the daemon that relays it is stopped, and
+//! Case 13: a replica pauses in the middle of a stream while the daemon that relays it is stopped, and
 //! the other replica is full.
 
 use {
