--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -9,6 +9,7 @@
 mod evacuation_feed;
 mod evidence_feed;
 mod feed_context;
+mod omitted_reads;
 mod omitted_values;
 mod peers_feed;
 mod reader_clients;
@@ -17,6 +18,7 @@
 mod shared_reads;
 mod store_feed;
 mod store_follower;
+mod value_kind;
 
 pub(crate) use {
     change_server::{ChangeServer, serve_changes},
@@ -29,6 +31,8 @@
 pub use {
     change_body::FeedBatchBody,
     change_log::{ChangeLog, ChangeLogError, FeedBatch, FeedChange, FeedValue},
+    omitted_values::{OmittedValues, ReadVerdict, ValueRead},
+    value_kind::ValueKind,
 };
 
 use change_request::ChangeRequest;
--- a/crates/poplargap-forward/src/feed/evacuation_feed.rs
+++ b/crates/poplargap-forward/src/feed/evacuation_feed.rs
@@ -58,8 +58,8 @@
         let mut view = EvacuationView::clone(&self.view.borrow());
         let mut moves = Vec::new();
         match update {
-            FeedUpdate::Changes(changes) => {
-                for change in changes {
+            FeedUpdate::Changes(_) | FeedUpdate::Value(_) => {
+                for change in update.changes() {
                     let Some(centre) = change.key.strip_prefix(prefix) else {
                         continue;
                     };
--- a/crates/poplargap-forward/src/feed/evidence_feed.rs
+++ b/crates/poplargap-forward/src/feed/evidence_feed.rs
@@ -26,8 +26,8 @@
     /// Applies an update of the store; returns how much of the evidence is kept though a copy lacks it.
     pub(super) fn apply(&self, update: &FeedUpdate) -> usize {
         match update {
-            FeedUpdate::Changes(changes) => {
-                let changes = changes.iter().filter_map(|change| {
+            FeedUpdate::Changes(_) | FeedUpdate::Value(_) => {
+                let changes = update.changes().iter().filter_map(|change| {
                     self.read(&change.key, change.revision, change.value.as_deref())
                 });
                 self.board.apply(changes.collect());
--- a/crates/poplargap-forward/src/feed/omitted_values.rs
+++ b/crates/poplargap-forward/src/feed/omitted_values.rs
@@ -1,7 +1,7 @@
 use {
-    super::{FeedChange, FeedValue},
+    super::value_kind::ValueKind,
     poplargap_core::instant::MonotonicInstant,
-    poplargap_store::{StoreRevision, WatchChange},
+    poplargap_store::StoreRevision,
     std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
@@ -13,124 +13,167 @@
 struct OmittedValue {
     /// Time of the first read.
     first_read: Option<MonotonicInstant>,
+    /// Number of the value in the order of arrival.
+    number: u64,
     /// Revision of the change.
     revision: StoreRevision,
+    /// Time of the first change that the daemon has not read.
+    since: MonotonicInstant,
 }
 
-/// Keys whose changed values have to be read from the store, since another daemon left them out.
-///
-/// Only the newest value of a key is read, and one value in each pause.
+/// The values of one kind that have to be read, one after the other.
 #[derive(Debug, Default)]
-pub(super) struct OmittedValues {
-    keys: BTreeMap<String, OmittedValue>,
+struct ReadQueue {
+    /// Whether a value is being read.
+    is_reading: bool,
     next_read: Option<MonotonicInstant>,
+    values: BTreeMap<String, OmittedValue>,
 }
 
-impl OmittedValues {
-    /// Keeps the keys of omitted values, and returns the other changes.
-    pub(super) fn split(&mut self, changes: Vec<FeedChange>) -> Vec<WatchChange> {
-        let mut given = Vec::with_capacity(changes.len());
-        for FeedChange {
-            key,
-            revision,
-            value,
-        } in changes
-        {
-            let value = match value {
-                FeedValue::Given(value) => Some(value),
-                FeedValue::Removed => None,
-                FeedValue::Omitted => {
-                    let known = self.keys.get(&key);
-                    let first_read = known.and_then(|value| value.first_read);
-                    let value = OmittedValue {
-                        first_read,
-                        revision,
-                    };
-                    self.keys.insert(key, value);
-                    continue;
-                }
-            };
-            self.keys.remove(&key);
-            given.push(WatchChange {
-                key,
-                revision,
-                value,
-            });
-        }
-        given
+impl ReadQueue {
+    fn is_due(&self, now: MonotonicInstant) -> bool {
+        !self.is_reading && !self.values.is_empty() && self.next_read.is_none_or(|at| at <= now)
     }
 
-    /// Returns whether a value is to be read at `now`.
-    pub(super) fn is_due(&self, now: MonotonicInstant) -> bool {
-        !self.keys.is_empty() && self.next_read.is_none_or(|at| at <= now)
+    /// Returns the value that arrived first.
+    fn first(&mut self) -> Option<(&String, &mut OmittedValue)> {
+        self.values.iter_mut().min_by_key(|(_, value)| value.number)
     }
+}
 
-    /// Returns `wait`, or the time until a value is to be read if that is shorter.
-    pub(super) fn wait(&self, now: MonotonicInstant, wait: Duration) -> Duration {
-        match self.next_read {
-            Some(at) if !self.keys.is_empty() => wait.min(at.since(now)),
-            _ => wait,
-        }
-    }
+/// The read of one value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ValueRead {
+    /// The value's key.
+    pub key: String,
+    /// What the value is about.
+    pub kind: ValueKind,
+    /// Whether a copy that may be old is read.
+    pub may_be_stale: bool,
+    /// Revision of the newest change when the read began.
+    pub revision: StoreRevision,
+}
 
-    /// Returns the key whose value is to be read next, and whether a copy that may be old is to be read
-    /// first, which is so for `stale_time` from the first read on.
-    ///
-    /// All daemons of a data centre read a changed configuration; an old copy costs the store little,
-    /// and mostly it is the changed one soon.
-    pub(super) fn next(
+/// What has become of a value after a read of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadVerdict {
+    /// The value is as new as the change, which arrived this long ago.
+    Current(Duration),
+    /// The value is older than the change, or of another era, and is read again.
+    Stale,
+    /// The value needn't be read any more.
+    Unneeded,
+}
+
+/// Keys whose changed values have to be read from the store, since another daemon left them out.
+///
+/// Only the newest value of a key is read. The values of a kind follow each other with a pause, which
+/// bounds the calls to the store. They don't wait for those of another kind: a crash of many replicas
+/// leads to hundreds of long reports, and a configuration has to take effect beside them.
+#[derive(Debug, Default)]
+pub struct OmittedValues {
+    count: u64,
+    queues: BTreeMap<ValueKind, ReadQueue>,
+}
+
+impl OmittedValues {
+    /// Adds a value that was changed at `revision`.
+    pub fn insert(
         &mut self,
+        kind: ValueKind,
+        key: String,
+        revision: StoreRevision,
         now: MonotonicInstant,
-        stale_time: Duration,
-    ) -> Option<(String, bool)> {
-        let (key, value) = self.keys.iter_mut().next()?;
+    ) {
+        self.count += 1;
+        let queue = self.queues.entry(kind).or_default();
+        let known = queue.values.get(&key);
+        let value = OmittedValue {
+            first_read: known.and_then(|value| value.first_read),
+            number: known.map_or(self.count, |value| value.number),
+            revision: known.map_or(revision, |value| value.revision.latest(revision)),
+            since: known.map_or(now, |value| value.since),
+        };
+        queue.values.insert(key, value);
+    }
+
+    /// Returns the next read that is due, the most urgent kind first, and records that it begins.
+    ///
+    /// For `stale_time` from the first read of a value on, a copy that may be old is read. All daemons
+    /// of a data centre read a changed configuration; an old copy costs the store little, and mostly it
+    /// is the changed one soon.
+    #[must_use]
+    pub fn begin_read(&mut self, now: MonotonicInstant, stale_time: Duration) -> Option<ValueRead> {
+        let mut queues = self.queues.iter_mut();
+        let (kind, queue) = queues.find(|(_, queue)| queue.is_due(now))?;
+        let (key, value) = queue.first()?;
         let first_read = *value.first_read.get_or_insert(now);
-        Some((key.clone(), now.since(first_read) < stale_time))
+        let read = ValueRead {
+            key: key.clone(),
+            kind: *kind,
+            may_be_stale: now.since(first_read) < stale_time,
+            revision: value.revision,
+        };
+        queue.is_reading = true;
+        Some(read)
+    }
+
+    /// Returns the time until a further read is due; `None` if none is waiting.
+    #[must_use]
+    pub fn wait(&self, now: MonotonicInstant) -> Option<Duration> {
+        let waiting = self.queues.values();
+        let waiting = waiting.filter(|queue| !queue.is_reading && !queue.values.is_empty());
+        let waits = waiting.map(|queue| queue.next_read.map_or(Duration::ZERO, |at| at.since(now)));
+        waits.min()
     }
 
-    /// Returns whether a copy of `revision` is of another era than, or older than, the change of `key`; if it is, the next read
-    /// is a little later.
-    pub(super) fn defer_stale(
+    /// Records that a read found the value at `revision`, or found none in the era of the change; the
+    /// next one of its kind is at `next` at the earliest, or a little later if the value is old.
+    pub fn finish_read(
         &mut self,
-        key: &str,
+        read: &ValueRead,
         revision: Option<StoreRevision>,
         now: MonotonicInstant,
-    ) -> bool {
-        let value = self.keys.get(key);
-        let is_older = |read: StoreRevision, changed: StoreRevision| {
-            !matches!(
-                read.compare(changed),
+        next: MonotonicInstant,
+    ) -> ReadVerdict {
+        let queue = self.queues.entry(read.kind).or_default();
+        queue.is_reading = false;
+        let Some(value) = queue.values.get(&read.key) else {
+            return ReadVerdict::Unneeded;
+        };
+        let is_current = match revision {
+            Some(revision) => matches!(
+                revision.compare(value.revision),
                 Ok(Ordering::Equal | Ordering::Greater)
-            )
+            ),
+            None => !read.may_be_stale && read.revision == value.revision,
         };
-        let is_stale =
-            value.is_some_and(|value| revision.is_none_or(|read| is_older(read, value.revision)));
-        if is_stale {
-            self.next_read = Some(now + STALE_PAUSE);
+        if !is_current {
+            queue.next_read = Some(now + STALE_PAUSE);
+            return ReadVerdict::Stale;
         }
-        is_stale
-    }
-
-    /// Records that a value was read; the next one is read at `next` at the earliest.
-    pub(super) fn finish(&mut self, key: &str, next: MonotonicInstant) {
-        self.keys.remove(key);
-        self.next_read = Some(next);
+        let waited = now.since(value.since);
+        queue.next_read = Some(next);
+        queue.values.remove(&read.key);
+        ReadVerdict::Current(waited)
     }
 
-    /// Defers the next read until `next`.
-    pub(super) fn defer(&mut self, next: MonotonicInstant) {
-        self.next_read = Some(next);
+    /// Records that a read failed; the next one of its kind is at `next` at the earliest.
+    pub fn fail_read(&mut self, read: &ValueRead, next: MonotonicInstant) {
+        let queue = self.queues.entry(read.kind).or_default();
+        queue.is_reading = false;
+        queue.next_read = Some(next);
     }
 
-    /// Removes the keys of changes that were read from the store.
-    pub(super) fn remove(&mut self, changes: &[WatchChange]) {
-        for change in changes {
-            self.keys.remove(&change.key);
+    /// Removes a value that was read otherwise.
+    pub fn remove(&mut self, kind: ValueKind, key: &str) {
+        if let Some(queue) = self.queues.get_mut(&kind) {
+            queue.values.remove(key);
         }
     }
 
-    /// Removes all keys after all values were listed.
-    pub(super) fn clear(&mut self) {
-        self.keys.clear();
+    /// Removes all values.
+    pub fn clear(&mut self) {
+        self.queues.clear();
     }
 }
--- a/crates/poplargap-forward/src/feed/peers_feed.rs
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -58,8 +58,9 @@
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
         let changed = match update {
-            FeedUpdate::Changes(changes) => {
-                let own = changes
+            FeedUpdate::Changes(_) | FeedUpdate::Value(_) => {
+                let own = update
+                    .changes()
                     .iter()
                     .filter(|change| change.key.starts_with(PEERS_PREFIX));
                 own.filter(|change| self.put(&change.key, change.value.as_deref()))
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -58,24 +58,25 @@
 
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
+        if let FeedUpdate::Value(change) = update {
+            // The store was read for this value alone, which doesn't end an outage.
+            self.apply_change(change);
+            return;
+        }
         let now = self.context.clock.now();
         self.registry.record_store_read(now);
-        match update {
-            FeedUpdate::Changes(changes) => {
-                for change in changes {
-                    self.apply_change(change);
-                }
-            }
-            FeedUpdate::Listing(FeedListing { era_change, values }) => {
-                let entries = values.iter().filter_map(|value| self.read(value)).collect();
-                let changes = if era_change.is_some() {
-                    self.registry.replace_in_new_era(entries, now)
-                } else {
-                    self.registry.replace(entries)
-                };
-                for (id, change) in changes {
-                    self.record_change(&id, change);
-                }
+        for change in update.changes() {
+            self.apply_change(change);
+        }
+        if let FeedUpdate::Listing(FeedListing { era_change, values }) = update {
+            let entries = values.iter().filter_map(|value| self.read(value)).collect();
+            let changes = if era_change.is_some() {
+                self.registry.replace_in_new_era(entries, now)
+            } else {
+                self.registry.replace(entries)
+            };
+            for (id, change) in changes {
+                self.record_change(&id, change);
             }
         }
         self.registry.finish_catch_up();
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -4,11 +4,12 @@
         era_guard::EraChange,
         evacuation_feed::EvacuationFeed,
         evidence_feed::EvidenceFeed,
+        omitted_reads::OmittedReads,
         peers_feed::PeersFeed,
         replicas_feed::ReplicasFeed,
         routes_feed::RoutesFeed,
         shared_reads::FeedSharing,
-        store_follower::{FeedRead, FeedUpdate, StoreFollower},
+        store_follower::{FeedUpdate, StoreFollower},
     },
     crate::{
         FeedDialect,
@@ -16,9 +17,9 @@
         peers::PEERS_PREFIX,
     },
     poplargap_core::forward::{EvacuationView, PeerView, ReplicaView, RouteTable},
-    poplargap_store::KeyValueStore,
+    poplargap_store::{KeyValueStore, WatchChange},
     slog::warn,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, pin::pin, slice, sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -38,7 +39,8 @@
 /// Keeps the routes in force and the views of replicas and daemons up to date.
 ///
 /// A single watch covers all of them, since calls to the store are costly. In a large data centre
-/// a few daemons read the store, and the others read the changes from these.
+/// a few daemons read the store, and the others read the changes from these; the values that these leave
+/// out are read beside the changes.
 pub(crate) async fn follow_store<F: FeedDialect, S: KeyValueStore>(
     context: FeedContext<F, S>,
     views: FeedViews,
@@ -54,63 +56,115 @@
     ];
     prefixes.extend(sharing.iter().map(|_| PEERS_PREFIX));
     let own_peer = sharing.as_ref().map(|sharing| sharing.own);
+    let mut feeds = StoreFeeds::new(&context, views, evacuation_limit, own_peer);
+    let mut omitted = OmittedReads::new(context.clone());
     let mut follower = StoreFollower::new(context.clone(), &prefixes, sharing);
-    let evidence = EvidenceFeed::new(context.clone(), views.crashes);
-    let mut evacuations = EvacuationFeed::new(
-        context.clone(),
-        evacuation_limit,
-        views.replicas.subscribe(),
-        views.evacuations,
-    );
-    let routes = RoutesFeed::new(context.clone(), views.routes);
-    let mut peers = own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers));
-    let mut replicas = ReplicasFeed::new(context.clone(), views.replicas);
     loop {
-        let ends = [
-            replicas.expiry(),
-            peers.as_ref().and_then(PeersFeed::expiry),
-            evacuations.expiry(),
-        ];
-        let now = context.clock.now();
-        let expiry = ends.into_iter().flatten().min();
-        let expiry = expiry.map_or(EXPIRY_MAX, |end| end.since(now));
-        tokio::select! {
-            read = follower.read() => match read {
-                Ok(FeedRead { after_outage, update }) => {
-                    if after_outage {
-                        replicas.record_store_failure();
-                    }
-                    replicas.apply(&update);
-                    replicas.publish();
-                    if let Some(peers) = &mut peers {
-                        peers.apply(&update);
-                    }
-                    evacuations.apply(&update);
-                    let lost_evidence = evidence.apply(&update);
-                    // Requests that are held for the routes need the replicas, too.
-                    routes.apply(&update);
-                    if let FeedUpdate::Listing(listing) = &update
-                        && let Some(change) = listing.era_change
-                    {
-                        record_era(&context, &change, &KeptValues {
-                            evidence: lost_evidence,
-                            listed: listing.values.len(),
-                            peers: peers.as_ref().map_or(0, PeersFeed::kept),
-                            replicas: replicas.kept(),
-                        });
-                    }
+        let read = {
+            let mut read = pin!(follower.read());
+            loop {
+                tokio::select! {
+                    read = &mut read => break read,
+                    change = omitted.next() => feeds.apply(&FeedUpdate::Value(change)),
+                    () = sleep(feeds.expiry()) => {}
                 }
-                Err(_) => replicas.record_store_failure(),
-            },
-            () = sleep(expiry) => {}
+                feeds.expire();
+            }
+        };
+        match read {
+            Ok(read) => {
+                omitted.apply(&read);
+                if read.after_outage {
+                    feeds.replicas.record_store_failure();
+                }
+                feeds.apply(&read.update);
+            }
+            Err(_) => feeds.replicas.record_store_failure(),
+        }
+        feeds.expire();
+        context.metrics.store().set_era(follower.era());
+    }
+}
+
+/// The feeds of all views.
+#[derive(Debug)]
+struct StoreFeeds<F, S> {
+    context: FeedContext<F, S>,
+    evacuations: EvacuationFeed<F, S>,
+    evidence: EvidenceFeed<F, S>,
+    peers: Option<PeersFeed<F, S>>,
+    replicas: ReplicasFeed<F, S>,
+    routes: RoutesFeed<F, S>,
+}
+
+impl<F: FeedDialect, S: KeyValueStore> StoreFeeds<F, S> {
+    fn new(
+        context: &FeedContext<F, S>,
+        views: FeedViews,
+        evacuation_limit: Duration,
+        own_peer: Option<SocketAddr>,
+    ) -> Self {
+        let replicas = views.replicas.subscribe();
+        Self {
+            context: context.clone(),
+            evacuations: EvacuationFeed::new(
+                context.clone(),
+                evacuation_limit,
+                replicas,
+                views.evacuations,
+            ),
+            evidence: EvidenceFeed::new(context.clone(), views.crashes),
+            peers: own_peer.map(|own| PeersFeed::new(context.clone(), own, views.peers)),
+            replicas: ReplicasFeed::new(context.clone(), views.replicas),
+            routes: RoutesFeed::new(context.clone(), views.routes),
+        }
+    }
+
+    /// Applies an update to all views.
+    ///
+    /// Requests that are held for the routes need the replicas, too. The evidence of crashes comes last,
+    /// since judging it may take long.
+    fn apply(&mut self, update: &FeedUpdate) {
+        self.replicas.apply(update);
+        self.replicas.publish();
+        if let Some(peers) = &mut self.peers {
+            peers.apply(update);
+        }
+        self.evacuations.apply(update);
+        self.routes.apply(update);
+        let lost_evidence = self.evidence.apply(update);
+        if let FeedUpdate::Listing(listing) = update
+            && let Some(change) = listing.era_change
+        {
+            let kept = KeptValues {
+                evidence: lost_evidence,
+                listed: listing.values.len(),
+                peers: self.peers.as_ref().map_or(0, PeersFeed::kept),
+                replicas: self.replicas.kept(),
+            };
+            record_era(&self.context, &change, &kept);
         }
-        replicas.publish();
-        evacuations.expire();
-        if let Some(peers) = &mut peers {
+    }
+
+    /// Returns the time until values expire.
+    fn expiry(&self) -> Duration {
+        let ends = [
+            self.replicas.expiry(),
+            self.peers.as_ref().and_then(PeersFeed::expiry),
+            self.evacuations.expiry(),
+        ];
+        let now = self.context.clock.now();
+        let first = ends.into_iter().flatten().min();
+        first.map_or(EXPIRY_MAX, |end| end.since(now))
+    }
+
+    /// Removes what has expired.
+    fn expire(&mut self) {
+        self.replicas.publish();
+        self.evacuations.expire();
+        if let Some(peers) = &mut self.peers {
             peers.expire();
         }
-        context.metrics.store().set_era(follower.era());
-        sleep(follower.pause()).await;
     }
 }
 
@@ -133,14 +187,23 @@
 }
 
 impl FeedUpdate {
+    /// Returns the changed values; none for a listing.
+    pub(super) fn changes(&self) -> &[WatchChange] {
+        match self {
+            Self::Changes(changes) => changes,
+            Self::Listing(_) => &[],
+            Self::Value(change) => slice::from_ref(change),
+        }
+    }
+
     /// Returns the newest value of `key`, if the update has one.
     pub(super) fn newest(&self, key: &str) -> Option<&str> {
         match self {
-            Self::Changes(changes) => changes
-                .iter()
-                .rev()
-                .find(|change| change.key == key)
-                .and_then(|change| change.value.as_deref()),
+            Self::Changes(_) | Self::Value(_) => {
+                let mut newest = self.changes().iter().rev();
+                let change = newest.find(|change| change.key == key)?;
+                change.value.as_deref()
+            }
             Self::Listing(listing) => listing
                 .values
                 .iter()
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -2,9 +2,8 @@
 
 use {
     super::{
-        FeedContext,
+        FeedBatch, FeedChange, FeedContext, FeedValue,
         era_guard::{EraChange, EraGuard},
-        omitted_values::OmittedValues,
         reader_clients::ReaderError,
         shared_reads::{FeedSharing, SharedReads},
     },
@@ -55,6 +54,15 @@
     Changes(Vec<WatchChange>),
     /// All values; within an era, they replace all earlier ones.
     Listing(FeedListing),
+    /// One value that another daemon left out; it says nothing of other changes.
+    Value(WatchChange),
+}
+
+/// A changed value that another daemon left out.
+#[derive(Debug)]
+pub(super) struct OmittedChange {
+    pub(super) key: String,
+    pub(super) revision: StoreRevision,
 }
 
 /// The result of one read of the store or of a daemon that reads it.
@@ -62,32 +70,55 @@
 pub(super) struct FeedRead {
     /// Whether the reader couldn't read the store for some time before.
     pub(super) after_outage: bool,
+    /// The values that have to be read from the store.
+    pub(super) omitted: Vec<OmittedChange>,
     pub(super) update: FeedUpdate,
 }
 
+impl From<FeedBatch> for FeedRead {
+    fn from(batch: FeedBatch) -> Self {
+        let mut changes = Vec::with_capacity(batch.changes.len());
+        let mut omitted = Vec::new();
+        for FeedChange {
+            key,
+            revision,
+            value,
+        } in batch.changes
+        {
+            let value = match value {
+                FeedValue::Given(value) => Some(value),
+                FeedValue::Omitted => {
+                    omitted.push(OmittedChange { key, revision });
+                    continue;
+                }
+                FeedValue::Removed => None,
+            };
+            changes.push(WatchChange {
+                key,
+                revision,
+                value,
+            });
+        }
+        Self {
+            after_outage: batch.after_outage,
+            omitted,
+            update: FeedUpdate::Changes(changes),
+        }
+    }
+}
+
 /// Reads the values under the common prefix of several keys repeatedly.
 #[derive(Debug)]
 pub(super) struct StoreFollower<F, S> {
     after: Option<StoreRevision>,
     context: FeedContext<F, S>,
     guard: EraGuard,
-    omitted: OmittedValues,
     pause: Duration,
     sharing: Option<SharedReads>,
     state: FeedState,
     watched: String,
 }
 
-impl Default for FeedRead {
-    /// Returns a read without changes.
-    fn default() -> Self {
-        Self {
-            after_outage: false,
-            update: FeedUpdate::Changes(Vec::new()),
-        }
-    }
-}
-
 impl<F, S: KeyValueStore> StoreFollower<F, S> {
     pub(super) fn new(
         context: FeedContext<F, S>,
@@ -100,8 +131,7 @@
         Self {
             guard: EraGuard::new(context.store.eras(), hints),
             after: None,
-            omitted: OmittedValues::default(),
-            pause: context.settings.pause,
+            pause: Duration::ZERO,
             context,
             sharing: sharing.map(|sharing| SharedReads::new(sharing, shared)),
             state: FeedState::default(),
@@ -114,12 +144,8 @@
         self.guard.listed()
     }
 
-    /// Returns the pause until the next read.
-    pub(super) fn pause(&self) -> Duration {
-        self.pause
-    }
-
-    /// Reads once. It is cancel safe: a dropped read loses no changes.
+    /// Reads once, after the pause that follows the last read. It is cancel safe: a dropped read loses no
+    /// changes.
     ///
     /// A read ends as soon as any call shows that the store is in another era, and all values are
     /// listed again.
@@ -129,6 +155,7 @@
     /// Returns an error if the read fails, after a pause if it failed early; the next call tries
     /// again.
     pub(super) async fn read(&mut self) -> Result<FeedRead, StoreError> {
+        sleep(self.pause).await;
         loop {
             if self.after.is_some() && self.guard.is_past() {
                 self.forget_position();
@@ -147,7 +174,6 @@
     /// Ends all reads that are based on what was listed.
     fn forget_position(&mut self) {
         self.after = None;
-        self.omitted.clear();
         if let Some(sharing) = &self.sharing {
             sharing.share.stop();
         }
@@ -159,9 +185,6 @@
         let Some(after) = self.after else {
             return self.read_store(None).await;
         };
-        if self.omitted.is_due(self.context.clock.now()) {
-            return self.read_omitted().await;
-        }
         match self.source(after) {
             ReadSource::Daemon(reader) => {
                 self.pause = POLL_PAUSE;
@@ -231,10 +254,7 @@
         let Some(sharing) = &mut self.sharing else {
             return Err(ReaderError::NotShared);
         };
-        let now = self.context.clock.now();
-        let wait = self
-            .omitted
-            .wait(now, self.context.settings.shared.poll_wait);
+        let wait = self.context.settings.shared.poll_wait;
         let polled = sharing.poll(reader, after, wait).await;
         let outcome = if polled.is_ok() {
             "polled"
@@ -245,12 +265,7 @@
         match polled {
             Ok(batch) => {
                 self.after = Some(batch.revision.latest(after));
-                let after_outage = batch.after_outage;
-                let changes = self.omitted.split(batch.changes);
-                Ok(FeedRead {
-                    after_outage,
-                    update: FeedUpdate::Changes(changes),
-                })
+                Ok(FeedRead::from(batch))
             }
             Err(error) => {
                 let is_ahead = matches!(&error, ReaderError::OtherEra(era) if *era > after.era());
@@ -263,60 +278,6 @@
         }
     }
 
-    /// Reads a value from the store that another daemon left out.
-    async fn read_omitted(&mut self) -> Result<FeedRead, StoreError> {
-        let stale_time = self.context.settings.shared.stale_time;
-        self.pause = POLL_PAUSE;
-        let now = self.context.clock.now();
-        let next = self.omitted.next(now, stale_time);
-        let (Some((key, reads_stale)), Some(after)) = (next, self.after) else {
-            return Ok(FeedRead::default());
-        };
-        let stored = if reads_stale {
-            self.context.store.get_stale(&key).await
-        } else {
-            self.context.store.get(&key).await
-        };
-        let outcome = match (&stored, reads_stale) {
-            (Ok(_), false) => "read",
-            (Ok(_), true) => "read-stale",
-            (Err(_), _) => "failed",
-        };
-        self.context.metrics.store().record_read(outcome);
-        let now = self.context.clock.now();
-        match stored {
-            Ok(stored)
-                if reads_stale
-                    && self.omitted.defer_stale(
-                        &key,
-                        stored.as_ref().map(|stored| stored.revision),
-                        now,
-                    ) =>
-            {
-                Ok(FeedRead::default())
-            }
-            Ok(stored) => {
-                self.omitted.finish(&key, now + self.context.settings.pause);
-                let change = WatchChange {
-                    revision: stored.as_ref().map_or(after, |stored| stored.revision),
-                    value: stored.map(|stored| stored.value),
-                    key,
-                };
-                Ok(FeedRead {
-                    after_outage: false,
-                    update: FeedUpdate::Changes(vec![change]),
-                })
-            }
-            Err(error) => {
-                let retry = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
-                self.omitted.defer(now + retry);
-                warn!(self.context.log, "value can't be read from the store; trying again";
-                    "key" => &key, "error" => %error, "retry-ms" => crate::call_log::millis(retry));
-                Ok(FeedRead::default())
-            }
-        }
-    }
-
     /// Reads the changes after a revision from the store, or lists all values.
     async fn read_store(
         &mut self,
@@ -364,11 +325,9 @@
                 if let Some(share) = share {
                     share.append(&batch, after_outage);
                 }
-                self.omitted.remove(&batch.changes);
                 FeedUpdate::Changes(batch.changes)
             }
             StoreRead::Listing(listing) => {
-                self.omitted.clear();
                 if let Some(share) = share {
                     share.stop();
                 }
@@ -377,6 +336,7 @@
         };
         FeedRead {
             after_outage,
+            omitted: Vec::new(),
             update,
         }
     }
--- a/crates/poplargap-forward/src/lib.rs
+++ b/crates/poplargap-forward/src/lib.rs
@@ -47,7 +47,10 @@
     call_head::{CallHead, HeadError, ReplyHead, ReplyRefusal, SendHead},
     crash_board::{CRASHES_PREFIX, SOUND_PREFIX},
     dialect::{DecodeError, FeedDialect, WireDialect},
-    feed::{ChangeLog, ChangeLogError, FeedBatch, FeedBatchBody, FeedChange, FeedValue},
+    feed::{
+        ChangeLog, ChangeLogError, FeedBatch, FeedBatchBody, FeedChange, FeedValue, OmittedValues,
+        ReadVerdict, ValueKind, ValueRead,
+    },
     front_proxy::{FrontError, FrontProxy},
     front_settings::{
         FeedSettings, FrontSettings, PlaceSettings, RetrySettings, SharedFeedSettings,
--- a/crates/poplargap-testbed/src/relay/chunk_pump.rs
+++ b/crates/poplargap-testbed/src/relay/chunk_pump.rs
@@ -54,7 +54,9 @@
         if len == 0 {
             return Ok(());
         }
-        let due_at = due_at(*faults.borrow(), &mut rng).max(last_due_at);
+        let faults = *faults.borrow();
+        let sent_at = Instant::now().max(last_due_at) + faults.transfer(len);
+        let due_at = due_at(faults, &mut rng).max(sent_at);
         last_due_at = due_at;
         let bytes = Bytes::copy_from_slice(&buffer[..len]);
         if sender.send(DelayedChunk { bytes, due_at }).await.is_err() {
--- a/crates/poplargap-testbed/src/relay/link_faults.rs
+++ b/crates/poplargap-testbed/src/relay/link_faults.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LinkFaults {
+    /// Bandwidth of each connection in each direction, in bytes a second; 0 for no limit.
+    pub bytes_per_s: u64,
     /// Whether open connections are reset and new ones refused, and datagrams dropped.
     pub cut: bool,
     /// Delay in each direction, in milliseconds.
@@ -32,6 +34,15 @@
         rng.random_range(0..100) < self.loss_percent
     }
 
+    /// Returns the time that the transfer of a chunk of `len` bytes takes.
+    pub(super) fn transfer(&self, len: usize) -> Duration {
+        if self.bytes_per_s == 0 {
+            return Duration::ZERO;
+        }
+        let micros = len as u64 * 1_000_000 / self.bytes_per_s;
+        Duration::from_micros(micros)
+    }
+
     pub(super) fn stall(&self) -> Duration {
         Duration::from_millis(self.stall_ms)
     }
