List the routes before the evidence of crashes when a listing takes several pages

Callers can see: after replicas with long prompts crashed, a daemon that starts refuses requests for seconds, and routes or keys of the store's new era take effect late.

Cause: a listing goes through all keys in their order, `crash-reports/` first, and was applied after its last page.

Why the fix works: if the first page isn't the last, the routes are read and applied at once, then everything but the evidence is listed, and the watch begins. The evidence is listed beside it, and what the daemon reads of it meanwhile stays, in the same era and in a new one (crash_evidence::listing_undoes_what_was_read_while_it_ran). A store whose values fit into a page is read with the same calls as before.

The pages of the store's stand-in are as long as those of the platform now (500 values or 1 MiB, before 1,000 or 4 MiB).

--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -67,7 +67,10 @@
     close_plan::{ClosePhase, ClosePlan},
     cold_gate::{ColdGate, ColdLimit, FleetPlace},
     cold_start::{ColdStart, hold_time},
-    crash_evidence::{CrashEvidence, EvidenceChange, LostEvidence, LostItem, MissingNote},
+    crash_evidence::{
+        CrashEvidence, EvidenceChange, EvidenceKey, EvidenceListing, LostEvidence, LostItem,
+        MissingNote,
+    },
     crash_report::{CrashId, CrashReport, ReportError, UnansweredCall},
     evacuation::{EvacuationChange, EvacuationView},
     event_cursor::{CursorError, EventBatch, EventCursor},
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -177,25 +177,31 @@
     }
 
     /// Replaces everything that the store has; what it lost has to be written again and is kept.
-    pub fn replace(&mut self, changes: Vec<EvidenceChange>, now: MonotonicInstant) {
-        self.notes
-            .retain(|_, stored| stored.place.missing_since().is_some());
-        self.stored
-            .retain(|_, stored| stored.place.missing_since().is_some());
-        self.apply(changes, now);
+    pub fn replace(&mut self, listing: EvidenceListing, now: MonotonicInstant) {
+        self.notes.retain(|part, stored| {
+            stored.place.missing_since().is_some() || listing.has_changed_note(*part)
+        });
+        self.stored.retain(|key, stored| {
+            stored.place.missing_since().is_some() || listing.has_changed_report(key)
+        });
+        self.apply(listing.into_unchanged(), now);
     }
 
     /// Takes over a listing of a store that came back from a copy; what the copy lacks is kept, since
     /// it has to be written again.
-    pub fn replace_in_new_era(&mut self, changes: Vec<EvidenceChange>, now: MonotonicInstant) {
+    pub fn replace_in_new_era(&mut self, listing: EvidenceListing, now: MonotonicInstant) {
         let lost = KeyPlace::Lost(now);
-        for note in self.notes.values_mut() {
-            note.place = lost;
+        for (part, note) in &mut self.notes {
+            if !listing.has_changed_note(*part) {
+                note.place = lost;
+            }
         }
-        for report in self.stored.values_mut() {
-            report.place = lost;
+        for (key, report) in &mut self.stored {
+            if !listing.has_changed_report(key) {
+                report.place = lost;
+            }
         }
-        self.apply(changes, now);
+        self.apply(listing.into_unchanged(), now);
     }
 
     /// Returns what the store lost and this daemon still has.
@@ -358,6 +364,15 @@
     }
 }
 
+/// The key of a piece of evidence.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum EvidenceKey {
+    /// The note on the part with this hash.
+    Note(u64),
+    /// The report under this key.
+    Report(String),
+}
+
 /// A change of the evidence in the store; without a value, the key is removed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EvidenceChange {
@@ -367,6 +382,44 @@
     Report(String, Option<(StoreRevision, CrashReport)>),
 }
 
+impl EvidenceChange {
+    /// Returns the key that is changed.
+    #[must_use]
+    pub fn key(&self) -> EvidenceKey {
+        match self {
+            Self::Note(part, _) => EvidenceKey::Note(*part),
+            Self::Report(key, _) => EvidenceKey::Report(key.clone()),
+        }
+    }
+}
+
+/// A listing of the evidence in the store, which other changes may have overtaken.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceListing {
+    /// Keys that were changed after the listing began; they stay as they are.
+    pub changed: HashSet<EvidenceKey>,
+    /// The listed reports and notes.
+    pub values: Vec<EvidenceChange>,
+}
+
+impl EvidenceListing {
+    fn has_changed_note(&self, part: u64) -> bool {
+        self.changed.contains(&EvidenceKey::Note(part))
+    }
+
+    fn has_changed_report(&self, key: &str) -> bool {
+        !self.changed.is_empty() && self.changed.contains(&EvidenceKey::Report(key.to_owned()))
+    }
+
+    fn into_unchanged(mut self) -> Vec<EvidenceChange> {
+        if !self.changed.is_empty() {
+            self.values
+                .retain(|value| !self.changed.contains(&value.key()));
+        }
+        self.values
+    }
+}
+
 /// A note on a part that the store lacks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MissingNote {
--- a/crates/poplargap-core/tests/forward/crash_evidence.rs
+++ b/crates/poplargap-core/tests/forward/crash_evidence.rs
@@ -2,8 +2,8 @@
     crate::{CONTENT, identity, revision},
     poplargap_core::{
         forward::{
-            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, RequestContent,
-            RequestIdentity, SoundNote, UnansweredCall,
+            BlockScope, CrashEvidence, CrashId, CrashReport, EvidenceChange, EvidenceListing,
+            RequestContent, RequestIdentity, SoundNote, UnansweredCall,
         },
         instant::MonotonicInstant,
     },
@@ -199,7 +199,7 @@
 fn block_ends_with_its_reports() {
     let mut evidence = CrashEvidence::default();
     evidence.apply(guilty_evidence(), now());
-    evidence.replace(Vec::new(), now());
+    evidence.replace(EvidenceListing::default(), now());
     assert!(blocked(&evidence).is_empty());
 }
 
@@ -403,10 +403,10 @@
     evidence.apply(vec![note], now());
     let reports = evidence.report_count();
     let blocked_before = Arc::clone(evidence.blocked());
-    evidence.replace_in_new_era(Vec::new(), now());
+    evidence.replace_in_new_era(EvidenceListing::default(), now());
     let lost = evidence.lost();
     assert_eq!(lost.len(), reports + 1);
-    evidence.replace(Vec::new(), now());
+    evidence.replace(EvidenceListing::default(), now());
     assert_eq!(evidence.lost().len(), reports + 1);
     assert_eq!(
         evidence.blocked(),
@@ -421,3 +421,32 @@
     evidence.expire(now() + Duration::from_mins(11));
     assert_eq!(evidence.report_count(), 0, "nobody wrote them again");
 }
+
+// A listing that took seconds replaced what the daemon had read meanwhile.
+#[test]
+fn listing_undoes_what_was_read_while_it_ran() {
+    for is_new_era in [false, true] {
+        let mut evidence = CrashEvidence::default();
+        let report = |daemon| stored(daemon, "a", vec![call("r1", &[GUILTY, OWN], "w")]);
+        let [kept, removed, added, gone] = [1, 2, 3, 4].map(report);
+        let EvidenceChange::Report(removed_key, _) = removed.clone() else {
+            panic!("it is a report");
+        };
+        let removal = EvidenceChange::Report(removed_key, None);
+        evidence.apply(vec![kept.clone(), removed.clone(), gone], now());
+        // The listing began here; the daemon read two changes before its end.
+        evidence.apply(vec![removal.clone(), added.clone()], now());
+        let listing = EvidenceListing {
+            changed: [removal.key(), added.key()].into_iter().collect(),
+            values: vec![kept, removed],
+        };
+        if is_new_era {
+            evidence.replace_in_new_era(listing, now());
+            assert_eq!(evidence.lost().len(), 1, "the copy lacks the last one");
+            assert_eq!(evidence.report_count(), 3);
+        } else {
+            evidence.replace(listing, now());
+            assert_eq!(evidence.report_count(), 2);
+        }
+    }
+}
--- a/crates/poplargap-forward/src/crash_board.rs
+++ b/crates/poplargap-forward/src/crash_board.rs
@@ -5,8 +5,9 @@
     poplargap_core::{
         collections::HashMap,
         forward::{
-            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, LostItem,
-            MissingNote, PeerCrash, PendingCrashes, ReplicaId, RequestIdentity, UnansweredCall,
+            BlockScope, BlockedParts, CrashEvidence, CrashReport, EvidenceChange, EvidenceListing,
+            LostItem, MissingNote, PeerCrash, PendingCrashes, ReplicaId, RequestIdentity,
+            UnansweredCall,
         },
     },
     slog::{Logger, info, warn},
@@ -157,17 +158,17 @@
     }
 
     /// Replaces what came from the store by a listing.
-    pub(crate) fn replace(&self, changes: Vec<EvidenceChange>) {
+    pub(crate) fn replace(&self, listing: EvidenceListing) {
         let now = self.clock.now();
-        self.update(|evidence| evidence.replace(changes, now));
+        self.update(|evidence| evidence.replace(listing, now));
     }
 
     /// Takes over a listing of a store that came back from a copy; returns how much of the evidence is
     /// kept though the copy lacks it.
-    pub(crate) fn replace_in_new_era(&self, changes: Vec<EvidenceChange>) -> usize {
+    pub(crate) fn replace_in_new_era(&self, listing: EvidenceListing) -> usize {
         let now = self.clock.now();
         self.update(|evidence| {
-            evidence.replace_in_new_era(changes, now);
+            evidence.replace_in_new_era(listing, now);
             evidence.lost().len()
         })
     }
--- a/crates/poplargap-forward/src/feed.rs
+++ b/crates/poplargap-forward/src/feed.rs
@@ -8,8 +8,10 @@
 mod era_guard;
 mod evacuation_feed;
 mod evidence_feed;
+mod evidence_reads;
 mod feed_context;
 mod feed_position;
+mod feed_read;
 mod omitted_reads;
 mod omitted_values;
 mod peers_feed;
@@ -19,6 +21,7 @@
 mod shared_reads;
 mod store_feed;
 mod store_follower;
+mod store_listing;
 mod value_kind;
 
 pub(crate) use {
--- a/crates/poplargap-forward/src/feed/evacuation_feed.rs
+++ b/crates/poplargap-forward/src/feed/evacuation_feed.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         FeedContext,
-        store_follower::{FeedListing, FeedUpdate},
+        feed_read::{FeedListing, FeedUpdate},
     },
     crate::FeedDialect,
     poplargap_core::{
@@ -58,7 +58,7 @@
         let mut view = EvacuationView::clone(&self.view.borrow());
         let mut moves = Vec::new();
         match update {
-            FeedUpdate::Changes(_) | FeedUpdate::Value(_) => {
+            FeedUpdate::Changes(_) | FeedUpdate::Evidence(_) | FeedUpdate::Value(_) => {
                 for change in update.changes() {
                     let Some(centre) = change.key.strip_prefix(prefix) else {
                         continue;
@@ -76,7 +76,9 @@
                     }
                 }
             }
-            FeedUpdate::Listing(FeedListing { era_change, values }) => {
+            FeedUpdate::Listing(FeedListing {
+                era_change, values, ..
+            }) => {
                 let keys = values.iter();
                 let centres = keys.filter_map(|value| value.key.strip_prefix(prefix));
                 self.stored = centres.map(str::to_owned).collect();
--- a/crates/poplargap-forward/src/feed/omitted_reads.rs
+++ b/crates/poplargap-forward/src/feed/omitted_reads.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         FeedContext,
+        feed_read::{FeedRead, FeedUpdate, OmittedChange},
         omitted_values::{OmittedValues, ReadVerdict, ValueRead},
-        store_follower::{FeedRead, FeedUpdate, OmittedChange},
         value_kind::ValueKind,
     },
     crate::FeedDialect,
@@ -62,7 +62,7 @@
                 self.values.clear();
                 self.running = JoinSet::new();
             }
-            FeedUpdate::Value(_) => {}
+            FeedUpdate::Evidence(_) | FeedUpdate::Value(_) => {}
         }
         let now = self.context.clock.now();
         for OmittedChange { key, revision } in &read.omitted {
--- a/crates/poplargap-forward/src/feed/peers_feed.rs
+++ b/crates/poplargap-forward/src/feed/peers_feed.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         FeedContext,
-        store_follower::{FeedListing, FeedUpdate},
+        feed_read::{FeedListing, FeedUpdate},
     },
     crate::{
         DecodeError,
@@ -58,7 +58,7 @@
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
         let changed = match update {
-            FeedUpdate::Changes(_) | FeedUpdate::Value(_) => {
+            FeedUpdate::Changes(_) | FeedUpdate::Evidence(_) | FeedUpdate::Value(_) => {
                 let own = update
                     .changes()
                     .iter()
@@ -66,7 +66,9 @@
                 own.filter(|change| self.put(&change.key, change.value.as_deref()))
                     .count()
             }
-            FeedUpdate::Listing(FeedListing { era_change, values }) => {
+            FeedUpdate::Listing(FeedListing {
+                era_change, values, ..
+            }) => {
                 let before = std::mem::take(&mut self.entries);
                 let lost = std::mem::take(&mut self.lost);
                 for value in values {
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         FeedContext,
-        store_follower::{FeedListing, FeedUpdate},
+        feed_read::{FeedListing, FeedUpdate},
     },
     crate::FeedDialect,
     poplargap_core::{
@@ -58,9 +58,11 @@
 
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
-        if let FeedUpdate::Value(change) = update {
-            // The store was read for this value alone, which doesn't end an outage.
-            self.apply_change(change);
+        if let FeedUpdate::Evidence(_) | FeedUpdate::Value(_) = update {
+            // The store was read for some values alone, which doesn't end an outage.
+            for change in update.changes() {
+                self.apply_change(change);
+            }
             return;
         }
         let now = self.context.clock.now();
@@ -68,7 +70,10 @@
         for change in update.changes() {
             self.apply_change(change);
         }
-        if let FeedUpdate::Listing(FeedListing { era_change, values }) = update {
+        if let FeedUpdate::Listing(listing) = update {
+            let FeedListing {
+                era_change, values, ..
+            } = listing;
             let entries = values.iter().filter_map(|value| self.read(value)).collect();
             let changes = if era_change.is_some() {
                 self.registry.replace_in_new_era(entries, now)
--- a/crates/poplargap-forward/src/feed/routes_feed.rs
+++ b/crates/poplargap-forward/src/feed/routes_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FeedContext, store_follower::FeedUpdate},
+    super::{FeedContext, feed_read::FeedUpdate},
     crate::FeedDialect,
     poplargap_core::forward::RouteTable,
     slog::{info, warn},
--- a/crates/poplargap-forward/src/feed/store_feed.rs
+++ b/crates/poplargap-forward/src/feed/store_feed.rs
@@ -1,15 +1,10 @@
 use {
     super::{
-        FeedContext,
-        era_guard::EraChange,
-        evacuation_feed::EvacuationFeed,
-        evidence_feed::EvidenceFeed,
-        omitted_reads::OmittedReads,
-        peers_feed::PeersFeed,
-        replicas_feed::ReplicasFeed,
-        routes_feed::RoutesFeed,
-        shared_reads::FeedSharing,
-        store_follower::{FeedUpdate, StoreFollower},
+        FeedContext, era_guard::EraChange, evacuation_feed::EvacuationFeed,
+        evidence_feed::EvidenceFeed, evidence_reads::EvidenceReads, feed_read::FeedUpdate,
+        omitted_reads::OmittedReads, peers_feed::PeersFeed, replicas_feed::ReplicasFeed,
+        routes_feed::RoutesFeed, shared_reads::FeedSharing, store_follower::StoreFollower,
+        store_listing::FeedPrefixes,
     },
     crate::{
         FeedDialect,
@@ -17,9 +12,9 @@
         peers::PEERS_PREFIX,
     },
     poplargap_core::forward::{EvacuationView, PeerView, ReplicaView, RouteTable},
-    poplargap_store::{KeyValueStore, WatchChange},
+    poplargap_store::KeyValueStore,
     slog::warn,
-    std::{net::SocketAddr, pin::pin, slice, sync::Arc, time::Duration},
+    std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -47,18 +42,12 @@
     evacuation_limit: Duration,
     sharing: Option<FeedSharing>,
 ) {
-    let mut prefixes = vec![
-        context.dialect.routes_key(),
-        context.dialect.replicas_prefix(),
-        context.dialect.evacuations_prefix(),
-        CRASHES_PREFIX,
-        SOUND_PREFIX,
-    ];
-    prefixes.extend(sharing.iter().map(|_| PEERS_PREFIX));
+    let prefixes = prefixes(&context.dialect, sharing.is_some());
     let own_peer = sharing.as_ref().map(|sharing| sharing.own);
     let mut feeds = StoreFeeds::new(&context, views, evacuation_limit, own_peer);
+    let mut evidence = EvidenceReads::new(context.clone(), prefixes.evidence.clone());
     let mut omitted = OmittedReads::new(context.clone());
-    let mut follower = StoreFollower::new(context.clone(), &prefixes, sharing);
+    let mut follower = StoreFollower::new(context.clone(), prefixes, sharing);
     loop {
         let read = {
             let mut read = pin!(follower.read());
@@ -66,6 +55,7 @@
                 tokio::select! {
                     read = &mut read => break read,
                     change = omitted.next() => feeds.apply(&FeedUpdate::Value(change)),
+                    values = evidence.next() => feeds.apply(&FeedUpdate::Evidence(values)),
                     () = sleep(feeds.expiry()) => {}
                 }
                 feeds.expire();
@@ -74,6 +64,7 @@
         match read {
             Ok(read) => {
                 omitted.apply(&read);
+                evidence.apply(&read, follower.position());
                 if read.after_outage {
                     feeds.replicas.record_store_failure();
                 }
@@ -86,6 +77,22 @@
     }
 }
 
+fn prefixes<F: FeedDialect>(dialect: &F, has_peers: bool) -> FeedPrefixes {
+    let mut urgent = vec![
+        dialect.routes_key().to_owned(),
+        dialect.evacuations_prefix().to_owned(),
+        dialect.replicas_prefix().to_owned(),
+    ];
+    if has_peers {
+        urgent.push(PEERS_PREFIX.to_owned());
+    }
+    FeedPrefixes {
+        evidence: vec![CRASHES_PREFIX.to_owned(), SOUND_PREFIX.to_owned()],
+        routes: dialect.routes_key().to_owned(),
+        urgent,
+    }
+}
+
 /// The feeds of all views.
 #[derive(Debug)]
 struct StoreFeeds<F, S> {
@@ -185,30 +192,3 @@
         "kept-replicas" => kept.replicas, "kept-peers" => kept.peers,
         "to-write-again" => kept.evidence);
 }
-
-impl FeedUpdate {
-    /// Returns the changed values; none for a listing.
-    pub(super) fn changes(&self) -> &[WatchChange] {
-        match self {
-            Self::Changes(changes) => changes,
-            Self::Listing(_) => &[],
-            Self::Value(change) => slice::from_ref(change),
-        }
-    }
-
-    /// Returns the newest value of `key`, if the update has one.
-    pub(super) fn newest(&self, key: &str) -> Option<&str> {
-        match self {
-            Self::Changes(_) | Self::Value(_) => {
-                let mut newest = self.changes().iter().rev();
-                let change = newest.find(|change| change.key == key)?;
-                change.value.as_deref()
-            }
-            Self::Listing(listing) => listing
-                .values
-                .iter()
-                .find(|value| value.key == key)
-                .map(|value| value.value.as_str()),
-        }
-    }
-}
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -2,15 +2,16 @@
 
 use {
     super::{
-        FeedBatch, FeedChange, FeedContext, FeedPosition, FeedValue,
-        era_guard::{EraChange, EraGuard},
+        FeedContext, FeedPosition,
+        era_guard::EraGuard,
+        feed_read::{FeedListing, FeedRead, FeedUpdate},
         reader_clients::ReaderError,
         shared_reads::{FeedSharing, SharedReads},
+        store_listing::{FeedPrefixes, ListedPart, StoreListing},
     },
     poplargap_core::forward::{FeedState, ReadSource},
     poplargap_store::{
-        KeyValueStore, PositionError, StoreEra, StoreError, StoreRevision, StoredValue, WatchBatch,
-        WatchChange,
+        KeyValueStore, StoreEra, StoreError, StoreRevision, StoredValue, WatchBatch,
     },
     rand::Rng,
     slog::{info, warn},
@@ -38,81 +39,13 @@
 /// whose daemons notice the era at the same moment.
 const RELIST_PAUSE_MAX: Duration = Duration::from_millis(250);
 
-/// All values of the store.
-#[derive(Debug)]
-pub(super) struct FeedListing {
-    /// The change of the store's era since the last listing, if there was one. Values that are missing
-    /// may then be written again, and others may be older than those that were known.
-    pub(super) era_change: Option<EraChange>,
-    pub(super) values: Vec<StoredValue>,
-}
-
-/// The content of one read.
-#[derive(Debug)]
-pub(super) enum FeedUpdate {
-    /// Changes since the last update.
-    Changes(Vec<WatchChange>),
-    /// All values; within an era, they replace all earlier ones.
-    Listing(FeedListing),
-    /// One value that another daemon left out; it says nothing of other changes.
-    Value(WatchChange),
-}
-
-/// A changed value that another daemon left out.
-#[derive(Debug)]
-pub(super) struct OmittedChange {
-    pub(super) key: String,
-    pub(super) revision: StoreRevision,
-}
-
-/// The result of one read of the store or of a daemon that reads it.
-#[derive(Debug)]
-pub(super) struct FeedRead {
-    /// Whether the reader couldn't read the store for some time before.
-    pub(super) after_outage: bool,
-    /// The values that have to be read from the store.
-    pub(super) omitted: Vec<OmittedChange>,
-    pub(super) update: FeedUpdate,
-}
-
-impl From<FeedBatch> for FeedRead {
-    fn from(batch: FeedBatch) -> Self {
-        let mut changes = Vec::with_capacity(batch.changes.len());
-        let mut omitted = Vec::new();
-        for FeedChange {
-            key,
-            revision,
-            value,
-        } in batch.changes
-        {
-            let value = match value {
-                FeedValue::Given(value) => Some(value),
-                FeedValue::Omitted => {
-                    omitted.push(OmittedChange { key, revision });
-                    continue;
-                }
-                FeedValue::Removed => None,
-            };
-            changes.push(WatchChange {
-                key,
-                revision,
-                value,
-            });
-        }
-        Self {
-            after_outage: batch.after_outage,
-            omitted,
-            update: FeedUpdate::Changes(changes),
-        }
-    }
-}
-
 /// Reads the values under the common prefix of several keys repeatedly.
 #[derive(Debug)]
 pub(super) struct StoreFollower<F, S> {
     after: Option<FeedPosition>,
     context: FeedContext<F, S>,
     guard: EraGuard,
+    listing: StoreListing,
     pause: Duration,
     sharing: Option<SharedReads>,
     state: FeedState,
@@ -122,15 +55,16 @@
 impl<F, S: KeyValueStore> StoreFollower<F, S> {
     pub(super) fn new(
         context: FeedContext<F, S>,
-        prefixes: &[&str],
+        prefixes: FeedPrefixes,
         sharing: Option<FeedSharing>,
     ) -> Self {
-        let watched = common_prefix(prefixes).to_owned();
+        let watched = prefixes.common().to_owned();
         let shared = context.settings.shared;
         let hints = sharing.as_ref().map(|sharing| sharing.share.hints());
         Self {
             guard: EraGuard::new(context.store.eras(), hints),
             after: None,
+            listing: StoreListing::new(prefixes),
             pause: Duration::ZERO,
             context,
             sharing: sharing.map(|sharing| SharedReads::new(sharing, shared)),
@@ -139,6 +73,11 @@
         }
     }
 
+    /// Returns the revision up to which the daemon has all changes; `None` before a listing.
+    pub(super) fn position(&self) -> Option<StoreRevision> {
+        self.after.map(|after| after.complete)
+    }
+
     /// Returns the era of what was listed last.
     pub(super) fn era(&self) -> StoreEra {
         self.guard.listed()
@@ -174,6 +113,7 @@
     /// Ends all reads that are based on what was listed.
     fn forget_position(&mut self) {
         self.after = None;
+        self.listing.reset();
         if let Some(sharing) = &self.sharing {
             sharing.share.stop();
         }
@@ -224,7 +164,8 @@
     ) -> Result<FeedRead, StoreError> {
         self.forget_position();
         let read = self.read_store(None).await?;
-        if self.guard.listed() < era
+        if self.after.is_some()
+            && self.guard.listed() < era
             && let Some(sharing) = &mut self.sharing
         {
             // The store doesn't confirm it; without a pause each poll would lead to a listing.
@@ -336,6 +277,10 @@
                 }
                 FeedUpdate::Listing(listing)
             }
+            StoreRead::Routes(routes) => {
+                self.pause = Duration::ZERO;
+                FeedUpdate::from(routes)
+            }
         };
         FeedRead {
             after_outage,
@@ -365,31 +310,21 @@
         sleep(pause.saturating_sub(time)).await;
     }
 
-    /// Lists all values under the watched prefix.
-    ///
-    /// One listing of the common prefix takes fewer calls than one of each prefix. The watch then
-    /// starts at the revision of the first page.
+    /// Lists the next part of the values.
     async fn list(&mut self) -> Result<StoreRead, StoreError> {
-        let mut values = Vec::new();
-        let mut first: Option<StoreRevision> = None;
-        let mut after: Option<String> = None;
-        let revision = loop {
-            let page = self.context.store.list(&self.watched, after.as_deref());
-            let page = page.await?;
-            let revision = *first.get_or_insert(page.revision);
-            if let Err(PositionError::OtherEra { held, current }) = revision.compare(page.revision)
-            {
-                return Err(StoreError::EraChanged { held, current });
-            }
-            values.extend(page.values);
-            after = page.next;
-            if after.is_none() {
-                break revision;
-            }
+        let part = self.listing.next(&self.context.store).await?;
+        let (revision, values, defers_evidence) = match part {
+            ListedPart::All(revision, values) => (revision, values, false),
+            ListedPart::Routes(routes) => return Ok(StoreRead::Routes(routes)),
+            ListedPart::Urgent(revision, values) => (revision, values, true),
         };
         self.after = Some(revision.into());
         let era_change = self.guard.record_listing(revision.era());
-        Ok(StoreRead::Listing(FeedListing { era_change, values }))
+        Ok(StoreRead::Listing(FeedListing {
+            defers_evidence,
+            era_change,
+            values,
+        }))
     }
 
     async fn watch(
@@ -408,6 +343,8 @@
 enum StoreRead {
     Changes(WatchBatch),
     Listing(FeedListing),
+    /// The routes, ahead of the listing of all values.
+    Routes(StoredValue),
 }
 
 impl StoreRead {
@@ -421,23 +358,7 @@
                     .filter_map(|change| change.value.as_ref());
                 values.map(String::len).sum()
             }
-            Self::Listing(_) => 0,
+            Self::Listing(_) | Self::Routes(_) => 0,
         }
     }
 }
-
-/// Returns the longest prefix that all of `prefixes` share.
-fn common_prefix<'a>(prefixes: &[&'a str]) -> &'a str {
-    let Some((first, others)) = prefixes.split_first() else {
-        return "";
-    };
-    let shared = |other: &&str| {
-        let pairs = first.char_indices().zip(other.chars());
-        pairs
-            .take_while(|((_, a), b)| a == b)
-            .last()
-            .map_or(0, |((start, a), _)| start + a.len_utf8())
-    };
-    let len = others.iter().map(shared).min().unwrap_or(first.len());
-    &first[..len]
-}
--- a/crates/poplargap-testbed/src/store/store_state.rs
+++ b/crates/poplargap-testbed/src/store/store_state.rs
@@ -21,8 +21,9 @@
 /// Longest value in bytes.
 pub const VALUE_BYTES_MAX: usize = 1_000_000;
 
-const PAGE_BYTES_MAX: usize = 4 * 1024 * 1024;
-const PAGE_VALUES_MAX: usize = 1000;
+/// Most bytes of the values of a page, and most values, as on the platform.
+const PAGE_BYTES_MAX: usize = 1024 * 1024;
+const PAGE_VALUES_MAX: usize = 500;
 
 /// Result of a compare-and-swap.
 #[derive(Debug)]
