--- a/crates/poplargap-core/src/forward.rs
+++ b/crates/poplargap-core/src/forward.rs
@@ -37,6 +37,7 @@
 mod prompt_source;
 mod reader_rule;
 mod rendezvous;
+mod repeated_parts;
 mod replica_entry;
 mod replica_intake;
 mod replica_load;
@@ -88,6 +89,7 @@
     prompt_rates::PromptRates,
     prompt_source::{PromptSource, SourceBasis, SourceRequest, choose_source},
     reader_rule::{ReadSource, ReaderRule},
+    repeated_parts::repeated_parts,
     replica_entry::{AddressError, ProcessAddress, ReplicaEntry, ReplicaId, ReplicaState},
     replica_intake::{IntakeState, ReplicaIntake},
     replica_load::{LoadReport, ReplicaLoad, ReportSource},
--- a/crates/poplargap-core/src/forward/blocked_parts.rs
+++ b/crates/poplargap-core/src/forward/blocked_parts.rs
@@ -113,15 +113,18 @@
     /// requests share is among the unanswered ones of every crash. Parts that were never answered
     /// are judged first, those with most crashes before the others; the crashes that they explain
     /// don't count against parts that were on the same replicas.
+    ///
+    /// Only `parts` are judged; they must include all that were at as many crashes as block a part.
     #[must_use]
     pub fn judge<'a>(
-        reports: impl Iterator<Item = &'a CrashReport>,
+        reports: &[&'a CrashReport],
+        parts: &HashSet<u64>,
         notes: &HashMap<u64, SoundNote>,
     ) -> Self {
         let mut records: BTreeMap<u64, PartRecord<'a>> = BTreeMap::new();
         for report in reports {
             for call in report.calls() {
-                for part in call.hashes() {
+                for part in call.hashes().filter(|part| parts.contains(part)) {
                     let note = notes.get(&part);
                     if note.is_some_and(|note| note.clears(report.crash())) {
                         continue;
--- a/crates/poplargap-core/src/forward/crash_evidence.rs
+++ b/crates/poplargap-core/src/forward/crash_evidence.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         BlockedParts, CrashId, CrashReport, RequestIdentity, SoundNote, SoundParts, UnansweredCall,
-        blocked_parts::count_crash_times,
+        blocked_parts::count_crash_times, repeated_parts,
     },
     crate::{
         collections::{HashMap, HashSet},
@@ -96,6 +96,7 @@
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     blocked: Arc<BlockedParts>,
+    /// The parts that were unanswered at two crashes or more.
     crashes: HashMap<u64, PartCrashes>,
     notes: HashMap<u64, StoredNote>,
     direct: HashMap<String, DirectReport>,
@@ -350,14 +351,13 @@
         let reports: Vec<&CrashReport> = stored
             .chain(direct.map(|(_, direct)| &direct.report))
             .collect();
-        let parts = reports.iter().flat_map(|report| report.calls());
-        let parts: HashSet<u64> = parts.flat_map(UnansweredCall::hashes).collect();
-        let notes = parts.into_iter();
+        let parts = repeated_parts(&reports, SUSPICIOUS_CRASHES);
+        let notes = parts.iter();
         let notes: HashMap<u64, SoundNote> = notes
-            .filter_map(|part| Some((part, self.note(part, now)?)))
+            .filter_map(|part| Some((*part, self.note(*part, now)?)))
             .collect();
-        self.crashes = count_crashes(&reports, &notes);
-        let blocked = BlockedParts::judge(reports.into_iter(), &notes);
+        self.crashes = count_crashes(&reports, &parts, &notes);
+        let blocked = BlockedParts::judge(&reports, &parts, &notes);
         if *self.blocked != blocked {
             self.blocked = Arc::new(blocked);
         }
@@ -459,15 +459,16 @@
     uncleared: usize,
 }
 
-/// Counts the crashes on record for each part.
+/// Counts the crashes on record for each of `parts`.
 fn count_crashes(
     reports: &[&CrashReport],
+    parts: &HashSet<u64>,
     notes: &HashMap<u64, SoundNote>,
 ) -> HashMap<u64, PartCrashes> {
     let mut crashes: HashMap<u64, HashMap<&CrashId, u64>> = HashMap::default();
     for report in reports {
-        let parts = report.calls().iter().flat_map(UnansweredCall::hashes);
-        for part in parts {
+        let hashes = report.calls().iter().flat_map(UnansweredCall::hashes);
+        for part in hashes.filter(|part| parts.contains(part)) {
             let times = crashes.entry(part).or_default();
             times.entry(report.crash()).or_insert(report.at_ms());
         }
--- a/crates/poplargap-core/tests/forward/main.rs
+++ b/crates/poplargap-core/tests/forward/main.rs
@@ -18,6 +18,7 @@
 mod prompt_source;
 mod readers;
 mod registry;
+mod repeated_parts;
 mod routes;
 mod scarce_room;
 mod sharing;
