Copy only the changes that are sent to another daemon

A batch in parts copied the whole backlog of evidence and dropped most of it, up to 2 MiB for each poll of each daemon. The changes are chosen by reference now. Found by reading the diff; the time of it wasn't measured. Tests of poplargap-forward passed.

--- a/crates/poplargap-forward/src/feed/change_log.rs
+++ b/crates/poplargap-forward/src/feed/change_log.rs
@@ -230,6 +230,7 @@
         if let Some(cut) = cut {
             changes.retain(|change| !change.is_evidence() || !is_after(change.revision, cut));
         }
+        let changes = changes.into_iter().cloned().collect();
         let age = now.since(span.read_at);
         Ok(FeedBatch {
             after_outage: span.outage_end.is_some_and(|end| is_after(end, urgent)),
@@ -241,12 +242,11 @@
     }
 
     /// Returns the last change of each key among those from the index `first`.
-    fn last_changes(&self, first: usize) -> Vec<FeedChange> {
+    fn last_changes(&self, first: usize) -> Vec<&FeedChange> {
         let mut seen = HashSet::default();
         let newest = self.changes.range(first..).rev();
-        let mut last: Vec<FeedChange> = newest
+        let mut last: Vec<&FeedChange> = newest
             .filter(|change| seen.insert(change.key.as_str()))
-            .cloned()
             .collect();
         last.reverse();
         last
@@ -274,7 +274,7 @@
 /// Returns the revision before the first evidence that doesn't fit into a batch, if any doesn't.
 ///
 /// Changes of one write have one revision and aren't separated, so that each batch has some.
-fn evidence_cut(changes: &[FeedChange]) -> Option<StoreRevision> {
+fn evidence_cut(changes: &[&FeedChange]) -> Option<StoreRevision> {
     let mut bytes = 0;
     let mut last = None;
     for change in changes.iter().filter(|change| change.is_evidence()) {
--- a/crates/poplargap-forward/src/feed/evidence_reads.rs
+++ b/crates/poplargap-forward/src/feed/evidence_reads.rs
@@ -36,7 +36,9 @@
         }
     }
 
-    /// Ends a listing that is outdated, and begins one if a read of the changes, after which the daemon is at `position`, left the evidence out.
+    /// Takes over a read of the changes, after which the daemon is at `position`.
+    ///
+    /// A new listing ends that of the evidence, which begins anew if the listing left it out.
     pub(super) fn apply(&mut self, read: &FeedRead, position: Option<StoreRevision>) {
         let FeedUpdate::Listing(listing) = &read.update else {
             return;
--- a/crates/poplargap-forward/src/feed/replicas_feed.rs
+++ b/crates/poplargap-forward/src/feed/replicas_feed.rs
@@ -58,12 +58,14 @@
 
     /// Applies an update of the store.
     pub(super) fn apply(&mut self, update: &FeedUpdate) {
-        if let FeedUpdate::Evidence(_) | FeedUpdate::Value(_) = update {
-            // The store was read for some values alone, which doesn't end an outage.
-            for change in update.changes() {
+        match update {
+            FeedUpdate::Changes(_) | FeedUpdate::Listing(_) => {}
+            FeedUpdate::Evidence(_) => return,
+            FeedUpdate::Value(change) => {
+                // The store was read for this value alone, which doesn't end an outage.
                 self.apply_change(change);
+                return;
             }
-            return;
         }
         let now = self.context.clock.now();
         self.registry.record_store_read(now);
