--- a/crates/poplargap-core/tests/forward/repeated_parts.rs
+++ b/crates/poplargap-core/tests/forward/repeated_parts.rs
@@ -6,7 +6,10 @@
     proptest::{collection::vec, option, prelude::*},
 };
 
-fn report((crash, at_ms, calls): (u8, u64, Vec<(u64, Option<u64>, Vec<u64>)>)) -> CrashReport {
+/// The request, its own hash, and the parts of its prompt.
+type DrawnCall = (u64, Option<u64>, Vec<u64>);
+
+fn report((crash, at_ms, calls): (u8, u64, Vec<DrawnCall>)) -> CrashReport {
     let crash = CrashId {
         replica: format!("i-{crash}").into(),
         started_ms: u64::from(crash % 3),
