--- a/crates/poplargap-testbed/tests/relay.rs
+++ b/crates/poplargap-testbed/tests/relay.rs
@@ -97,6 +97,22 @@
     relay.close().await;
 }
 
+#[tokio::test]
+async fn bandwidth_bounds_each_direction() {
+    let relay = start_relay().await;
+    let narrow = LinkFaults {
+        bytes_per_s: 10,
+        ..LinkFaults::default()
+    };
+    let mut stream = TcpStream::connect(relay.address()).await.unwrap();
+    relay.set_faults(narrow).await;
+    let started_at = Instant::now();
+    echo(&mut stream).await.unwrap();
+    // A byte takes a tenth of a second there, and another one back.
+    assert!(started_at.elapsed() >= Duration::from_millis(200));
+    relay.close().await;
+}
+
 #[tokio::test]
 async fn lost_chunks_stall() {
     let relay = start_relay().await;
