Stop reading omitted values of an earlier era of the store

Callers see nothing; the store could: until the listing of a new era came, a daemon would have read a value of each kind again every 150 ms, at 390 daemons some thousands of calls a second. Found by reading.

values_of_an_earlier_era_are_read_again_and_again failed with the new function empty, and passes.

--- a/crates/poplargap-forward/src/feed/omitted_reads.rs
+++ b/crates/poplargap-forward/src/feed/omitted_reads.rs
@@ -95,6 +95,7 @@
     }
 
     fn begin_reads(&mut self, now: MonotonicInstant) {
+        self.values.retain_era(self.context.store.eras().current());
         let stale_time = self.context.settings.shared.stale_time;
         while let Some(read) = self.values.begin_read(now, stale_time) {
             let store = self.context.store.clone();
--- a/crates/poplargap-forward/src/feed/omitted_values.rs
+++ b/crates/poplargap-forward/src/feed/omitted_values.rs
@@ -1,7 +1,7 @@
 use {
     super::value_kind::ValueKind,
     poplargap_core::instant::MonotonicInstant,
-    poplargap_store::StoreRevision,
+    poplargap_store::{StoreEra, StoreRevision},
     std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
@@ -172,6 +172,13 @@
         }
     }
 
+    /// Removes the values of other eras than `era`; the listing of that era has them, or they are gone.
+    pub fn retain_era(&mut self, era: StoreEra) {
+        for queue in self.queues.values_mut() {
+            queue.values.retain(|_, value| value.revision.era() == era);
+        }
+    }
+
     /// Removes all values.
     pub fn clear(&mut self) {
         self.queues.clear();
--- a/crates/poplargap-forward/tests/omitted_values.rs
+++ b/crates/poplargap-forward/tests/omitted_values.rs
@@ -179,6 +179,22 @@
     assert_eq!(verdict, ReadVerdict::Stale);
 }
 
+// Until the listing of a new era came, each daemon read a value of the old one again every 150 ms.
+#[test]
+fn values_of_an_earlier_era_are_read_again_and_again() {
+    let mut values = OmittedValues::default();
+    reports(&mut values);
+    let read = begin(&mut values, 0).expect("a report is due");
+    let next = StoreEra::default().next();
+    values.retain_era(next);
+    assert_eq!(begin(&mut values, 0), None);
+    assert_eq!(values.wait(at(0)), None);
+    let found = Some(StoreRevision::new(next, 1));
+    let verdict = values.finish_read(&read, found, at(1), at(2));
+    assert_eq!(verdict, ReadVerdict::Unneeded);
+    assert_eq!(begin(&mut values, 1_000), None);
+}
+
 // Whatever else is to be read, the read of a configuration begins as soon as the last one has had its pause.
 proptest! {
     #[test]
