List in the order of the keys unless the values are long, and ask seldom for reports that fail

Cause, by reading: with more than 500 values, daemons that started took some five calls more, and had routes before they had replicas, so that held requests were refused.

Change: values are listed out of order only if the first page of several has over 512 KiB, and the routes come ahead only where replicas are known.

--- a/crates/poplargap-forward/src/feed/era_guard.rs
+++ b/crates/poplargap-forward/src/feed/era_guard.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns whether there was a listing.
+    pub(super) fn has_listed(&self) -> bool {
+        self.listed.is_some()
+    }
+
     /// Returns the era of the last listing, or the first one before any.
     pub(super) fn listed(&self) -> StoreEra {
         self.listed.unwrap_or_default()
--- a/crates/poplargap-forward/src/feed/omitted_reads.rs
+++ b/crates/poplargap-forward/src/feed/omitted_reads.rs
@@ -16,10 +16,10 @@
     tokio::{task::JoinSet, time::sleep},
 };
 
-/// Shortest pause after a failed read.
+/// Shortest pause after a failed read of an urgent value.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
 
-/// Longest pause after a failed read.
+/// Longest pause after a failed read of an urgent value.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// A read that has ended.
@@ -152,8 +152,9 @@
     }
 
     fn retry(&mut self, read: &ValueRead, error: &StoreError, now: MonotonicInstant) {
-        let pause = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
-        self.values.fail_read(read, now + pause);
+        let retry = rand::rng().random_range(RETRY_PAUSE_MIN..RETRY_PAUSE_MAX);
+        let pause = self.context.settings.pause;
+        let pause = self.values.fail_read(read, now, retry, pause);
         warn!(self.context.log, "value can't be read from the store; trying again";
             "key" => &read.key, "error" => %error, "retry-ms" => crate::call_log::millis(pause));
     }
--- a/crates/poplargap-forward/src/feed/omitted_values.rs
+++ b/crates/poplargap-forward/src/feed/omitted_values.rs
@@ -158,11 +158,26 @@
         ReadVerdict::Current(waited)
     }
 
-    /// Records that a read failed; the next one of its kind is at `next` at the earliest.
-    pub fn fail_read(&mut self, read: &ValueRead, next: MonotonicInstant) {
+    /// Records that a read failed at `now`; returns the time until the next one of its kind.
+    ///
+    /// This is `retry` for what has to take effect in time, and `pause` longer for the rest: a store that
+    /// refuses a call is asked for what is urgent.
+    pub fn fail_read(
+        &mut self,
+        read: &ValueRead,
+        now: MonotonicInstant,
+        retry: Duration,
+        pause: Duration,
+    ) -> Duration {
+        let wait = if read.kind.is_bounded() {
+            retry
+        } else {
+            retry + pause
+        };
         let queue = self.queues.entry(read.kind).or_default();
         queue.is_reading = false;
-        queue.next_read = Some(next);
+        queue.next_read = Some(now + wait);
+        wait
     }
 
     /// Removes a value that was read otherwise.
--- a/crates/poplargap-forward/src/feed/store_follower.rs
+++ b/crates/poplargap-forward/src/feed/store_follower.rs
@@ -312,7 +312,8 @@
 
     /// Lists the next part of the values.
     async fn list(&mut self) -> Result<StoreRead, StoreError> {
-        let part = self.listing.next(&self.context.store).await?;
+        let has_replicas = self.guard.has_listed();
+        let part = self.listing.next(&self.context.store, has_replicas).await?;
         let (revision, values, defers_evidence) = match part {
             ListedPart::All(revision, values) => (revision, values, false),
             ListedPart::Routes(routes) => return Ok(StoreRead::Routes(routes)),
--- a/crates/poplargap-forward/src/feed/store_listing.rs
+++ b/crates/poplargap-forward/src/feed/store_listing.rs
@@ -1,6 +1,13 @@
 //! Lists the values of the store, the urgent ones first.
 
-use poplargap_store::{KeyValueStore, PositionError, StoreError, StoreRevision, StoredValue};
+use poplargap_store::{
+    KeyValueStore, PositionError, StoreError, StoreRevision, StoredValue, ValuePage,
+};
+
+/// Bytes of values on the first page of several from which the others are listed out of order.
+///
+/// Shorter values come fast enough, and one listing in the order of the keys takes the fewest calls.
+const LONG_PAGE_BYTES: usize = 512 * 1024;
 
 /// Prefixes of the keys that a daemon follows.
 #[derive(Clone, Debug)]
@@ -39,14 +46,14 @@
     Urgent(StoreRevision, Vec<StoredValue>),
 }
 
-/// Lists all values in one call if they fit into a page; otherwise the routes first, and the evidence of
+/// Lists all values in the order of their keys; if they are long, the routes first, and the evidence of
 /// crashes not at all.
 ///
 /// Evidence may take megabytes, and its keys come before those of the routes. On a slow link a daemon
 /// that starts, or whose store came back from a copy, would have the routes after all of it.
 #[derive(Debug)]
 pub(super) struct StoreListing {
-    /// Revision at which a listing of several pages began.
+    /// Revision at which a listing of long values began.
     begun: Option<StoreRevision>,
     prefixes: FeedPrefixes,
 }
@@ -66,21 +73,22 @@
 
     /// Returns the next part of the listing; the last one is `All` or `Urgent`.
     ///
-    /// A watch after the listing starts at the revision of the first page.
+    /// The routes come ahead only if `has_replicas`: a daemon that starts refuses requests for which it has
+    /// routes and no replicas. A watch after the listing starts at the revision of the first page.
     pub(super) async fn next<S: KeyValueStore>(
         &mut self,
         store: &S,
+        has_replicas: bool,
     ) -> Result<ListedPart, StoreError> {
         let begun = if let Some(begun) = self.begun {
             begun
         } else {
             let page = store.list(self.prefixes.common(), None).await?;
-            if page.next.is_none() {
-                return Ok(ListedPart::All(page.revision, page.values));
+            if page.next.is_none() || !is_long(&page) {
+                return self.list_in_order(store, page).await;
             }
-            let routes = store.get(&self.prefixes.routes).await?;
-            self.begun = Some(page.revision);
-            if let Some(routes) = routes {
+            if has_replicas && let Some(routes) = store.get(&self.prefixes.routes).await? {
+                self.begun = Some(page.revision);
                 return Ok(ListedPart::Routes(routes));
             }
             page.revision
@@ -89,6 +97,29 @@
         self.begun = None;
         Ok(ListedPart::Urgent(begun, values))
     }
+
+    /// Lists the pages that follow `first`.
+    async fn list_in_order<S: KeyValueStore>(
+        &self,
+        store: &S,
+        first: ValuePage,
+    ) -> Result<ListedPart, StoreError> {
+        let begun = first.revision;
+        let mut values = first.values;
+        let mut after = first.next;
+        while let Some(last) = after {
+            let page = store.list(self.prefixes.common(), Some(&last)).await?;
+            check_era(begun, page.revision)?;
+            values.extend(page.values);
+            after = page.next;
+        }
+        Ok(ListedPart::All(begun, values))
+    }
+}
+
+fn is_long(page: &ValuePage) -> bool {
+    let lens = page.values.iter().map(|value| value.value.len());
+    lens.sum::<usize>() > LONG_PAGE_BYTES
 }
 
 /// Lists all values under several prefixes, which must be of the same era as `begun`.
--- a/crates/poplargap-forward/src/feed/value_kind.rs
+++ b/crates/poplargap-forward/src/feed/value_kind.rs
@@ -20,6 +20,15 @@
 }
 
 impl ValueKind {
+    /// Returns whether a change has to take effect within a bounded time.
+    #[must_use]
+    pub fn is_bounded(self) -> bool {
+        match self {
+            Self::Routes | Self::Evacuation | Self::Replica => true,
+            Self::Peer | Self::Evidence => false,
+        }
+    }
+
     /// Returns the kind of the value under `key`.
     pub(super) fn of<F: FeedDialect>(dialect: &F, key: &str) -> Self {
         if key == dialect.routes_key() {
--- a/crates/poplargap-forward/tests/omitted_values.rs
+++ b/crates/poplargap-forward/tests/omitted_values.rs
@@ -195,6 +195,32 @@
     assert_eq!(begin(&mut values, 1_000), None);
 }
 
+// While the store refused a daemon, it asked for a report as often as for a configuration beside it.
+#[test]
+fn report_is_asked_for_as_often_as_a_configuration() {
+    let retry = Duration::from_millis(250);
+    let mut values = OmittedValues::default();
+    reports(&mut values);
+    values.insert(
+        ValueKind::Routes,
+        "op/config".to_owned(),
+        revision(20),
+        at(0),
+    );
+    let routes = begin(&mut values, 0).expect("the configuration is due");
+    let report = begin(&mut values, 0).expect("a report is due");
+    assert_eq!(values.fail_read(&routes, at(1), retry, PAUSE), retry);
+    assert_eq!(
+        values.fail_read(&report, at(1), retry, PAUSE),
+        retry + PAUSE
+    );
+    let again = begin(&mut values, 251).expect("the configuration is due again");
+    assert_eq!(again.key, "op/config");
+    assert_eq!(begin(&mut values, 900), None);
+    let report = begin(&mut values, 918).expect("the report is due again");
+    assert_eq!(report.kind, ValueKind::Evidence);
+}
+
 // Whatever else is to be read, the read of a configuration begins as soon as the last one has had its pause.
 proptest! {
     #[test]
